--- /dev/null
+++ b/borageworks/api/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface for callers, the balancer and the metrics scraper."""
--- /dev/null
+++ b/borageworks/catalog/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet configuration: objects, tickets and the replica each instance holds."""
--- /dev/null
+++ b/borageworks/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the command-line subcommands."""
--- /dev/null
+++ b/borageworks/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one instance: models, loading and the published schema."""
--- /dev/null
+++ b/borageworks/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters that send requests to model engines and plain services."""
--- /dev/null
+++ b/borageworks/fair/__init__.py
@@ -0,0 +1,1 @@
+"""Fair queueing decisions: order, cost, windows and correction."""
--- /dev/null
+++ b/borageworks/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Failure detection and the member list."""
--- /dev/null
+++ b/borageworks/router/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that joins the parts on one event loop."""
--- /dev/null
+++ b/borageworks/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Request decisions: endpoint choice, retries, limits and crash suspects."""
--- /dev/null
+++ b/borageworks/store/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the platform's key-value store."""
--- /dev/null
+++ b/borageworks/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that span several packages."""
--- /dev/null
+++ b/borageworks/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between instances and their codec."""
--- /dev/null
+++ b/borageworks_emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Emulated engines, services, platform store and load for demo and measure."""
