--- /dev/null
+++ b/borageworks/config/settings.py
@@ -0,0 +1,148 @@
+"""Settings of one instance."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    IPvAnyAddress,
+    StringConstraints,
+    model_validator,
+)
+
+from borageworks.catalog.objects import ObjectId
+
+SecretHex = Annotated[str, StringConstraints(pattern=r"^[0-9a-f]{32,128}$")]
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+
+class Address(_Section):
+    """An IP address and port."""
+
+    host: IPvAnyAddress
+    port: int = Field(ge=0, le=65535, description="0 takes a free port")
+
+    @property
+    def pair(self) -> tuple[str, int]:
+        """Address in the form that sockets take."""
+        return str(self.host), self.port
+
+
+class StoreSettings(_Section):
+    """Access to the platform's key-value store."""
+
+    url: str = Field(pattern=r"^http://[^/]+$", description="etcd v3 JSON gateway")
+    prefix: str = Field(default="/borageworks", pattern=r"^/[a-z0-9/_-]+$")
+    timeout_s: float = Field(default=2.0, gt=0, le=60)
+
+
+class MembershipSettings(_Section):
+    """Failure detection between instances."""
+
+    seeds: tuple[Address, ...] = ()
+    probe_interval_s: float = Field(default=1.0, gt=0, le=60)
+    probe_timeout_s: float = Field(default=0.3, gt=0, le=60)
+    suspicion_s: float = Field(default=2.0, gt=0, le=60)
+    indirect_probes: int = Field(default=2, ge=0, le=8)
+    pause_limit_s: float = Field(
+        default=3.0, gt=0, description="longest pause after which ownership is kept"
+    )
+    keys: tuple[SecretHex, ...] = Field(
+        min_length=1, max_length=2, description="first signs, all verify"
+    )
+
+
+class FairSettings(_Section):
+    """Order of waiting requests."""
+
+    exchange_interval_s: float = Field(default=4.0, gt=0, le=60)
+    correction_gain: float = Field(default=0.3, gt=0, le=1)
+    correction_trend_gain: float = Field(default=0.5, ge=0, le=1)
+    correction_limit: float = Field(
+        default=0.25,
+        gt=0,
+        le=1,
+        description="largest correction as a part of one interval's service",
+    )
+    prompt_token_units: float = Field(default=0.1, gt=0)
+    generated_token_units: float = Field(default=1.0, gt=0)
+
+
+class WindowSettings(_Section):
+    """Places per endpoint."""
+
+    token_interval_target_s: float = Field(default=0.058, gt=0)
+    first_token_target_s: float = Field(default=1.9, gt=0)
+    report_interval_s: float = Field(default=1.0, gt=0)
+    report_stale_s: float = Field(default=5.0, gt=0)
+
+
+class QueueSettings(_Section):
+    """Bounds of the queues of one instance."""
+
+    per_organisation: int = Field(default=1000, ge=1)
+    total: int = Field(default=10_000, ge=1)
+    escalation_s: float = Field(default=0.01, gt=0)
+    owners_per_pool: int = Field(default=16, ge=1)
+
+
+class RetrySettings(_Section):
+    """Retry budgets."""
+
+    attempts: int = Field(default=3, ge=1, le=10)
+    ratio: float = Field(default=0.1, ge=0, le=1)
+    burst: float = Field(default=10.0, ge=1)
+
+
+class ClaimSettings(_Section):
+    """At-most-once claims."""
+
+    shards: int = Field(default=64, ge=1, le=1024)
+    window_s: float = Field(default=3600.0, gt=0)
+    clock_difference_s: float = Field(default=60.0, ge=0)
+    segment_bytes: int = Field(default=16_384, ge=1024, le=1_000_000)
+    segment_age_s: float = Field(default=60.0, gt=0)
+    commit_interval_s: float = Field(default=0.01, ge=0)
+    held_answer_bytes: int = Field(default=32 * 1_048_576, ge=0)
+
+
+class ShutdownSettings(_Section):
+    """Graceful shutdown."""
+
+    balancer_lag_s: float = Field(default=5.0, ge=0)
+    drain_timeout_s: float = Field(default=3600.0, gt=0)
+
+
+class Settings(_Section):
+    """Settings of one instance."""
+
+    instance: ObjectId
+    domain: ObjectId
+    listen: Address
+    gossip: Address
+    peer: Address
+    store: StoreSettings
+    membership: MembershipSettings
+    fair: FairSettings = FairSettings()
+    window: WindowSettings = WindowSettings()
+    queue: QueueSettings = QueueSettings()
+    retry: RetrySettings = RetrySettings()
+    claims: ClaimSettings = ClaimSettings()
+    shutdown: ShutdownSettings = ShutdownSettings()
+    log_file: str | None = Field(
+        default=None, description="JSON lines; None writes to standard error"
+    )
+
+    @model_validator(mode="after")
+    def _claims_outlast_clock_difference(self) -> Settings:
+        if self.claims.window_s <= 2 * self.claims.clock_difference_s:
+            raise ValueError(
+                "claims.window_s must be over twice claims.clock_difference_s"
+            )
+        return self
--- /dev/null
+++ b/borageworks/events.py
@@ -0,0 +1,57 @@
+"""Numbered log events; docs/events.md lists each."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Any
+
+import eliot
+
+
+class Event(Enum):
+    """A log event: number and message type.
+
+    Numbers are grouped by part: 1xx process, 2xx configuration, 3xx membership,
+    4xx requests, 5xx endpoints, 6xx claims and store, 7xx peers.
+    """
+
+    INSTANCE_STARTED = (101, "instance_started")
+    INSTANCE_STOPPING = (102, "instance_stopping")
+    INSTANCE_STOPPED = (103, "instance_stopped")
+    TASK_FAILED = (104, "task_failed")
+    CATALOG_CHANGED = (201, "catalog_changed")
+    CATALOG_BEHIND = (202, "catalog_behind")
+    MEMBER_CHANGED = (301, "member_changed")
+    DOMAIN_REACHABILITY = (302, "domain_reachability")
+    INSTANCE_PAUSED = (303, "instance_paused")
+    REQUEST_REFUSED = (401, "request_refused")
+    REQUEST_RETRIED = (402, "request_retried")
+    ANSWER_DROPPED = (403, "answer_dropped")
+    ENDPOINT_DOWN = (501, "endpoint_down")
+    ENDPOINT_UP = (502, "endpoint_up")
+    ENDPOINT_OWNED = (503, "endpoint_owned")
+    ENDPOINT_DISOWNED = (504, "endpoint_disowned")
+    STORE_DOWN = (601, "store_down")
+    STORE_UP = (602, "store_up")
+    CLAIM_CONFLICT = (603, "claim_conflict")
+    CLAIM_SHARD_LOADED = (604, "claim_shard_loaded")
+    PEER_CONNECTED = (701, "peer_connected")
+    PEER_DISCONNECTED = (702, "peer_disconnected")
+    PEER_REJECTED = (703, "peer_rejected")
+
+    @property
+    def number(self) -> int:
+        """Stable number of the event."""
+        return int(self.value[0])
+
+    @property
+    def message_type(self) -> str:
+        """Name of the event in the log."""
+        return str(self.value[1])
+
+
+def emit(event: Event, **fields: Any) -> None:
+    """Write one event to the structured log."""
+    eliot.log_message(
+        message_type=f"borageworks:{event.message_type}", event=event.number, **fields
+    )
--- /dev/null
+++ b/borageworks/exceptions.py
@@ -0,0 +1,352 @@
+"""Exceptions of the package; each has a stable code listed in docs/errors.md."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import ClassVar
+
+
+class Ran(StrEnum):
+    """Whether a request that ended in an error was run by an endpoint."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class BorageworksError(Exception):
+    """Base of all errors of this package."""
+
+    code: ClassVar[str] = "internal_error"
+
+
+class SettingsInvalidError(BorageworksError):
+    """The settings file has errors; `reasons` lists each with its path."""
+
+    code = "settings_invalid"
+
+    def __init__(self, reasons: tuple[str, ...]) -> None:
+        super().__init__("; ".join(reasons))
+        self.reasons = reasons
+
+
+class TicketInvalidError(BorageworksError):
+    """A ticket would leave the configuration invalid; `reasons` lists why."""
+
+    code = "ticket_invalid"
+
+    def __init__(self, reasons: tuple[str, ...]) -> None:
+        super().__init__("; ".join(reasons))
+        self.reasons = reasons
+
+
+class TicketConflictError(BorageworksError):
+    """A ticket with the same or a higher number already changed an object."""
+
+    code = "ticket_conflict"
+
+
+class StoreUnavailableError(BorageworksError):
+    """The platform store did not accept the call; nothing was written."""
+
+    code = "store_unavailable"
+
+
+class StoreOutcomeUnknownError(BorageworksError):
+    """The reply of a write was lost; it may or may not have taken effect."""
+
+    code = "store_outcome_unknown"
+
+
+class StoreCompactedError(BorageworksError):
+    """A watch starts at a revision that the platform store no longer holds."""
+
+    code = "store_compacted"
+
+
+class StoreReplyMalformedError(BorageworksError):
+    """The platform store answered with something outside its protocol."""
+
+    code = "store_reply_malformed"
+
+
+class MessageMalformedError(BorageworksError):
+    """Bytes from another instance are not a valid message."""
+
+    code = "message_malformed"
+
+
+class MessageUnauthenticError(BorageworksError):
+    """A message from another instance has a wrong authentication code."""
+
+    code = "message_unauthentic"
+
+
+class MessageTooLargeError(BorageworksError):
+    """A message exceeds the size limit of its transport."""
+
+    code = "message_too_large"
+
+
+class EndpointFailedError(BorageworksError):
+    """Base of failures of one attempt at an endpoint."""
+
+    code = "endpoint_failed"
+
+
+class EndpointUnreachableError(EndpointFailedError):
+    """No connection to the endpoint was made, so the request did not run."""
+
+    code = "endpoint_unreachable"
+
+
+class EndpointRefusedError(EndpointFailedError):
+    """The endpoint answered that it did not start the request."""
+
+    code = "endpoint_refused"
+
+
+class EndpointDisconnectedError(EndpointFailedError):
+    """The connection broke after the request may have reached the endpoint."""
+
+    code = "endpoint_disconnected"
+
+
+class EndpointTimeoutError(EndpointFailedError):
+    """The endpoint did not answer within the run timeout."""
+
+    code = "endpoint_timeout"
+
+
+class EndpointReplyMalformedError(EndpointFailedError):
+    """The endpoint's answer is outside its protocol."""
+
+    code = "endpoint_reply_malformed"
+
+
+class EndpointReplyCrossedError(EndpointFailedError):
+    """The endpoint's answer carries the id of another request."""
+
+    code = "endpoint_reply_crossed"
+
+
+class EndpointReplyIncompleteError(EndpointFailedError):
+    """The endpoint's answer ended before its end marker."""
+
+    code = "endpoint_reply_incomplete"
+
+
+class RefusalError(BorageworksError):
+    """Base of answers that turn a caller's request down."""
+
+    code = "refused"
+    status: ClassVar[int] = 500
+    title: ClassVar[str] = "The request was refused"
+
+    def __init__(
+        self,
+        detail: str,
+        *,
+        ran: Ran = Ran.NOT_RUN,
+        retry_after: float | None = None,
+    ) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.ran = ran
+        self.retry_after = retry_after
+
+
+class BodyMalformedError(RefusalError):
+    """The request body cannot be parsed."""
+
+    code = "body_malformed"
+    status = 400
+    title = "The request body is malformed"
+
+
+class BodyTooLargeError(RefusalError):
+    """The request body is over the service's limit."""
+
+    code = "body_too_large"
+    status = 413
+    title = "The request body is too large"
+
+
+class RequestMalformedError(RefusalError):
+    """The HTTP request itself is malformed or its headers are too large."""
+
+    code = "request_malformed"
+    status = 400
+    title = "The HTTP request is malformed"
+
+
+class KeyUnknownError(RefusalError):
+    """The API key belongs to no organisation."""
+
+    code = "key_unknown"
+    status = 401
+    title = "The API key is missing or unknown"
+
+
+class ServiceUnknownError(RefusalError):
+    """No such model or service."""
+
+    code = "service_unknown"
+    status = 404
+    title = "No such model or service"
+
+
+class ServiceForbiddenError(RefusalError):
+    """The organisation may not use the service."""
+
+    code = "service_forbidden"
+    status = 403
+    title = "The organisation may not use this service"
+
+
+class RouteUnknownError(RefusalError):
+    """No such path."""
+
+    code = "route_unknown"
+    status = 404
+    title = "No such path"
+
+
+class MethodForbiddenError(RefusalError):
+    """The path does not accept the method."""
+
+    code = "method_forbidden"
+    status = 405
+    title = "The path does not accept this method"
+
+
+class OrganisationQueueFullError(RefusalError):
+    """The organisation's queue at this instance is full."""
+
+    code = "organisation_queue_full"
+    status = 429
+    title = "Too many requests of this organisation wait"
+
+
+class InstanceQueueFullError(RefusalError):
+    """The queue of this instance is full."""
+
+    code = "instance_queue_full"
+    status = 503
+    title = "Too many requests wait at this instance"
+
+
+class QueueTimeoutError(RefusalError):
+    """The request waited for its whole queue timeout."""
+
+    code = "queue_timeout"
+    status = 503
+    title = "No endpoint was free in time"
+
+
+class RequestSuspectedError(RefusalError):
+    """The request crashed endpoints before and is not run again."""
+
+    code = "request_suspected"
+    status = 422
+    title = "The request has crashed endpoints and is not run again"
+
+
+class RetriesExhaustedError(RefusalError):
+    """All attempts failed or the retry budget is used up."""
+
+    code = "retries_exhausted"
+    status = 502
+    title = "The endpoints failed to answer"
+
+
+class OutcomeUnknownError(RefusalError):
+    """The request may have run, and its answer was lost."""
+
+    code = "outcome_unknown"
+    status = 504
+    title = "The request may have run; its outcome is unknown"
+
+    def __init__(
+        self,
+        detail: str,
+        *,
+        ran: Ran = Ran.UNKNOWN,
+        retry_after: float | None = None,
+    ) -> None:
+        super().__init__(detail, ran=ran, retry_after=retry_after)
+
+
+class IdempotencyKeyMissingError(RefusalError):
+    """A non-idempotent request carries no Idempotency-Key."""
+
+    code = "idempotency_key_missing"
+    status = 400
+    title = "The service needs an Idempotency-Key"
+
+
+class IdempotencyKeyMalformedError(RefusalError):
+    """The Idempotency-Key carries no readable issue time."""
+
+    code = "idempotency_key_malformed"
+    status = 400
+    title = "The Idempotency-Key is malformed"
+
+
+class IdempotencyKeyExpiredError(RefusalError):
+    """The Idempotency-Key is older than the claim window."""
+
+    code = "idempotency_key_expired"
+    status = 409
+    title = "The Idempotency-Key is too old or issued in the future"
+
+
+class IdempotencyKeyReusedError(RefusalError):
+    """The Idempotency-Key was used with another body."""
+
+    code = "idempotency_key_reused"
+    status = 422
+    title = "The Idempotency-Key was used with another request"
+
+
+class RequestInProgressError(RefusalError):
+    """The first request with this Idempotency-Key still waits or runs."""
+
+    code = "request_in_progress"
+    status = 409
+    title = "The first request with this Idempotency-Key is in progress"
+
+
+class AnswerNotHeldError(RefusalError):
+    """The first request ran, and its answer is no longer held."""
+
+    code = "answer_not_held"
+    status = 409
+    title = "The first request ran; its answer is no longer held"
+
+
+class ClaimUnavailableError(RefusalError):
+    """The platform store cannot record the claim, so the request did not run."""
+
+    code = "claim_unavailable"
+    status = 503
+    title = "Non-idempotent requests cannot be accepted now"
+
+
+class InstanceNotReadyError(RefusalError):
+    """The instance has no configuration yet or is about to stop."""
+
+    code = "instance_not_ready"
+    status = 503
+    title = "The instance is not ready"
+
+
+def error_types() -> list[type[BorageworksError]]:
+    """Return every error class of the package, ordered by code."""
+    found: list[type[BorageworksError]] = []
+    pending = [BorageworksError]
+    while pending:
+        parent = pending.pop()
+        found.append(parent)
+        pending.extend(parent.__subclasses__())
+    return sorted(found, key=lambda error: error.code)
--- /dev/null
+++ b/borageworks/wire/fleet.capnp
@@ -0,0 +1,53 @@
+@0xb5d0c1a7e2f94361;
+# Messages between instances. The codec maps each struct to the data class of the same
+# name in messages.py; field names differ only in case.
+
+struct Hello { instance @0 :Text; incarnation @1 :UInt64; domain @2 :Text; nonce @3 :Data; }
+struct Demand { pool @0 :Text; organisation @1 :Text; waiting @2 :UInt32; }
+struct Grant { grantId @0 :UInt64; endpoint @1 :Text; pool @2 :Text; organisation @3 :Text; }
+struct Release { grantId @0 :UInt64; outcome @1 :UInt8; units @2 :Float64; firstToken @3 :Float32; tokenInterval @4 :Float32; }
+struct Charge { grantId @0 :UInt64; units @1 :Float64; }
+struct Running { grantId @0 :UInt64; endpoint @1 :Text; pool @2 :Text; organisation @3 :Text; units @4 :Float64; }
+struct ServiceReport { pool @0 :Text; organisation @1 :Text; owner @2 :Text; incarnation @3 :UInt64; units @4 :Float64; backlogged @5 :Bool; domain @6 :Text; }
+struct ServiceError { pool @0 :Text; organisation @1 :Text; error @2 :Float64; owners @3 :UInt32; total @4 :Float64; }
+struct Claim { requestId @0 :UInt64; shard @1 :UInt16; keyHash @2 :Data; bodyHash @3 :Data; issued @4 :Float64; holder @5 :Text; }
+struct ClaimReply { requestId @0 :UInt64; outcome @1 :UInt8; holder @2 :Text; state @3 :UInt8; }
+struct ClaimFinish { shard @0 :UInt16; keyHash @1 :Data; state @2 :UInt8; }
+struct HeldAnswerQuery { requestId @0 :UInt64; keyHash @1 :Data; }
+struct HeldAnswerReply { requestId @0 :UInt64; found @1 :UInt8; status @2 :UInt16; contentType @3 :Text; body @4 :Data; }
+struct CatalogDigest { revision @0 :UInt64; buckets @1 :List(UInt64); }
+struct CatalogPull { buckets @0 :List(UInt16); }
+struct CatalogObjects { objects @0 :List(Data); }
+struct Suspect { fingerprint @0 :Data; endpoint @1 :Text; incarnation @2 :Text; alone @3 :Bool; }
+
+struct MemberUpdate { instance @0 :Text; domain @1 :Text; host @2 :Text; port @3 :UInt16; peerPort @4 :UInt16; incarnation @5 :UInt64; state @6 :UInt8; }
+struct Ping { sequence @0 :UInt32; sender @1 :MemberUpdate; updates @2 :List(MemberUpdate); catalogRevision @3 :UInt64; catalogHash @4 :UInt64; }
+struct PingRequest { sequence @0 :UInt32; sender @1 :MemberUpdate; target @2 :Text; updates @3 :List(MemberUpdate); }
+struct Ack { sequence @0 :UInt32; sender @1 :MemberUpdate; updates @2 :List(MemberUpdate); catalogRevision @3 :UInt64; catalogHash @4 :UInt64; }
+
+struct Envelope {
+  union {
+    hello @0 :Hello;
+    demand @1 :Demand;
+    grant @2 :Grant;
+    release @3 :Release;
+    charge @4 :Charge;
+    running @5 :Running;
+    serviceReport @6 :ServiceReport;
+    serviceError @7 :ServiceError;
+    claim @8 :Claim;
+    claimReply @9 :ClaimReply;
+    claimFinish @10 :ClaimFinish;
+    heldAnswerQuery @11 :HeldAnswerQuery;
+    heldAnswerReply @12 :HeldAnswerReply;
+    catalogDigest @13 :CatalogDigest;
+    catalogPull @14 :CatalogPull;
+    catalogObjects @15 :CatalogObjects;
+    suspect @16 :Suspect;
+    ping @17 :Ping;
+    pingRequest @18 :PingRequest;
+    ack @19 :Ack;
+  }
+}
+
+struct Frame { messages @0 :List(Envelope); }
--- /dev/null
+++ b/borageworks/wire/messages.py
@@ -0,0 +1,296 @@
+"""Messages between instances.
+
+The closed set of messages stands in one file, since receivers match on all of them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+
+class Outcome(IntEnum):
+    """How a granted request ended."""
+
+    UNUSED = 0
+    COMPLETED = 1
+    REFUSED = 2
+    UNREACHABLE = 3
+    CRASHED = 4
+    TIMED_OUT = 5
+    CANCELLED = 6
+    MALFORMED = 7
+
+
+class ClaimOutcome(IntEnum):
+    """Answer of a shard writer to a claim."""
+
+    CLAIMED = 0
+    DUPLICATE = 1
+    BODY_MISMATCH = 2
+    EXPIRED = 3
+    UNAVAILABLE = 4
+
+
+class ClaimState(IntEnum):
+    """State of a claimed request."""
+
+    CLAIMED = 0
+    DONE = 1
+    UNKNOWN = 2
+    RELEASED = 3
+
+
+class HeldAnswer(IntEnum):
+    """What the holder of a claim knows about its answer."""
+
+    GONE = 0
+    RUNNING = 1
+    HELD = 2
+
+
+class MemberState(IntEnum):
+    """Membership state; a higher value wins at the same incarnation."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    DEAD = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """First message on a link, in both directions."""
+
+    instance: str
+    incarnation: int
+    domain: str
+    nonce: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """Number of an organisation's requests that wait at the sender."""
+
+    pool: str
+    organisation: str
+    waiting: int
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """A place at an endpoint for one request of one organisation."""
+
+    grant_id: int
+    endpoint: str
+    pool: str
+    organisation: str
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """End of the use of a grant.
+
+    `units` are service units; `first_token` and `token_interval` are seconds, 0.0 when
+    not measured.
+    """
+
+    grant_id: int
+    outcome: Outcome
+    units: float
+    first_token: float = 0.0
+    token_interval: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Charge:
+    """Service units that a running request has received so far."""
+
+    grant_id: int
+    units: float
+
+
+@dataclass(frozen=True, slots=True)
+class Running:
+    """A running request, told to a new owner of its endpoint."""
+
+    grant_id: int
+    endpoint: str
+    pool: str
+    organisation: str
+    units: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceReport:
+    """Service units that an organisation received from one owner incarnation."""
+
+    pool: str
+    organisation: str
+    owner: str
+    incarnation: int
+    units: float
+    backlogged: bool
+    domain: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceError:
+    """Normalised service of an organisation less the mean over the backlogged ones."""
+
+    pool: str
+    organisation: str
+    error: float
+    owners: int
+    total: float
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Request to record that a non-idempotent request is about to run."""
+
+    request_id: int
+    shard: int
+    key_hash: bytes
+    body_hash: bytes
+    issued: float
+    holder: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimReply:
+    """Answer to a claim."""
+
+    request_id: int
+    outcome: ClaimOutcome
+    holder: str = ""
+    state: ClaimState = ClaimState.CLAIMED
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimFinish:
+    """New state of a claimed request."""
+
+    shard: int
+    key_hash: bytes
+    state: ClaimState
+
+
+@dataclass(frozen=True, slots=True)
+class HeldAnswerQuery:
+    """Asks the holder of a claim for its answer."""
+
+    request_id: int
+    key_hash: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HeldAnswerReply:
+    """Answer of the first request with an idempotency key."""
+
+    request_id: int
+    found: HeldAnswer
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class CatalogDigest:
+    """Revision and one hash per bucket of the sender's replica."""
+
+    revision: int
+    buckets: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CatalogPull:
+    """Asks for the objects of some buckets."""
+
+    buckets: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CatalogObjects:
+    """Configuration objects, each as JSON with its version."""
+
+    objects: tuple[bytes, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Suspect:
+    """An endpoint incarnation crashed while it ran a request with this fingerprint."""
+
+    fingerprint: bytes
+    endpoint: str
+    incarnation: str
+    alone: bool
+
+
+@dataclass(frozen=True, slots=True)
+class MemberUpdate:
+    """State of one member as the sender knows it."""
+
+    instance: str
+    domain: str
+    host: str
+    port: int
+    peer_port: int
+    incarnation: int
+    state: MemberState
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """Probe of a member; carries recent member updates."""
+
+    sequence: int
+    sender: MemberUpdate
+    updates: tuple[MemberUpdate, ...] = field(default=())
+    catalog_revision: int = 0
+    catalog_hash: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class PingRequest:
+    """Asks the receiver to probe `target` on the sender's behalf."""
+
+    sequence: int
+    sender: MemberUpdate
+    target: str
+    updates: tuple[MemberUpdate, ...] = field(default=())
+
+
+@dataclass(frozen=True, slots=True)
+class Ack:
+    """Answer to a probe."""
+
+    sequence: int
+    sender: MemberUpdate
+    updates: tuple[MemberUpdate, ...] = field(default=())
+    catalog_revision: int = 0
+    catalog_hash: int = 0
+
+
+Message = (
+    Hello
+    | Demand
+    | Grant
+    | Release
+    | Charge
+    | Running
+    | ServiceReport
+    | ServiceError
+    | Claim
+    | ClaimReply
+    | ClaimFinish
+    | HeldAnswerQuery
+    | HeldAnswerReply
+    | CatalogDigest
+    | CatalogPull
+    | CatalogObjects
+    | Suspect
+    | Ping
+    | PingRequest
+    | Ack
+)
