--- /dev/null
+++ b/borageworks/api/server.py
@@ -0,0 +1,308 @@
+"""HTTP interface for callers, the balancer and the metrics scraper."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import orjson
+from aiohttp import web
+
+from borageworks.api.authentication import authenticate
+from borageworks.api.completion import parse_completion
+from borageworks.api.frontend import Frontend
+from borageworks.api.problem import problem_event, problem_response
+from borageworks.api.sink import ResponseSink
+from borageworks.catalog.objects import Organisation, PoolKind, Service
+from borageworks.catalog.replica import Replica
+from borageworks.config.settings import Settings
+from borageworks.endpoints.call import Call
+from borageworks.endpoints.headers import end_to_end
+from borageworks.events import Event, emit
+from borageworks.exceptions import (
+    BodyMalformedError,
+    BodyTooLargeError,
+    CallerFailedError,
+    InstanceNotReadyError,
+    MethodForbiddenError,
+    RefusalError,
+    RequestMalformedError,
+    RouteUnknownError,
+    ServiceForbiddenError,
+    ServiceUnknownError,
+)
+from borageworks.metrics import Metrics
+
+COMPLETIONS_PATH = "/v1/chat/completions"
+MAX_HEADER_LINE_BYTES = 8_190
+LARGEST_BODY_BYTES = 64 * 1_048_576
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+REQUEST_ID = web.RequestKey("request_id", str)
+
+
+class Server:
+    """The HTTP interface of one instance.
+
+    Parameters
+    ----------
+    settings
+        Address and name of the instance.
+    replica
+        Configuration in force.
+    frontend
+        Runs the calls.
+    metrics
+        Counters of requests and refusals.
+    """
+
+    def __init__(
+        self, settings: Settings, replica: Replica, frontend: Frontend, metrics: Metrics
+    ) -> None:
+        self._settings = settings
+        self._replica = replica
+        self._frontend = frontend
+        self._metrics = metrics
+        self._sequence = itertools.count(1)
+        self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
+        self._address = settings.listen.pair
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Bound address."""
+        return self._address
+
+    async def start(self) -> None:
+        """Listen for callers."""
+        app = web.Application(
+            middlewares=[self._errors], client_max_size=LARGEST_BODY_BYTES
+        )
+        app.router.add_post(COMPLETIONS_PATH, self._completions)
+        app.router.add_get("/v1/models", self._models)
+        app.router.add_get("/v1/models/{model}", self._model)
+        app.router.add_route("*", "/services/{service}", self._plain)
+        app.router.add_route("*", "/services/{service}/{path:.*}", self._plain)
+        app.router.add_get("/readyz", self._ready)
+        app.router.add_get("/livez", self._live)
+        app.router.add_get("/metrics", self._metrics_text)
+        app.router.add_get("/status", self._status)
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            max_line_size=MAX_HEADER_LINE_BYTES,
+            max_field_size=MAX_HEADER_LINE_BYTES,
+        )
+        await self._runner.setup()
+        host, port = self._settings.listen.pair
+        self._site = web.TCPSite(self._runner, host, port)
+        await self._site.start()
+        self._address = self._runner.addresses[0][:2]
+
+    async def stop_accepting(self) -> None:
+        """Close the listening socket; open connections go on."""
+        if self._site is not None:
+            await self._site.stop()
+            self._site = None
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    @web.middleware
+    async def _errors(self, request: web.Request, handler: Handler) -> Any:
+        request_id = f"{self._settings.instance}-{next(self._sequence)}"
+        request[REQUEST_ID] = request_id
+        self._metrics.count("requests")
+        try:
+            return await handler(request)
+        except RefusalError as refusal:
+            return self._refused(refusal, request_id)
+        except web.HTTPException as error:
+            return self._refused(_refusal_for(error, request), request_id)
+
+    def _refused(self, refusal: RefusalError, request_id: str) -> web.Response:
+        self._metrics.count("refusals", refusal.code)
+        emit(
+            Event.REQUEST_REFUSED,
+            request_id=request_id,
+            code=refusal.code,
+            ran=refusal.ran.value,
+            detail=refusal.detail,
+        )
+        return problem_response(refusal, request_id)
+
+    async def _completions(self, request: web.Request) -> web.StreamResponse:
+        organisation = authenticate(request, self._replica)
+        completion, body = parse_completion(await _read_body(request))
+        service = self._service(completion.model, organisation, PoolKind.ENGINE)
+        _check_size(body, service)
+        call = Call(
+            request_id=request[REQUEST_ID],
+            organisation=organisation.id,
+            service=service,
+            method="POST",
+            path=COMPLETIONS_PATH,
+            headers=(("Content-Type", "application/json"),),
+            body=body,
+            stream=completion.stream,
+            wants_usage=completion.wants_usage,
+            idempotency_key=request.headers.get("Idempotency-Key"),
+        )
+        return await self._run(request, call)
+
+    async def _plain(self, request: web.Request) -> web.StreamResponse:
+        organisation = authenticate(request, self._replica)
+        service = self._service(
+            request.match_info["service"], organisation, PoolKind.PLAIN
+        )
+        body = await _read_body(request)
+        _check_size(body, service)
+        path = "/" + request.raw_path.removeprefix(f"/services/{service.id}").lstrip(
+            "/"
+        )
+        call = Call(
+            request_id=request[REQUEST_ID],
+            organisation=organisation.id,
+            service=service,
+            method=request.method,
+            path=path,
+            headers=end_to_end(request.headers.items()),
+            body=body,
+            idempotency_key=request.headers.get("Idempotency-Key"),
+        )
+        return await self._run(request, call)
+
+    async def _run(self, request: web.Request, call: Call) -> web.StreamResponse:
+        sink = ResponseSink(request, call.request_id)
+        try:
+            await self._frontend.run(call, sink)
+        except RefusalError as refusal:
+            if not sink.started:
+                raise
+            await self._end_broken_stream(sink, call, refusal)
+        except CallerFailedError as error:
+            self._metrics.count("callers_lost", error.code)
+            sink.abort()
+            if not sink.started:
+                raise web.HTTPRequestTimeout from error
+        return sink.response
+
+    async def _end_broken_stream(
+        self, sink: ResponseSink, call: Call, refusal: RefusalError
+    ) -> None:
+        self._metrics.count("answers_cut", refusal.code)
+        emit(
+            Event.ANSWER_CUT,
+            request_id=call.request_id,
+            code=refusal.code,
+            detail=refusal.detail,
+        )
+        if call.stream:
+            try:
+                await sink.write(problem_event(refusal, call.request_id))
+            except CallerFailedError as error:
+                self._metrics.count("callers_lost", error.code)
+        sink.abort()
+
+    def _service(
+        self, service_id: str, organisation: Organisation, kind: PoolKind
+    ) -> Service:
+        lacking = self._frontend.lacking()
+        service = self._replica.services.get(service_id)
+        if service is None and lacking:
+            raise InstanceNotReadyError("; ".join(lacking), retry_after=1.0)
+        pool = self._replica.pools.get(service.pool) if service is not None else None
+        if service is None or pool is None or pool.endpoints != kind:
+            raise ServiceUnknownError(f"no model or service {service_id!r}")
+        if not _may_use(organisation, service):
+            raise ServiceForbiddenError(
+                f"organisation {organisation.id!r} may not use {service_id!r}"
+            )
+        return service
+
+    def _model_object(self, service: Service) -> dict[str, Any]:
+        return {
+            "id": service.id,
+            "object": "model",
+            "created": 0,
+            "owned_by": service.pool,
+        }
+
+    async def _models(self, request: web.Request) -> web.StreamResponse:
+        organisation = authenticate(request, self._replica)
+        data = [
+            self._model_object(service)
+            for service in self._replica.services.values()
+            if _may_use(organisation, service) and self._is_model(service)
+        ]
+        return _json({"object": "list", "data": data})
+
+    async def _model(self, request: web.Request) -> web.StreamResponse:
+        organisation = authenticate(request, self._replica)
+        service = self._service(
+            request.match_info["model"], organisation, PoolKind.ENGINE
+        )
+        return _json(self._model_object(service))
+
+    def _is_model(self, service: Service) -> bool:
+        pool = self._replica.pools.get(service.pool)
+        return pool is not None and pool.endpoints == PoolKind.ENGINE
+
+    async def _ready(self, request: web.Request) -> web.StreamResponse:
+        lacking = self._frontend.lacking()
+        return _json(
+            {"ready": not lacking, "lacking": lacking}, status=503 if lacking else 200
+        )
+
+    async def _live(self, request: web.Request) -> web.StreamResponse:
+        return _json({"live": True})
+
+    async def _metrics_text(self, request: web.Request) -> web.StreamResponse:
+        return web.Response(text=self._metrics.render())
+
+    async def _status(self, request: web.Request) -> web.StreamResponse:
+        return _json(self._frontend.status())
+
+
+def _json(body: dict[str, Any], status: int = 200) -> web.Response:
+    return web.Response(
+        status=status, body=orjson.dumps(body), content_type="application/json"
+    )
+
+
+def _may_use(organisation: Organisation, service: Service) -> bool:
+    return service.organisations is None or organisation.id in service.organisations
+
+
+def _check_size(body: bytes, service: Service) -> None:
+    if len(body) > service.max_body_bytes:
+        raise BodyTooLargeError(
+            f"the body has {len(body)} bytes; {service.id!r} accepts "
+            f"{service.max_body_bytes}"
+        )
+
+
+async def _read_body(request: web.Request) -> bytes:
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge as error:
+        raise BodyTooLargeError(
+            f"the body is over {LARGEST_BODY_BYTES} bytes"
+        ) from error
+    except web.RequestPayloadError as error:
+        raise BodyMalformedError(f"the body is incomplete: {error}") from error
+
+
+def _refusal_for(error: web.HTTPException, request: web.Request) -> RefusalError:
+    match error.status:
+        case 404:
+            return RouteUnknownError(f"no path {request.path!r}")
+        case 405:
+            return MethodForbiddenError(
+                f"{request.path!r} does not accept {request.method}"
+            )
+        case _:
+            return RequestMalformedError(error.reason)
--- /dev/null
+++ b/borageworks/endpoints/engine.py
@@ -0,0 +1,165 @@
+"""Client for model engines that speak chat completions."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import aiohttp
+import orjson
+
+from borageworks.catalog.objects import Endpoint
+from borageworks.config.settings import FairSettings
+from borageworks.endpoints.call import Call
+from borageworks.endpoints.exchange import Exchange
+from borageworks.endpoints.headers import end_to_end
+from borageworks.endpoints.limits import read_bounded
+from borageworks.endpoints.progress import Progress
+from borageworks.endpoints.sink import Sink
+from borageworks.endpoints.stream import StreamDecoder, StreamEvent
+from borageworks.endpoints.transport import Transport
+from borageworks.exceptions import (
+    EndpointRefusedError,
+    EndpointReplyIncompleteError,
+    EndpointReplyMalformedError,
+)
+
+REFUSED_STATUSES = frozenset((429, 503))
+RESUME_HEADER = "Resume-Offset"
+
+
+class EngineClient:
+    """Sends chat completions; service units are weighted tokens.
+
+    Parameters
+    ----------
+    transport
+        Connections to endpoints.
+    settings
+        Weights of prompt and generated tokens.
+    """
+
+    def __init__(self, transport: Transport, settings: FairSettings) -> None:
+        self._transport = transport
+        self._settings = settings
+
+    async def exchange(
+        self, endpoint: Endpoint, call: Call, sink: Sink, progress: Progress
+    ) -> Exchange:
+        """Send the call and pass the whole answer to `sink`."""
+        extra: tuple[tuple[str, str], ...] = ()
+        if progress.content_bytes:
+            extra = ((RESUME_HEADER, str(progress.content_bytes)),)
+        async with self._transport.open(endpoint, call, progress, extra) as response:
+            if response.status in REFUSED_STATUSES:
+                raise EndpointRefusedError(
+                    f"endpoint {endpoint.id!r} answered {response.status}"
+                )
+            if call.stream and response.status == 200:
+                return await self._pass_stream(endpoint, call, response, sink, progress)
+            return await self._pass_whole(endpoint, response, sink)
+
+    async def _pass_whole(
+        self, endpoint: Endpoint, response: aiohttp.ClientResponse, sink: Sink
+    ) -> Exchange:
+        body = await read_bounded(response)
+        units = 0.0
+        if response.status == 200:
+            units = self._units(_parse_completion(endpoint, body).get("usage"))
+        await sink.start(response.status, end_to_end(response.headers.items()))
+        await sink.write(body)
+        await sink.finish()
+        return Exchange(units)
+
+    async def _pass_stream(
+        self,
+        endpoint: Endpoint,
+        call: Call,
+        response: aiohttp.ClientResponse,
+        sink: Sink,
+        progress: Progress,
+    ) -> Exchange:
+        if response.content_type != "text/event-stream":
+            raise EndpointReplyMalformedError(
+                f"endpoint {endpoint.id!r} answered {response.content_type!r} "
+                "to a stream request"
+            )
+        offset = progress.content_bytes
+        if offset and response.headers.get(RESUME_HEADER) != str(offset):
+            raise EndpointReplyIncompleteError(
+                f"endpoint {endpoint.id!r} cannot resume the stream"
+            )
+        return await self._pass_events(call, response, sink, progress)
+
+    async def _pass_events(
+        self,
+        call: Call,
+        response: aiohttp.ClientResponse,
+        sink: Sink,
+        progress: Progress,
+    ) -> Exchange:
+        began = time.monotonic()
+        first = last = 0.0
+        tokens = 0
+        usage: dict[str, Any] | None = None
+        decoder = StreamDecoder()
+        async for data in response.content.iter_any():
+            events = decoder.feed(data)
+            if not events:
+                continue
+            if not sink.started:
+                await sink.start(200, end_to_end(response.headers.items()))
+            passed = [event for event in events if _is_passed(event, call)]
+            content = sum(len(event.content) for event in passed)
+            tokens += sum(1 for event in passed if event.content)
+            usage = next((e.usage for e in events if e.usage), usage)
+            if content:
+                last = time.monotonic()
+                first = first or last
+            # Counted before the write: bytes that may have reached the caller must not
+            # be generated for it again.
+            progress.content_bytes += content
+            progress.units = tokens * self._settings.generated_token_units
+            await sink.write(b"".join(event.raw for event in passed))
+            if any(event.done for event in events):
+                await sink.finish()
+                return Exchange(
+                    units=self._units(usage) or progress.units,
+                    first_token=first - began if first else 0.0,
+                    token_interval=(last - first) / (tokens - 1) if tokens > 1 else 0.0,
+                )
+        raise EndpointReplyIncompleteError("the stream ended before its end marker")
+
+    def _units(self, usage: object) -> float:
+        if not isinstance(usage, dict):
+            return 0.0
+        details = usage.get("prompt_tokens_details")
+        cached = details.get("cached_tokens") if isinstance(details, dict) else 0
+        prompt = max(0, _count(usage.get("prompt_tokens")) - _count(cached))
+        return (
+            prompt * self._settings.prompt_token_units
+            + _count(usage.get("completion_tokens"))
+            * self._settings.generated_token_units
+        )
+
+
+def _count(value: object) -> int:
+    return value if isinstance(value, int) and value > 0 else 0
+
+
+def _is_passed(event: StreamEvent, call: Call) -> bool:
+    return call.wants_usage or not event.only_usage
+
+
+def _parse_completion(endpoint: Endpoint, body: bytes) -> dict[str, Any]:
+    try:
+        completion = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise EndpointReplyMalformedError(
+            f"endpoint {endpoint.id!r}: {error}"
+        ) from error
+    if not isinstance(completion, dict) or "choices" not in completion:
+        raise EndpointReplyMalformedError(
+            f"endpoint {endpoint.id!r}: completion without choices"
+        )
+    return completion
--- /dev/null
+++ b/borageworks/endpoints/progress.py
@@ -0,0 +1,24 @@
+"""What a call received so far, over all its attempts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Progress:
+    """Progress of one call.
+
+    Parameters
+    ----------
+    units
+        Service units received in the current attempt.
+    content_bytes
+        Bytes of generated content that the caller has; a resumed stream starts there.
+    sent
+        Whether the request may have reached an endpoint in any attempt.
+    """
+
+    units: float = 0.0
+    content_bytes: int = 0
+    sent: bool = False
--- /dev/null
+++ b/borageworks/endpoints/stream.py
@@ -0,0 +1,90 @@
+"""Reads server-sent events of a chat completion stream."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from borageworks.exceptions import EndpointReplyMalformedError
+
+MAX_EVENT_BYTES = 1_048_576
+DONE = b"[DONE]"
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEvent:
+    """One event.
+
+    Parameters
+    ----------
+    raw
+        The event with its terminating empty line.
+    content
+        Generated text in UTF-8.
+    usage
+        The usage object, or None.
+    done
+        Whether this is the end marker.
+    only_usage
+        Whether the event carries usage and no choice.
+    """
+
+    raw: bytes
+    content: bytes = b""
+    usage: dict[str, Any] | None = None
+    done: bool = False
+    only_usage: bool = False
+
+
+class StreamDecoder:
+    """Splits received bytes into events; incomplete ones wait for more bytes."""
+
+    def __init__(self) -> None:
+        self._buffer = b""
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """Return the events that `data` completes.
+
+        Raises
+        ------
+        EndpointReplyMalformedError
+            If an event is over the size limit or not JSON.
+        """
+        *complete, self._buffer = (self._buffer + data).split(b"\n\n")
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise EndpointReplyMalformedError(f"event over {MAX_EVENT_BYTES} bytes")
+        return [_decode(block) for block in complete if block.strip()]
+
+
+def _decode(block: bytes) -> StreamEvent:
+    raw = block + b"\n\n"
+    payload = b"\n".join(
+        line[5:].strip() for line in block.split(b"\n") if line.startswith(b"data:")
+    )
+    if not payload:
+        return StreamEvent(raw)
+    if payload == DONE:
+        return StreamEvent(raw, done=True)
+    try:
+        body = orjson.loads(payload)
+    except orjson.JSONDecodeError as error:
+        raise EndpointReplyMalformedError(f"stream event: {error}") from error
+    if not isinstance(body, dict) or not isinstance(body.get("choices"), list):
+        raise EndpointReplyMalformedError("stream event without choices")
+    choices = body["choices"]
+    usage = body.get("usage")
+    return StreamEvent(
+        raw,
+        content=b"".join(_content(choice) for choice in choices),
+        usage=usage if isinstance(usage, dict) else None,
+        only_usage=not choices,
+    )
+
+
+def _content(choice: Any) -> bytes:
+    if not isinstance(choice, dict) or not isinstance(choice.get("delta"), dict):
+        raise EndpointReplyMalformedError("stream choice without delta")
+    content = choice["delta"].get("content")
+    return content.encode() if isinstance(content, str) else b""
--- /dev/null
+++ b/borageworks/endpoints/transport.py
@@ -0,0 +1,192 @@
+"""HTTP client shared by the endpoint clients."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+
+from borageworks.catalog.objects import Endpoint
+from borageworks.endpoints.call import Call
+from borageworks.endpoints.progress import Progress
+from borageworks.exceptions import (
+    EndpointDisconnectedError,
+    EndpointRefusedError,
+    EndpointReplyCrossedError,
+    EndpointReplyIncompleteError,
+    EndpointReplyMalformedError,
+    EndpointTimeoutError,
+    EndpointUnreachableError,
+)
+
+CONNECT_TIMEOUT_S = 2.0
+# Shorter than the idle timeout of common servers, so that a kept connection is rarely
+# closed by the endpoint at the moment of its next use.
+KEEPALIVE_S = 10.0
+MAX_HEADER_BYTES = 16_384
+REQUEST_ID_HEADER = "X-Request-Id"
+
+
+class Transport:
+    """Connections to endpoints.
+
+    Non-idempotent requests use a fresh connection each: a failure to connect is then
+    known to have happened before the request was sent, and the HTTP library cannot
+    repeat the request on another connection.
+    """
+
+    def __init__(self) -> None:
+        self._pooled: aiohttp.ClientSession | None = None
+        self._fresh: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Create the client sessions on the running loop."""
+        self._pooled = self._session(
+            aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
+        )
+        self._fresh = self._session(aiohttp.TCPConnector(limit=0, force_close=True))
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        for session in (self._pooled, self._fresh):
+            if session is not None:
+                await session.close()
+
+    async def get_json(
+        self, endpoint: Endpoint, path: str, timeout_s: float
+    ) -> dict[str, object]:
+        """Return the JSON object at `path`.
+
+        Raises
+        ------
+        EndpointFailedError
+            If the endpoint does not answer with a JSON object in time.
+        """
+        assert self._pooled is not None
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        try:
+            async with self._pooled.get(
+                _url(endpoint, path), timeout=timeout
+            ) as response:
+                if response.status != 200:
+                    raise EndpointReplyMalformedError(
+                        f"{path} of endpoint {endpoint.id!r}: status {response.status}"
+                    )
+                body = await response.json(content_type=None)
+        except TimeoutError as error:
+            raise EndpointTimeoutError(f"{path} of endpoint {endpoint.id!r}") from error
+        except aiohttp.ClientError as error:
+            raise EndpointUnreachableError(
+                f"{path} of endpoint {endpoint.id!r}: {error}"
+            ) from error
+        except ValueError as error:
+            raise EndpointReplyMalformedError(
+                f"{path} of endpoint {endpoint.id!r}: {error}"
+            ) from error
+        if not isinstance(body, dict):
+            raise EndpointReplyMalformedError(
+                f"{path} of endpoint {endpoint.id!r}: not a JSON object"
+            )
+        return body
+
+    @asynccontextmanager
+    async def open(
+        self,
+        endpoint: Endpoint,
+        call: Call,
+        progress: Progress,
+        extra_headers: tuple[tuple[str, str], ...] = (),
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Send the call; failures inside the block become typed errors.
+
+        Raises
+        ------
+        EndpointUnreachableError
+            If no connection was made, so that the request was certainly not sent.
+        EndpointFailedError
+            Any other failure; the request may have run.
+        """
+        session = self._pooled if call.service.idempotent else self._fresh
+        assert session is not None
+        headers = [
+            *call.headers,
+            *extra_headers,
+            (REQUEST_ID_HEADER, call.request_id),
+            ("X-Organisation", call.organisation),
+        ]
+        timeout = aiohttp.ClientTimeout(
+            total=call.service.run_timeout_s, sock_connect=CONNECT_TIMEOUT_S
+        )
+        sent_before = progress.sent
+        progress.sent = True
+        try:
+            async with session.request(
+                call.method,
+                _url(endpoint, call.path),
+                data=call.body,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                _check_request_id(endpoint, call, response)
+                yield response
+        except EndpointRefusedError:
+            progress.sent = sent_before
+            raise
+        except aiohttp.ClientConnectorError as error:
+            progress.sent = sent_before
+            raise EndpointUnreachableError(
+                f"endpoint {endpoint.id!r}: {error}"
+            ) from error
+        except aiohttp.ConnectionTimeoutError as error:
+            progress.sent = sent_before
+            raise EndpointUnreachableError(
+                f"endpoint {endpoint.id!r}: connect timeout"
+            ) from error
+        except TimeoutError as error:
+            raise EndpointTimeoutError(
+                f"endpoint {endpoint.id!r}: no complete answer in "
+                f"{call.service.run_timeout_s:g} s"
+            ) from error
+        except aiohttp.ClientPayloadError as error:
+            raise EndpointReplyIncompleteError(
+                f"endpoint {endpoint.id!r}: {error}"
+            ) from error
+        except aiohttp.ClientResponseError as error:
+            raise EndpointReplyMalformedError(
+                f"endpoint {endpoint.id!r}: {error.message}"
+            ) from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise EndpointDisconnectedError(
+                f"endpoint {endpoint.id!r}: {error}"
+            ) from error
+
+    def _session(self, connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+        return aiohttp.ClientSession(
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            skip_auto_headers=("User-Agent", "Accept-Encoding"),
+        )
+
+
+def _url(endpoint: Endpoint, path: str) -> str:
+    host = str(endpoint.host)
+    if ":" in host:
+        host = f"[{host}]"
+    return f"http://{host}:{endpoint.port}{path}"
+
+
+def _check_request_id(
+    endpoint: Endpoint, call: Call, response: aiohttp.ClientResponse
+) -> None:
+    echoed = response.headers.get(REQUEST_ID_HEADER)
+    if echoed is not None and echoed != call.request_id:
+        response.close()
+        raise EndpointReplyCrossedError(
+            f"endpoint {endpoint.id!r} answered request {echoed!r} "
+            f"instead of {call.request_id!r}"
+        )
--- a/borageworks/events.py
+++ b/borageworks/events.py
@@ -27,6 +27,7 @@
     REQUEST_REFUSED = (401, "request_refused")
     REQUEST_RETRIED = (402, "request_retried")
     ANSWER_DROPPED = (403, "answer_dropped")
+    ANSWER_CUT = (404, "answer_cut")
     ENDPOINT_DOWN = (501, "endpoint_down")
     ENDPOINT_UP = (502, "endpoint_up")
     ENDPOINT_OWNED = (503, "endpoint_owned")
--- a/borageworks/exceptions.py
+++ b/borageworks/exceptions.py
@@ -136,6 +136,24 @@
     code = "endpoint_reply_incomplete"
 
 
+class CallerFailedError(BorageworksError):
+    """Base of failures on the caller's connection."""
+
+    code = "caller_failed"
+
+
+class CallerDisconnectedError(CallerFailedError):
+    """The caller closed its connection before the answer was complete."""
+
+    code = "caller_disconnected"
+
+
+class CallerStalledError(CallerFailedError):
+    """The caller stopped reading its answer."""
+
+    code = "caller_stalled"
+
+
 class RefusalError(BorageworksError):
     """Base of answers that turn a caller's request down."""
 
--- /dev/null
+++ b/borageworks/routing/queue.py
@@ -0,0 +1,101 @@
+"""Queue of the requests that wait at one entry instance."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from borageworks.config.settings import QueueSettings
+from borageworks.exceptions import InstanceQueueFullError, OrganisationQueueFullError
+from borageworks.routing.drain import DrainRate
+from borageworks.routing.waiting import WaitingRequest
+
+QueueKey = tuple[str, str]
+
+
+class EntryQueue:
+    """Waiting requests per (pool, organisation), first come first served.
+
+    Parameters
+    ----------
+    settings
+        Bounds per organisation and in all.
+    """
+
+    def __init__(self, settings: QueueSettings) -> None:
+        self._settings = settings
+        self._queues: dict[QueueKey, deque[WaitingRequest]] = {}
+        self._waiting: dict[int, WaitingRequest] = {}
+        self._per_organisation: dict[str, int] = {}
+        self._drain = DrainRate()
+
+    def __len__(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self._waiting)
+
+    def waiting(self, pool: str, organisation: str) -> int:
+        """Return the number of an organisation's requests that wait for a pool."""
+        return len(self._queues.get((pool, organisation), ()))
+
+    def add(self, now: float, request: WaitingRequest) -> None:
+        """Append a request.
+
+        Raises
+        ------
+        OrganisationQueueFullError, InstanceQueueFullError
+            If a bound is reached; `retry_after` is the time in which the queue drains
+            to half at its recent rate.
+        """
+        held = self._per_organisation.get(request.organisation, 0)
+        if held >= self._settings.per_organisation:
+            raise OrganisationQueueFullError(
+                f"{held} requests of organisation {request.organisation!r} wait",
+                retry_after=self._drain.time_for(now, request.organisation, held / 2),
+            )
+        if len(self._waiting) >= self._settings.total:
+            raise InstanceQueueFullError(
+                f"{len(self._waiting)} requests wait",
+                retry_after=self._drain.time_for(now, None, len(self._waiting) / 2),
+            )
+        key = request.pool, request.organisation
+        self._queues.setdefault(key, deque()).append(request)
+        self._waiting[request.request_id] = request
+        self._per_organisation[request.organisation] = held + 1
+
+    def add_first(self, request: WaitingRequest) -> None:
+        """Put a retried request at the head; it was admitted before, so no bound."""
+        key = request.pool, request.organisation
+        self._queues.setdefault(key, deque()).appendleft(request)
+        self._waiting[request.request_id] = request
+        held = self._per_organisation.get(request.organisation, 0)
+        self._per_organisation[request.organisation] = held + 1
+
+    def pop(self, now: float, pool: str, organisation: str) -> WaitingRequest | None:
+        """Remove and return the organisation's oldest request, None if none waits."""
+        queue = self._queues.get((pool, organisation))
+        if not queue:
+            return None
+        request = queue[0]
+        self.remove(request.request_id)
+        self._drain.record(now, organisation)
+        return request
+
+    def remove(self, request_id: int) -> bool:
+        """Remove a request; return whether it waited."""
+        request = self._waiting.pop(request_id, None)
+        if request is None:
+            return False
+        key = request.pool, request.organisation
+        queue = self._queues[key]
+        queue.remove(request)
+        if not queue:
+            del self._queues[key]
+        left = self._per_organisation[request.organisation] - 1
+        if left:
+            self._per_organisation[request.organisation] = left
+        else:
+            del self._per_organisation[request.organisation]
+        return True
+
+    def keys(self) -> list[QueueKey]:
+        """Return each (pool, organisation) with waiting requests."""
+        return list(self._queues)
