--- /dev/null
+++ b/borageworks/commands/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command-line subcommands."""
