--- /dev/null
+++ b/borageworks/catalog/digest.py
@@ -0,0 +1,21 @@
+"""Summary of a replica, small enough to send with each difference."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Digest:
+    """Revision and content of a replica.
+
+    Parameters
+    ----------
+    revision
+        Store revision up to which the replica is known to be complete, 0 if unknown.
+    hashes
+        One order-free 64-bit hash per bucket, shape (BUCKETS,).
+    """
+
+    revision: int
+    hashes: tuple[int, ...]
