Add entry and owner sides of a router (not yet wired)

Cause: requests need slots, and slots an order. Change: entry keeps requests and retries attempts; owner grants slots by fair queue. Conclusion: wire them next.

--- /dev/null
+++ b/borageworks/router/entry.py
@@ -0,0 +1,381 @@
+"""Entry side of a router: keeps callers' requests until a slot is granted."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable, Mapping, Sequence
+
+from borageworks.catalog.objects import Endpoint, PoolKind
+from borageworks.catalog.replica import Replica
+from borageworks.config.settings import Settings
+from borageworks.endpoints.call import Call
+from borageworks.endpoints.client import EndpointClient
+from borageworks.endpoints.exchange import Exchange
+from borageworks.endpoints.progress import Progress
+from borageworks.endpoints.sink import Sink
+from borageworks.events import Event, emit
+from borageworks.exceptions import (
+    EndpointDisconnectedError,
+    EndpointFailedError,
+    EndpointRefusedError,
+    EndpointReplyCrossedError,
+    EndpointReplyIncompleteError,
+    EndpointTimeoutError,
+    EndpointUnreachableError,
+    OutcomeUnknownError,
+    QueueTimeoutError,
+    Ran,
+    RetriesExhaustedError,
+)
+from borageworks.metrics import Metrics
+from borageworks.router.held import HeldGrant
+from borageworks.routing.budget import RetryBudget
+from borageworks.routing.demand import DemandPlan, TellOwner
+from borageworks.routing.queue import EntryQueue
+from borageworks.routing.waiting import WaitingRequest
+from borageworks.timers import Subscription, Timers
+from borageworks.wire.messages import Charge, Grant, Message, Outcome, Release, Running
+
+Send = Callable[[str, Message], None]
+
+CHARGE_INTERVAL_S = 1.0
+
+
+class Entry:
+    """Runs callers' requests on granted slots.
+
+    Parameters
+    ----------
+    settings
+        Queue bounds and retry budgets.
+    replica
+        Configuration in force.
+    timers, metrics
+        Services of the process.
+    clients
+        Endpoint client by kind of pool.
+    send
+        Sends a message to an instance, also to this one.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        replica: Replica,
+        timers: Timers,
+        metrics: Metrics,
+        clients: Mapping[PoolKind, EndpointClient],
+        send: Send,
+    ) -> None:
+        self._settings = settings
+        self._replica = replica
+        self._timers = timers
+        self._metrics = metrics
+        self._clients = clients
+        self._send = send
+        self._queue = EntryQueue(settings.queue)
+        self._demand = DemandPlan(settings.queue)
+        self._budget = RetryBudget(settings.retry)
+        self._granted: dict[int, asyncio.Future[HeldGrant]] = {}
+        self._held: dict[int, HeldGrant] = {}
+        self._sequence = itertools.count(1)
+        self._flush_pending = False
+        self._calls = 0
+        self._subscriptions: list[Subscription] = []
+
+    @property
+    def calls(self) -> int:
+        """Number of calls that wait or run."""
+        return self._calls
+
+    @property
+    def waiting(self) -> int:
+        """Number of calls that wait for a slot."""
+        return len(self._queue)
+
+    def start(self) -> None:
+        """Subscribe to the timers."""
+        self._subscriptions = [
+            self._timers.every(self._settings.queue.escalation_s, self._tick),
+            self._timers.every(CHARGE_INTERVAL_S, self._refresh),
+        ]
+
+    def stop(self) -> None:
+        """Cancel the timers."""
+        for subscription in self._subscriptions:
+            subscription.cancel()
+
+    def set_owners(
+        self, owners: Mapping[str, str], by_pool: Mapping[str, Sequence[str]]
+    ) -> None:
+        """Take over a new ownership; tell new owners of the slots in use.
+
+        Parameters
+        ----------
+        owners
+            Owner by endpoint.
+        by_pool
+            Owners by pool, nearest first.
+        """
+        self._demand.set_owners(by_pool)
+        for held in self._held.values():
+            owner = owners.get(held.grant.endpoint)
+            if owner is not None and owner != held.owner:
+                held.owner = owner
+                self._tell_running(held)
+        self._schedule_flush()
+
+    def link_up(self, instance: str) -> None:
+        """Tell an owner of the slots in use, after a link to it came up."""
+        for held in self._held.values():
+            if held.owner == instance:
+                self._tell_running(held)
+
+    def link_lost(self, instance: str) -> None:
+        """Advertise demand again, after the link to an owner was lost."""
+        self._demand.forget_owner(instance)
+        self._schedule_flush()
+
+    def receive_grant(self, sender: str, grant: Grant) -> None:
+        """Give the slot to the organisation's oldest request, or return it."""
+        now = self._timers.now()
+        self._demand.granted(sender, grant.pool, grant.organisation)
+        request = self._queue.pop(now, grant.pool, grant.organisation)
+        if request is None:
+            self._metrics.count("grants_unused")
+            self._send(sender, Release(grant.grant_id, Outcome.UNUSED, 0.0))
+            return
+        self._note_waiting(now, grant.pool, grant.organisation)
+        held = HeldGrant(grant, sender, Progress())
+        self._held[grant.grant_id] = held
+        self._metrics.observe("queue_wait", now - request.queued_at)
+        self._granted.pop(request.request_id).set_result(held)
+
+    async def run(self, call: Call, sink: Sink) -> None:
+        """Run a call and write its answer.
+
+        Raises
+        ------
+        RefusalError
+            If no complete answer was written; `ran` tells whether an endpoint may have
+            run the call.
+        CallerFailedError
+            If the caller left.
+        """
+        self._calls += 1
+        try:
+            await self._run(call, sink)
+        finally:
+            self._calls -= 1
+
+    async def _run(self, call: Call, sink: Sink) -> None:
+        deadline = self._timers.now() + call.service.queue_timeout_s
+        progress = Progress()
+        self._budget.record_first_attempt(call.organisation, call.service.id)
+        for attempt in itertools.count(1):
+            held = await self._wait_for_slot(call, deadline, progress, attempt > 1)
+            endpoint = self._replica.endpoints.get(held.grant.endpoint)
+            if endpoint is None:
+                self._release(held, Outcome.UNUSED)
+                continue
+            try:
+                await self._attempt(endpoint, held, call, sink, progress)
+            except EndpointFailedError as error:
+                self._check_retry(error, call, sink, progress, attempt)
+                self._metrics.count("retries", error.code)
+                emit(
+                    Event.REQUEST_RETRIED,
+                    request_id=call.request_id,
+                    code=error.code,
+                    detail=str(error),
+                )
+            else:
+                return
+
+    async def _attempt(
+        self,
+        endpoint: Endpoint,
+        held: HeldGrant,
+        call: Call,
+        sink: Sink,
+        progress: Progress,
+    ) -> None:
+        held.progress = progress
+        progress.units = 0.0
+        kind = self._replica.pools[held.grant.pool].endpoints
+        try:
+            exchange = await self._clients[kind].exchange(
+                endpoint, call, sink, progress
+            )
+        except EndpointFailedError as error:
+            self._release(held, _outcome(error))
+            raise
+        except BaseException:
+            self._release(held, Outcome.CANCELLED)
+            raise
+        self._release(held, Outcome.COMPLETED, exchange)
+        self._metrics.count("answers")
+        if exchange.first_token:
+            self._metrics.observe("first_token", exchange.first_token)
+
+    async def _wait_for_slot(
+        self, call: Call, deadline: float, progress: Progress, again: bool
+    ) -> HeldGrant:
+        now = self._timers.now()
+        request = WaitingRequest(
+            request_id=next(self._sequence),
+            pool=call.service.pool,
+            organisation=call.organisation,
+            queued_at=now,
+            deadline=deadline,
+        )
+        if again:
+            self._queue.add_first(request)
+        else:
+            self._queue.add(now, request)
+        future: asyncio.Future[HeldGrant] = asyncio.get_running_loop().create_future()
+        self._granted[request.request_id] = future
+        self._note_waiting(now, request.pool, request.organisation)
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await asyncio.shield(future)
+        except TimeoutError as error:
+            self._give_up(request, future)
+            raise QueueTimeoutError(
+                f"no slot of pool {request.pool!r} was free in "
+                f"{call.service.queue_timeout_s:g} s",
+                ran=Ran.UNKNOWN if progress.sent else Ran.NOT_RUN,
+                retry_after=1.0,
+            ) from error
+        except asyncio.CancelledError:
+            self._give_up(request, future)
+            raise
+
+    def _give_up(
+        self, request: WaitingRequest, future: asyncio.Future[HeldGrant]
+    ) -> None:
+        if future.done():
+            # The grant arrived in the same loop turn as the timeout or cancellation.
+            self._release(future.result(), Outcome.UNUSED)
+            return
+        del self._granted[request.request_id]
+        self._queue.remove(request.request_id)
+        self._note_waiting(self._timers.now(), request.pool, request.organisation)
+
+    def _check_retry(
+        self,
+        error: EndpointFailedError,
+        call: Call,
+        sink: Sink,
+        progress: Progress,
+        attempt: int,
+    ) -> None:
+        """Return if the call may be tried again, else raise the refusal."""
+        ran = Ran.UNKNOWN if progress.sent else Ran.NOT_RUN
+        if progress.sent and not call.service.idempotent:
+            raise OutcomeUnknownError(str(error)) from error
+        if sink.started and not _is_resumable(error, call):
+            raise OutcomeUnknownError(str(error)) from error
+        if isinstance(error, EndpointTimeoutError):
+            raise OutcomeUnknownError(str(error)) from error
+        if attempt >= self._settings.retry.attempts:
+            self._metrics.count("retries_denied", "attempts")
+            raise RetriesExhaustedError(
+                f"{attempt} attempts failed, the last: {error}", ran=ran
+            ) from error
+        if not self._budget.take_retry(call.organisation, call.service.id):
+            self._metrics.count("retries_denied", "budget")
+            raise RetriesExhaustedError(
+                f"the retry budget is used up; last failure: {error}",
+                ran=ran,
+                retry_after=1.0,
+            ) from error
+
+    def _release(
+        self, held: HeldGrant, outcome: Outcome, exchange: Exchange | None = None
+    ) -> None:
+        del self._held[held.grant.grant_id]
+        if exchange is None:
+            exchange = Exchange(
+                units=0.0 if outcome is Outcome.UNUSED else held.progress.units
+            )
+        self._send(
+            held.owner,
+            Release(
+                held.grant.grant_id,
+                outcome,
+                exchange.units,
+                exchange.first_token,
+                exchange.token_interval,
+            ),
+        )
+
+    def _note_waiting(self, now: float, pool: str, organisation: str) -> None:
+        waiting = self._queue.waiting(pool, organisation)
+        self._demand.set_waiting(now, pool, organisation, waiting)
+        self._schedule_flush()
+
+    def _schedule_flush(self) -> None:
+        if not self._flush_pending:
+            self._flush_pending = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._flush_pending = False
+        self._tell(self._demand.flush(self._timers.now()))
+
+    def _tick(self, now: float) -> None:
+        self._tell(self._demand.tick(now))
+
+    def _refresh(self, now: float) -> None:
+        self._tell(self._demand.refresh(now))
+        for held in self._held.values():
+            if held.progress.units > held.reported:
+                held.reported = held.progress.units
+                self._send(
+                    held.owner, Charge(held.grant.grant_id, held.progress.units)
+                )
+
+    def _tell(self, actions: list[TellOwner]) -> None:
+        for action in actions:
+            self._send(action.owner, action.demand)
+
+    def _tell_running(self, held: HeldGrant) -> None:
+        grant = held.grant
+        self._send(
+            held.owner,
+            Running(
+                grant.grant_id,
+                grant.endpoint,
+                grant.pool,
+                grant.organisation,
+                held.progress.units,
+            ),
+        )
+
+
+def _is_resumable(error: EndpointFailedError, call: Call) -> bool:
+    return call.stream and isinstance(
+        error,
+        EndpointDisconnectedError
+        | EndpointReplyIncompleteError
+        | EndpointUnreachableError
+        | EndpointRefusedError,
+    )
+
+
+def _outcome(error: EndpointFailedError) -> Outcome:
+    match error:
+        case EndpointRefusedError():
+            return Outcome.REFUSED
+        case EndpointUnreachableError():
+            return Outcome.UNREACHABLE
+        case EndpointDisconnectedError() | EndpointReplyIncompleteError():
+            return Outcome.CRASHED
+        case EndpointTimeoutError():
+            return Outcome.TIMED_OUT
+        case EndpointReplyCrossedError():
+            return Outcome.MALFORMED
+        case _:
+            return Outcome.MALFORMED
--- /dev/null
+++ b/borageworks/router/grants.py
@@ -0,0 +1,75 @@
+"""Table of the grants that an owner has given out."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass
+
+import xxhash
+
+COUNTER_BITS = 32
+
+
+@dataclass(slots=True)
+class GivenGrant:
+    """One slot in use.
+
+    Parameters
+    ----------
+    grant_id
+        Unique over owners.
+    entry
+        Instance that runs the request.
+    endpoint, pool, organisation
+        What was granted to whom.
+    charged
+        Service units charged so far, at first an estimate.
+    received
+        Service units that the entry has reported.
+    """
+
+    grant_id: int
+    entry: str
+    endpoint: str
+    pool: str
+    organisation: str
+    charged: float
+    received: float = 0.0
+
+
+class GrantTable:
+    """Grants by id.
+
+    Ids start with a hash of the owner's instance and incarnation, so that a new owner
+    can take over another's grants under their own ids.
+    """
+
+    def __init__(self, instance: str, incarnation: int) -> None:
+        prefix = xxhash.xxh32_intdigest(f"{instance}\0{incarnation}".encode())
+        self._prefix = prefix << COUNTER_BITS
+        self._counter = itertools.count(1)
+        self._grants: dict[int, GivenGrant] = {}
+
+    def __len__(self) -> int:
+        """Return the number of grants in use."""
+        return len(self._grants)
+
+    def new_id(self) -> int:
+        """Return an unused grant id."""
+        return self._prefix | (next(self._counter) & ((1 << COUNTER_BITS) - 1))
+
+    def add(self, grant: GivenGrant) -> None:
+        """Record a grant."""
+        self._grants[grant.grant_id] = grant
+
+    def get(self, grant_id: int) -> GivenGrant | None:
+        """Return a grant, None if it is not known."""
+        return self._grants.get(grant_id)
+
+    def pop(self, grant_id: int) -> GivenGrant | None:
+        """Remove and return a grant, None if it is not known."""
+        return self._grants.pop(grant_id, None)
+
+    def of_entry(self, entry: str) -> list[GivenGrant]:
+        """Return the grants that an entry instance uses."""
+        return [grant for grant in self._grants.values() if grant.entry == entry]
--- /dev/null
+++ b/borageworks/router/held.py
@@ -0,0 +1,30 @@
+"""A grant that an entry instance uses."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from borageworks.endpoints.progress import Progress
+from borageworks.wire.messages import Grant
+
+
+@dataclass(slots=True)
+class HeldGrant:
+    """One slot in use.
+
+    Parameters
+    ----------
+    grant
+        The grant as its owner sent it.
+    owner
+        Instance that is told of its end; changes when the endpoint's owner changes.
+    progress
+        Progress of the call that uses it.
+    reported
+        Service units that the owner was told.
+    """
+
+    grant: Grant
+    owner: str
+    progress: Progress
+    reported: float = 0.0
--- /dev/null
+++ b/borageworks/router/owned.py
@@ -0,0 +1,43 @@
+"""State of an endpoint at its owner."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from borageworks.catalog.objects import Endpoint
+from borageworks.fair.window import Window
+
+
+@dataclass(slots=True)
+class OwnedEndpoint:
+    """One owned endpoint.
+
+    Parameters
+    ----------
+    endpoint
+        Its configuration.
+    window
+        Its slots.
+    grants_from
+        Loop time from which grants are given; until then entry instances report the
+        slots that they use from a former owner's grants.
+    up
+        Whether it answers; a down endpoint gets no grants.
+    incarnation
+        As it last reported.
+    missed_reports
+        Load reports in a row that did not arrive.
+    """
+
+    endpoint: Endpoint
+    window: Window
+    grants_from: float
+    up: bool = True
+    incarnation: str = ""
+    missed_reports: int = 0
+
+    def free(self, now: float) -> int:
+        """Return the number of slots that can be granted now."""
+        if not self.up or now < self.grants_from:
+            return 0
+        return self.window.limit - self.window.in_use
--- /dev/null
+++ b/borageworks/router/owner.py
@@ -0,0 +1,368 @@
+"""Owner side of a router: grants the slots of the endpoints that it owns."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from borageworks.catalog.objects import Endpoint
+from borageworks.catalog.replica import Replica
+from borageworks.config.settings import Settings
+from borageworks.endpoints.transport import Transport
+from borageworks.events import Event, emit
+from borageworks.exceptions import EndpointFailedError
+from borageworks.fair.cost import CostEstimator
+from borageworks.fair.load import LoadReport
+from borageworks.fair.queue import FairQueue
+from borageworks.fair.window import Window
+from borageworks.metrics import Metrics
+from borageworks.router.grants import GivenGrant, GrantTable
+from borageworks.router.owned import OwnedEndpoint
+from borageworks.timers import Subscription, Timers
+from borageworks.wire.messages import (
+    Charge,
+    Demand,
+    Grant,
+    Message,
+    Outcome,
+    Release,
+    Running,
+)
+
+Send = Callable[[str, Message], None]
+
+# Entry instances report slots in use within one heartbeat of an ownership change.
+TAKEOVER_GRACE_S = 0.3
+# One lost report can be a busy endpoint; requests that fail suspend it at once.
+MISSED_REPORTS_DOWN = 3
+MILLISECONDS_PER_SECOND = 1000.0
+
+
+@dataclass(slots=True)
+class OwnedPool:
+    """Queue and cost estimates of one pool."""
+
+    queue: FairQueue
+    costs: CostEstimator
+
+
+class Owner:
+    """Grants slots of owned endpoints in fair order.
+
+    Parameters
+    ----------
+    settings
+        Window and fairness settings.
+    replica
+        Configuration in force, for shares.
+    timers, metrics
+        Services of the process.
+    transport
+        Connections for load reports.
+    grants
+        Table of the grants given out.
+    send
+        Sends a message to an instance, also to this one.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        replica: Replica,
+        timers: Timers,
+        metrics: Metrics,
+        transport: Transport,
+        grants: GrantTable,
+        send: Send,
+    ) -> None:
+        self._settings = settings
+        self._replica = replica
+        self._timers = timers
+        self._metrics = metrics
+        self._transport = transport
+        self._grants = grants
+        self._send = send
+        self._owned: dict[str, OwnedEndpoint] = {}
+        self._pools: dict[str, OwnedPool] = {}
+        self._subscription: Subscription | None = None
+        self._polls: set[asyncio.Task[None]] = set()
+        self._polled: set[str] = set()
+
+    @property
+    def owned(self) -> Mapping[str, OwnedEndpoint]:
+        """Owned endpoints by id."""
+        return self._owned
+
+    @property
+    def pools(self) -> Mapping[str, OwnedPool]:
+        """Queues by pool."""
+        return self._pools
+
+    @property
+    def grants_in_use(self) -> int:
+        """Number of slots in use."""
+        return len(self._grants)
+
+    def start(self) -> None:
+        """Begin to poll load reports."""
+        self._subscription = self._timers.every(
+            self._settings.window.report_interval_s, self._poll_all
+        )
+
+    def stop(self) -> None:
+        """Stop polling."""
+        if self._subscription is not None:
+            self._subscription.cancel()
+        for poll in self._polls:
+            poll.cancel()
+
+    def set_owned(self, endpoints: Mapping[str, Endpoint]) -> None:
+        """Take over the endpoints to own; give up all others."""
+        now = self._timers.now()
+        for endpoint_id in [name for name in self._owned if name not in endpoints]:
+            del self._owned[endpoint_id]
+            emit(Event.ENDPOINT_DISOWNED, endpoint=endpoint_id)
+        for endpoint in endpoints.values():
+            owned = self._owned.get(endpoint.id)
+            if owned is not None:
+                self._update(owned, endpoint, now)
+                continue
+            self._owned[endpoint.id] = OwnedEndpoint(
+                endpoint,
+                Window(
+                    self._settings.window,
+                    endpoint.window_initial,
+                    endpoint.window_max,
+                ),
+                now + TAKEOVER_GRACE_S,
+            )
+            emit(Event.ENDPOINT_OWNED, endpoint=endpoint.id)
+            self._timers.after(
+                TAKEOVER_GRACE_S, lambda _, pool=endpoint.pool: self._grant(pool)
+            )
+            self._poll(endpoint)
+        live = {owned.endpoint.pool for owned in self._owned.values()}
+        for pool in [name for name in self._pools if name not in live]:
+            del self._pools[pool]
+
+    def receive(
+        self, sender: str, message: Demand | Release | Charge | Running
+    ) -> None:
+        """Handle a message of an entry instance."""
+        match message:
+            case Demand():
+                self._demand(sender, message)
+            case Release():
+                self._release(message)
+            case Charge():
+                self._charge(message)
+            case Running():
+                self._adopt(sender, message)
+
+    def link_lost(self, entry: str) -> None:
+        """Free what an entry instance held, after the link to it was lost."""
+        for pool in self._pools.values():
+            pool.queue.drop_entry(entry)
+        touched = set()
+        for grant in self._grants.of_entry(entry):
+            self._grants.pop(grant.grant_id)
+            self._settle(grant, grant.received)
+            touched.add(grant.pool)
+        for name in touched:
+            self._grant(name)
+
+    def _update(self, owned: OwnedEndpoint, endpoint: Endpoint, now: float) -> None:
+        if endpoint == owned.endpoint:
+            return
+        if (endpoint.host, endpoint.port) != (owned.endpoint.host, owned.endpoint.port):
+            owned.grants_from = now
+        if endpoint.window_max != owned.endpoint.window_max:
+            owned.window = Window(
+                self._settings.window, endpoint.window_initial, endpoint.window_max
+            )
+        owned.endpoint = endpoint
+
+    def _pool(self, name: str) -> OwnedPool:
+        pool = self._pools.get(name)
+        if pool is None:
+            pool = self._pools[name] = OwnedPool(FairQueue(), CostEstimator())
+        return pool
+
+    def _demand(self, sender: str, demand: Demand) -> None:
+        pool = self._pool(demand.pool)
+        organisation = self._replica.organisations.get(demand.organisation)
+        if organisation is None and demand.waiting:
+            # This replica is behind the entry's; the next refresh repeats the demand.
+            self._metrics.count("demand_ignored", "organisation_unknown")
+            return
+        if organisation is not None:
+            pool.queue.set_share(organisation.id, organisation.share)
+        pool.queue.set_demand(
+            self._timers.now(), sender, demand.organisation, demand.waiting
+        )
+        self._grant(demand.pool)
+
+    def _grant(self, name: str) -> None:
+        pool = self._pool(name)
+        now = self._timers.now()
+        while (owned := self._freest(name, now)) is not None:
+            pick = pool.queue.take(now)
+            if pick is None or not owned.window.acquire(now):
+                return
+            estimate = pool.costs.estimate(pick.organisation, name, None)
+            pool.queue.charge(pick.organisation, estimate)
+            grant = GivenGrant(
+                self._grants.new_id(),
+                pick.entry,
+                owned.endpoint.id,
+                name,
+                pick.organisation,
+                estimate,
+            )
+            self._grants.add(grant)
+            self._metrics.count("grants")
+            self._send(
+                pick.entry,
+                Grant(grant.grant_id, grant.endpoint, name, pick.organisation),
+            )
+
+    def _freest(self, pool: str, now: float) -> OwnedEndpoint | None:
+        candidates = [
+            owned
+            for owned in self._owned.values()
+            if owned.endpoint.pool == pool and owned.free(now) > 0
+        ]
+        return max(
+            candidates,
+            key=lambda owned: owned.free(now) / owned.window.limit,
+            default=None,
+        )
+
+    def _release(self, release: Release) -> None:
+        grant = self._grants.pop(release.grant_id)
+        if grant is None:
+            self._metrics.count("releases_ignored")
+            return
+        owned = self._owned.get(grant.endpoint)
+        match release.outcome:
+            case Outcome.COMPLETED:
+                pool = self._pool(grant.pool)
+                pool.costs.observe(grant.organisation, grant.pool, release.units)
+                if owned is not None:
+                    owned.window.on_latency(
+                        self._timers.now(),
+                        release.first_token,
+                        release.token_interval,
+                    )
+            case Outcome.UNREACHABLE | Outcome.CRASHED if owned is not None:
+                self._suspend(owned)
+            case _:
+                pass
+        self._metrics.count("releases", release.outcome.name.lower())
+        self._settle(grant, release.units)
+        self._grant(grant.pool)
+
+    def _settle(self, grant: GivenGrant, units: float) -> None:
+        """Free the slot and replace the estimate by the units received."""
+        owned = self._owned.get(grant.endpoint)
+        if owned is not None:
+            owned.window.release(self._timers.now())
+        self._pool(grant.pool).queue.charge(grant.organisation, units - grant.charged)
+
+    def _charge(self, charge: Charge) -> None:
+        grant = self._grants.get(charge.grant_id)
+        if grant is None:
+            return
+        grant.received = max(grant.received, charge.units)
+        if charge.units > grant.charged:
+            self._pool(grant.pool).queue.charge(
+                grant.organisation, charge.units - grant.charged
+            )
+            grant.charged = charge.units
+
+    def _adopt(self, sender: str, running: Running) -> None:
+        """Record a slot that was granted by a former owner."""
+        owned = self._owned.get(running.endpoint)
+        if owned is None or self._grants.get(running.grant_id) is not None:
+            return
+        owned.window.adopt(self._timers.now())
+        self._grants.add(
+            GivenGrant(
+                running.grant_id,
+                sender,
+                running.endpoint,
+                running.pool,
+                running.organisation,
+                running.units,
+                running.units,
+            )
+        )
+
+    def _suspend(self, owned: OwnedEndpoint) -> None:
+        if owned.up:
+            owned.up = False
+            owned.window.on_failure(self._timers.now())
+            self._metrics.count("endpoints_down")
+            emit(Event.ENDPOINT_DOWN, endpoint=owned.endpoint.id)
+        self._poll(owned.endpoint)
+
+    def _resume(self, owned: OwnedEndpoint) -> None:
+        owned.up = True
+        owned.window.on_recovered(self._timers.now())
+        emit(Event.ENDPOINT_UP, endpoint=owned.endpoint.id)
+
+    def _poll_all(self, now: float) -> None:
+        for owned in self._owned.values():
+            self._poll(owned.endpoint)
+
+    def _poll(self, endpoint: Endpoint) -> None:
+        if endpoint.id in self._polled:
+            return
+        self._polled.add(endpoint.id)
+        task = asyncio.get_running_loop().create_task(self._read_report(endpoint))
+        self._polls.add(task)
+        task.add_done_callback(self._polls.discard)
+
+    async def _read_report(self, endpoint: Endpoint) -> None:
+        try:
+            body = await self._transport.get_json(
+                endpoint, "/load", self._settings.window.report_interval_s
+            )
+        except EndpointFailedError as error:
+            self._metrics.count("load_reports_failed", error.code)
+            owned = self._owned.get(endpoint.id)
+            if owned is not None and owned.up:
+                owned.missed_reports += 1
+                if owned.missed_reports >= MISSED_REPORTS_DOWN:
+                    self._suspend(owned)
+        else:
+            self._take_report(endpoint, body)
+        finally:
+            self._polled.discard(endpoint.id)
+
+    def _take_report(self, endpoint: Endpoint, body: Mapping[str, object]) -> None:
+        owned = self._owned.get(endpoint.id)
+        if owned is None:
+            return
+        report = LoadReport(
+            running=_non_negative_int(body.get("running")),
+            waiting=_non_negative_int(body.get("waiting")),
+            token_interval_s=_non_negative(body.get("token_interval_ms"))
+            / MILLISECONDS_PER_SECOND,
+            incarnation=str(body.get("incarnation", "")),
+        )
+        owned.missed_reports = 0
+        owned.incarnation = report.incarnation
+        owned.window.on_report(self._timers.now(), report)
+        if not owned.up:
+            self._resume(owned)
+        self._grant(endpoint.pool)
+
+
+def _non_negative(value: object) -> float:
+    return float(value) if isinstance(value, int | float) and value > 0 else 0.0
+
+
+def _non_negative_int(value: object) -> int:
+    return int(_non_negative(value))
