--- a/borageworks/wire/codec.py
+++ b/borageworks/wire/codec.py
@@ -21,7 +21,8 @@
 TRAVERSAL_LIMIT_WORDS = 1 << 20
 
 Reader = Callable[[Any], Any]
-Writer = Callable[[Any], Any]
+# Stores a value in the field of a builder: (builder, wire name, value).
+Writer = Callable[[Any, str, Any], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,20 +42,41 @@
     return value
 
 
+def _write_enum(builder: Any, name: str, value: IntEnum) -> None:
+    setattr(builder, name, int(value))  # the library refuses enum classes
+
+
+def _write_struct(builder: Any, name: str, value: Any) -> None:
+    _fill(builder.init(name), value)
+
+
+def _write_list(builder: Any, name: str, values: tuple[Any, ...]) -> None:
+    items = builder.init(name, len(values))
+    for index, value in enumerate(values):
+        items[index] = value
+
+
+def _write_structs(builder: Any, name: str, values: tuple[Any, ...]) -> None:
+    items = builder.init(name, len(values))
+    for index, value in enumerate(values):
+        _fill(items[index], value)
+
+
 def _converters(kind: Any) -> tuple[Reader, Writer]:
     if typing.get_origin(kind) is tuple:
-        item_read, item_write = _converters(typing.get_args(kind)[0])
+        item_kind = typing.get_args(kind)[0]
+        item_read, item_write = _converters(item_kind)
         return (
-            lambda values: tuple(item_read(value) for value in values),
-            lambda values: [item_write(value) for value in values],
+            lambda values: tuple([item_read(value) for value in values]),
+            _write_structs if item_write is _write_struct else _write_list,
         )
     if is_dataclass(kind) and isinstance(kind, type):
-        return (lambda value: _read(kind, value)), _write
+        return (lambda value: _read(kind, value)), _write_struct
     if isinstance(kind, type) and issubclass(kind, IntEnum):
-        return kind, int
+        return kind, _write_enum
     if kind is bytes:
-        return bytes, _identity
-    return _identity, _identity
+        return bytes, setattr
+    return _identity, setattr
 
 
 _LAYOUTS: dict[type, tuple[_Field, ...]] = {}
@@ -72,11 +94,10 @@
     return layout
 
 
-def _write(message: Any) -> dict[str, Any]:
-    return {
-        item.wire_name: item.write(getattr(message, item.name))
-        for item in _layout(type(message))
-    }
+def _fill(builder: Any, message: Any) -> None:
+    # Fields are set one by one: a dict given to new_message takes six times as long.
+    for item in _layout(type(message)):
+        item.write(builder, item.wire_name, getattr(message, item.name))
 
 
 def _read(kind: type, reader: Any) -> Any:
@@ -97,9 +118,11 @@
 
 def encode(messages: Iterable[Message]) -> bytes:
     """Return the packed frame that holds `messages` in order."""
-    frame = _SCHEMA.Frame.new_message(
-        messages=[{_NAMES[type(message)]: _write(message)} for message in messages]
-    )
+    listed = tuple(messages)
+    frame = _SCHEMA.Frame.new_message()
+    envelopes = frame.init("messages", len(listed))
+    for index, message in enumerate(listed):
+        _fill(envelopes[index].init(_NAMES[type(message)]), message)
     return bytes(frame.to_bytes_packed())
 
 
