--- /dev/null
+++ b/borageworks/wire/tests/test_links.py
@@ -0,0 +1,258 @@
+"""Tests of the links between instances, over loopback."""
+
+import asyncio
+import functools
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from testtools import TestCase
+
+from borageworks.config.settings import Settings
+from borageworks.metrics import Metrics
+from borageworks.timers import Timers
+from borageworks.wire.authenticator import Authenticator
+from borageworks.wire.codec import encode
+from borageworks.wire.link import HELLO_CONTEXT, MAX_FRAME_BYTES
+from borageworks.wire.links import PeerLinks
+from borageworks.wire.messages import Demand, HeldAnswer, HeldAnswerReply, Hello
+
+OLD_KEY = "11" * 32
+NEW_KEY = "22" * 32
+NONCE = b"n" * 16
+
+
+def make_settings(instance: str, keys: tuple[str, ...] = (OLD_KEY,)) -> Settings:
+    """Return settings of an instance on free loopback ports."""
+    loopback = {"host": "127.0.0.1", "port": 0}
+    return Settings.model_validate(
+        {
+            "instance": instance,
+            "domain": "domain-1",
+            "listen": loopback,
+            "gossip": loopback,
+            "peer": loopback,
+            "store": {"url": "http://127.0.0.1:1"},
+            "membership": {"keys": keys},
+        }
+    )
+
+
+class Node:
+    """PeerLinks that records its events."""
+
+    def __init__(self, instance: str, keys: tuple[str, ...] = (OLD_KEY,), number=1):
+        self.instance = instance
+        self.metrics = Metrics()
+        self.messages: list[object] = []
+        self.events: list[str] = []
+        self.links = PeerLinks(
+            make_settings(instance, keys),
+            number,
+            Timers(),
+            self.metrics,
+            lambda _instance, message: self.messages.append(message),
+            lambda instance: self.events.append(f"+{instance}"),
+            lambda instance: self.events.append(f"-{instance}"),
+            random.Random(7),
+        )
+
+    def knows(self, other: "Node") -> None:
+        self.links.set_address(other.instance, *other.links.address)
+
+
+async def until(condition: Callable[[], object]) -> None:
+    """Wait for a condition; the limit only ends a test that would hang."""
+    async with asyncio.timeout(20):
+        while not condition():  # noqa: ASYNC110 - counters have no event to await
+            await asyncio.sleep(0.005)
+
+
+def frame(body: bytes, context: bytes, keys: tuple[str, ...] = (OLD_KEY,)) -> bytes:
+    """Return a frame as a link sends it."""
+    code = Authenticator(keys).sign(context, body)
+    return len(body).to_bytes(4, "big") + body + code
+
+
+class PeerLinksTests(TestCase):
+    def run_with(
+        self, scenario: Callable[..., Awaitable[None]], *nodes: tuple[Any, ...]
+    ) -> None:
+        async def run() -> None:
+            started = [Node(*arguments) for arguments in nodes]
+            for node in started:
+                await node.links.start()
+            try:
+                await scenario(*started)
+            finally:
+                for node in started:
+                    await node.links.stop()
+
+        asyncio.run(run())
+
+    def test_order_and_batches(self):
+        """Guards against lost, repeated or reordered messages and one write each."""
+
+        async def scenario(a, b):
+            a.knows(b)
+            sent = [Demand("p", "o", number) for number in range(3000)]
+            for message in sent:
+                a.links.send("b", message)
+            await until(lambda: len(b.messages) >= 3000)
+            self.assertEqual(sent, b.messages)
+            # A Hello, an empty frame and the batch.
+            self.assertTrue(a.links.bytes_sent < 3000 * 52)
+            b.links.send("a", sent[0])
+            await until(lambda: a.messages == sent[:1])
+            self.assertEqual((["+b"], ["+a"]), (a.events, b.events))
+
+        self.run_with(scenario, ("a",), ("b",))
+
+    def test_simultaneous_connects(self):
+        """Guards against two links per pair, and against losing both of them."""
+
+        async def scenario(*nodes):
+            for node in nodes:
+                for other in nodes:
+                    if other is not node:
+                        node.knows(other)
+                        node.links.send(other.instance, Demand("p", node.instance, 1))
+            await until(lambda: all(len(node.messages) == 5 for node in nodes))
+            for node in nodes:
+                self.assertEqual(5, len(set(node.messages)))
+                self.assertEqual(5, len(node.events))
+                self.assertEqual(5, len(node.links.connected))
+
+        self.run_with(scenario, *[(name,) for name in "abcdef"])
+
+    def test_unreachable_then_back(self):
+        """Guards against unbounded queues and a peer that is never tried again."""
+
+        async def scenario(a, b):
+            a.knows(b)
+            await b.links.stop()
+            a.links.send("b", Demand("p", "o", 1))
+            await until(lambda: a.metrics.value("peer_messages_dropped", "unreachable"))
+            self.assertFalse(a.links.send("b", Demand("p", "o", 2)))
+            again = Node("b", (OLD_KEY,), 2)
+            await again.links.start()
+            a.knows(again)
+            a.links.send("b", Demand("p", "o", 3))
+            await until(lambda: again.messages == [Demand("p", "o", 3)])
+            await again.links.stop()
+            await until(lambda: a.events == ["+b", "-b"])
+
+        self.run_with(scenario, ("a",), ("b",))
+
+    def test_queue_is_bounded(self):
+        """Guards against memory that grows while a peer does not answer."""
+
+        async def scenario(a, b):
+            a.knows(b)
+            large = HeldAnswerReply(1, HeldAnswer.HELD, body=b"x" * 1_000_000)
+            accepted = [a.links.send("b", large) for _ in range(20)]
+            self.assertEqual(8, sum(accepted))
+            self.assertEqual(12, a.metrics.value("peer_messages_dropped", "queue_full"))
+            await until(lambda: len(b.messages) == 8)
+
+        self.run_with(scenario, ("a",), ("b",))
+
+    def test_message_over_the_limit(self):
+        """Guards against one large message that breaks the link for the others."""
+
+        async def scenario(a, b):
+            a.knows(b)
+            body = random.Random(1).randbytes(MAX_FRAME_BYTES)
+            a.links.send("b", Demand("p", "o", 1))
+            a.links.send("b", HeldAnswerReply(1, HeldAnswer.HELD, body=body))
+            a.links.send("b", Demand("p", "o", 2))
+            await until(lambda: len(b.messages) == 2)
+            self.assertEqual(1, a.metrics.value("peer_messages_dropped", "too_large"))
+
+        self.run_with(scenario, ("a",), ("b",))
+
+    def test_key_rotation(self):
+        """Guards against links that break while keys are replaced."""
+
+        async def scenario(first, second, third, last):
+            for node, other in ((first, second), (second, third), (third, last)):
+                node.knows(other)
+                node.links.send(other.instance, Demand("p", "o", 1))
+                await until(functools.partial(len, other.messages))
+            first.knows(last)
+            first.links.send("last", Demand("p", "o", 2))
+            rejected = ("peer_links_rejected", "message_unauthentic")
+            await until(lambda: last.metrics.value(*rejected) > 0)
+            self.assertEqual(1, len(last.messages))
+
+        self.run_with(
+            scenario,
+            ("first", (OLD_KEY,)),
+            ("second", (OLD_KEY, NEW_KEY)),
+            ("third", (NEW_KEY, OLD_KEY)),
+            ("last", (NEW_KEY,)),
+        )
+
+    def test_hostile_connections(self):
+        """Guards against forged, replayed, reflected, oversized and bad frames."""
+        hello = frame(encode([Hello("a", 9, "d", NONCE)]), HELLO_CONTEXT)
+        demand = encode([Demand("p", "o", 1)])
+        attacks = {
+            "message_unauthentic": [
+                frame(encode([Hello("a", 9, "d", NONCE)]), HELLO_CONTEXT, (NEW_KEY,)),
+                hello + frame(demand, HELLO_CONTEXT),
+                hello + hello,
+                hello + frame(demand, NONCE + NONCE + bytes(8)),
+            ],
+            "message_malformed": [
+                frame(demand, HELLO_CONTEXT),
+                frame(encode([Hello("a", 9, "d", b"")]), HELLO_CONTEXT),
+                frame(b"\xff" * 30, HELLO_CONTEXT),
+            ],
+            "message_too_large": [b"\xff" * 8],
+        }
+
+        async def scenario(b):
+            for code, frames in attacks.items():
+                for number, data in enumerate(frames, 1):
+                    reader, writer = await asyncio.open_connection(*b.links.address)
+                    writer.write(data)
+                    async with asyncio.timeout(20):
+                        try:
+                            while await reader.read(4096):
+                                pass
+                        except ConnectionError:
+                            pass
+                    writer.close()
+                    self.assertEqual(
+                        number, b.metrics.value("peer_links_rejected", code)
+                    )
+            self.assertEqual(([], []), (b.messages, b.events))
+
+        self.run_with(scenario, ("b",))
+
+    def test_address_of_another_instance(self):
+        """Guards against messages sent to an instance that took over an address."""
+
+        async def scenario(a, b):
+            a.links.set_address("c", *b.links.address)
+            a.links.send("c", Demand("p", "o", 1))
+            rejected = ("peer_links_rejected", "other_instance")
+            await until(lambda: a.metrics.value(*rejected) > 0)
+            self.assertEqual([], b.messages)
+
+        self.run_with(scenario, ("a",), ("b",))
+
+    def test_remove(self):
+        """Guards against links to instances that have left the fleet."""
+
+        async def scenario(a, b):
+            a.knows(b)
+            a.links.send("b", Demand("p", "o", 1))
+            await until(lambda: b.events == ["+a"])
+            a.links.remove("b")
+            await until(lambda: b.events == ["+a", "-a"])
+            self.assertEqual(["+b", "-b"], a.events)
+            self.assertFalse(a.links.send("b", Demand("p", "o", 2)))
+
+        self.run_with(scenario, ("a",), ("b",))
