--- /dev/null
+++ b/borageworks/routing/tests/test_demand.py
@@ -0,0 +1,109 @@
+"""Tests of the demand that an entry instance advertises."""
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from borageworks.config.settings import QueueSettings
+from borageworks.routing.demand import WITHDRAW_S, DemandPlan
+from borageworks.wire.messages import Demand
+
+OWNERS = ["o1", "o2", "o3", "o4"]
+
+
+def plan():
+    made = DemandPlan(QueueSettings(escalation_s=0.01))
+    made.set_owners({"p": OWNERS})
+    return made
+
+
+class DemandPlanTest(testtools.TestCase):
+    def test_free_capacity_costs_one_message(self):
+        """Guards against telling every owner of a request that is granted at once."""
+        demand = plan()
+        demand.set_waiting(0.0, "p", "a", 1)
+        told = demand.flush(0.0)
+        self.assertEqual(
+            [("o1", Demand("p", "a", 1))], [(t.owner, t.demand) for t in told]
+        )
+        demand.granted("o1", "p", "a")
+        demand.set_waiting(0.001, "p", "a", 0)
+        self.assertEqual([], demand.flush(0.001))
+        self.assertEqual([], demand.tick(1.0))
+
+    def test_waiting_demand_reaches_all_owners(self):
+        """Guards against capacity idling at owners that were never told."""
+        demand = plan()
+        demand.set_waiting(0.0, "p", "a", 1)
+        told = {t.owner for t in demand.flush(0.0)}
+        for step in range(1, 5):
+            told |= {t.owner for t in demand.tick(step * 0.011)}
+        self.assertEqual(set(OWNERS), told)
+
+    def test_gone_demand_is_withdrawn_after_a_delay(self):
+        """Guards against owners granting slots for requests that left."""
+        demand = plan()
+        demand.set_waiting(0.0, "p", "a", 2)
+        demand.flush(0.0)
+        demand.tick(0.02)
+        demand.set_waiting(0.03, "p", "a", 0)
+        self.assertEqual([], demand.tick(0.04))
+        withdrawn = demand.tick(0.04 + WITHDRAW_S)
+        self.assertEqual({"o1", "o2"}, {t.owner for t in withdrawn})
+        self.assertEqual({0}, {t.demand.waiting for t in withdrawn})
+
+    def test_lost_link_is_told_again(self):
+        """Guards against demand forgotten by a restarted owner."""
+        demand = plan()
+        demand.set_waiting(0.0, "p", "a", 5)
+        demand.flush(0.0)
+        demand.forget_owner("o1")
+        self.assertEqual(["o1"], [t.owner for t in demand.flush(0.1)])
+
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["wait", "grant", "tick", "lose"]),
+                st.integers(0, 6),
+                st.sampled_from(OWNERS),
+            ),
+            max_size=60,
+        )
+    )
+    def test_owners_agree_with_a_naive_copy_after_a_refresh(self, steps):
+        """Guards against an owner believing in demand that is gone, or the reverse."""
+        demand = plan()
+        known: dict[str, int] = {}
+        now = 0.0
+        waiting = 0
+
+        def deliver(actions):
+            for action in actions:
+                known[action.owner] = action.demand.waiting
+
+        for kind, number, owner in steps:
+            now += 0.02
+            match kind:
+                case "wait":
+                    waiting = number
+                    demand.set_waiting(now, "p", "a", waiting)
+                case "grant" if known.get(owner, 0) > 0:
+                    known[owner] -= 1
+                    demand.granted(owner, "p", "a")
+                    waiting = max(0, waiting - 1)
+                    demand.set_waiting(now, "p", "a", waiting)
+                case "tick":
+                    deliver(demand.tick(now))
+                case "lose":
+                    known.pop(owner, None)
+                    demand.forget_owner(owner)
+            deliver(demand.flush(now))
+        for _ in range(8):
+            now += 1.0
+            deliver(demand.tick(now))
+            deliver(demand.refresh(now))
+        expected = {waiting} if waiting else {0}
+        self.assertTrue(set(known.values()) <= expected, (known, waiting))
+        if waiting:
+            self.assertEqual(set(OWNERS), set(known))
