--- a/borageworks/router/entry.py
+++ b/borageworks/router/entry.py
@@ -333,9 +333,7 @@
         for held in self._held.values():
             if held.progress.units > held.reported:
                 held.reported = held.progress.units
-                self._send(
-                    held.owner, Charge(held.grant.grant_id, held.progress.units)
-                )
+                self._send(held.owner, Charge(held.grant.grant_id, held.progress.units))
 
     def _tell(self, actions: list[TellOwner]) -> None:
         for action in actions:
--- a/borageworks/router/owner.py
+++ b/borageworks/router/owner.py
@@ -177,10 +177,7 @@
             return
         if (endpoint.host, endpoint.port) != (owned.endpoint.host, owned.endpoint.port):
             owned.grants_from = now
-        if endpoint.window_max != owned.endpoint.window_max:
-            owned.window = Window(
-                self._settings.window, endpoint.window_initial, endpoint.window_max
-            )
+        owned.window.configure(endpoint.window_initial, endpoint.window_max)
         owned.endpoint = endpoint
 
     def _pool(self, name: str) -> OwnedPool:
@@ -286,7 +283,7 @@
         owned = self._owned.get(running.endpoint)
         if owned is None or self._grants.get(running.grant_id) is not None:
             return
-        owned.window.adopt(self._timers.now())
+        owned.window.occupy(self._timers.now())
         self._grants.add(
             GivenGrant(
                 running.grant_id,
--- a/borageworks/routing/suspects.py
+++ b/borageworks/routing/suspects.py
@@ -8,7 +8,7 @@
 
 # A request that crashes endpoints costs at most this many in the whole fleet.
 MAX_CRASHES = 3
-# One crash leaves every request that ran there under suspicion; two in common leave few.
+# One crash puts every request that ran there under suspicion, two in common few.
 CRASHES_BEFORE_ALONE = 2
 EXPIRY_S = 3600.0
 MAX_FINGERPRINTS = 10_000
