--- /dev/null
+++ b/borageworks/fair/tests/test_window.py
@@ -0,0 +1,198 @@
+"""Tests of the window of an endpoint."""
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from borageworks.config.settings import WindowSettings
+from borageworks.fair.load import LoadReport
+from borageworks.fair.tests.fake_engine import FakeEngine
+from borageworks.fair.tests.naive_window import NaiveWindow
+from borageworks.fair.window import Window
+
+TARGET = WindowSettings().token_interval_target_s
+REPORTS = st.builds(
+    LoadReport,
+    st.integers(0, 40),
+    st.sampled_from([0, 0, 0, 3]),
+    st.sampled_from([0.005, 0.03, 0.05, 0.06, 0.2]),
+    st.sampled_from(["1", "1", "1", "2"]),
+)
+EVENTS = st.sampled_from(["acquire"] * 6 + ["occupy", "release", "failure"])
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from([0.0, 0.1, 1.0, 1.0, 20.0, 70.0]),
+        st.one_of(EVENTS, st.just("recovered"), REPORTS, REPORTS),
+    ),
+    max_size=60,
+)
+
+
+class WindowDifferentialTest(testtools.TestCase):
+    """Guards against counters that drift from the events they summarise."""
+
+    @given(STEPS, st.sampled_from([(1, 1), (4, 20), (8, 256)]))
+    @settings(derandomize=True, deadline=None, max_examples=400)
+    def test_same_limit_and_slots_as_a_replay_of_all_events(self, steps, sizes):
+        window = Window(WindowSettings(), *sizes)
+        naive, now, failed = NaiveWindow(WindowSettings(), *sizes), 0.0, False
+        for delay, event in steps:
+            now += delay
+            match event:
+                case "acquire":
+                    free = naive.in_use() < naive.limit(now)
+                    self.assertEqual(free, window.acquire(now))
+                    if not free:
+                        continue
+                case "occupy":
+                    window.occupy(now)
+                case "release" if naive.in_use():
+                    window.release(now)
+                case "release":
+                    self.assertRaises(ValueError, window.release, now)
+                    continue
+                case "failure":
+                    window.on_failure(now)
+                    failed = True
+                case "recovered":
+                    window.on_recovered(now)
+                    failed = False
+                case LoadReport():
+                    window.on_report(now, event)
+            naive.record(now, event)
+            self.assertEqual(naive.in_use(), window.in_use)
+            # A report or slot event brings the stale decay up to date.
+            if event != "recovered":
+                self.assertEqual(naive.limit(now), window.limit)
+            if failed:
+                self.assertEqual(0, window.limit)
+            else:
+                self.assertTrue(1 <= window.limit <= sizes[1])
+
+
+class WindowStepResponseTest(testtools.TestCase):
+    """Step responses against an engine model, one step per second."""
+
+    def setUp(self):
+        super().setUp()
+        self.window = Window(WindowSettings(), 8, 256)
+        self.engine = FakeEngine()
+        self.now = 0.0
+
+    def run_engine(self, seconds, waiting, reports=True):
+        """Offer requests for some seconds and return the token intervals."""
+        intervals = []
+        for _ in range(seconds):
+            for _ in range(10):
+                while len(self.engine.remaining) < waiting:
+                    if not self.window.acquire(self.now):
+                        break
+                    self.engine.remaining.append(200.0)
+                for _ in range(self.engine.run(0.1)):
+                    self.window.release(self.now)
+                self.now += 0.1
+            intervals.append(self.engine.interval())
+            if reports:
+                self.window.on_report(self.now, self.engine.report())
+        return intervals
+
+    def test_load_doubles(self):
+        """Guards against a window that grows too slowly or overshoots the target."""
+        self.run_engine(20, waiting=25)
+        intervals = self.run_engine(30, waiting=50)
+        self.assertLessEqual(max(intervals), TARGET)
+        # The engine meets 0.8 of the target at 52 requests.
+        self.assertGreaterEqual(self.window.limit, 50)
+        self.assertEqual(50, self.window.in_use)
+
+    def test_burst_fills_the_engine_within_seconds(self):
+        """Guards against capacity that idles while requests wait."""
+        intervals = self.run_engine(8, waiting=1000)
+        self.assertGreaterEqual(self.window.limit, 40)
+        intervals += self.run_engine(60, waiting=1000)
+        self.assertLessEqual(max(intervals), TARGET)
+        self.assertGreaterEqual(intervals[-1], 0.8 * TARGET)
+
+    def test_engine_slows_to_half(self):
+        """Guards against a token interval that stays over its target."""
+        self.run_engine(40, waiting=1000)
+        self.engine.slowdown = 2.0
+        intervals = self.run_engine(2, waiting=1000)
+        self.assertLess(self.window.limit, 40)
+        intervals = self.run_engine(40, waiting=1000)
+        over = [i for i, interval in enumerate(intervals) if interval > TARGET]
+        # Running requests are not aborted; 200 tokens take 20 s at the slow speed.
+        self.assertLess(over[-1], 18)
+        # The engine meets the target at 18 requests.
+        self.assertGreaterEqual(min(self.window.limit, self.window.in_use), 13)
+        self.engine.slowdown = 1.0
+        intervals = self.run_engine(15, waiting=1000)
+        self.assertLessEqual(max(intervals), TARGET)
+        self.assertGreaterEqual(self.window.in_use, 45)
+
+    def test_report_stops_coming(self):
+        """Guards against a full window on an endpoint of which nothing is known."""
+        self.run_engine(40, waiting=1000)
+        before = self.window.limit
+        self.run_engine(4, waiting=1000, reports=False)
+        self.assertEqual(before, self.window.limit)
+        self.run_engine(31, waiting=1000, reports=False)
+        self.assertTrue(0.7 * before < self.window.limit < 0.8 * before)
+        self.run_engine(60, waiting=1000, reports=False)
+        self.assertEqual(before // 2, self.window.limit)
+        self.run_engine(6, waiting=1000)
+        self.assertGreaterEqual(self.window.limit, 0.85 * before)
+
+    def test_light_load_does_not_move_the_limit(self):
+        """Guards against a limit that grows unmeasured and then admits a burst."""
+        self.run_engine(30, waiting=3)
+        self.assertEqual(8, self.window.limit)
+
+    def test_engine_that_holds_requests_back_gets_fewer(self):
+        """Guards against queueing inside an engine, where no order is kept."""
+        for _ in range(8):
+            self.window.acquire(0.0)
+        self.window.on_report(1.0, LoadReport(5, 3, 0.03, "1"))
+        self.assertEqual(7, self.window.limit)
+
+
+class WindowPlainServiceTest(testtools.TestCase):
+    """Endpoints without a token interval, at most 20 requests in parallel."""
+
+    def run_service(self, seconds, report_waiting, slowdown=1.0):
+        window, time_s = Window(WindowSettings(), 4, 64), 0.0
+        for second in range(seconds):
+            while window.acquire(float(second)):
+                pass
+            held = window.in_use
+            time_s = 0.1 * slowdown * max(1.0, held / 20)
+            for part in range(held):
+                window.release(second + part / 100)
+                window.on_latency(second + part / 100, time_s, 0.0)
+            if report_waiting:
+                waiting = max(0, held - 20)
+                report = LoadReport(held - waiting, waiting, 0.0, "1")
+                window.on_report(second + 0.9, report)
+        return window, time_s
+
+    def test_latency_gradient_finds_the_parallelism(self):
+        """Guards against windows that idle a plain service or grow without end."""
+        window, time_s = self.run_service(120, report_waiting=False)
+        self.assertTrue(20 <= window.limit <= 42, window.limit)
+        self.assertLess(time_s, 0.22)
+
+    def test_reported_waiting_holds_the_window_at_the_parallelism(self):
+        """Guards against ignoring the load report of a plain service."""
+        window, _ = self.run_service(120, report_waiting=True)
+        self.assertTrue(17 <= window.limit <= 22, window.limit)
+
+    def test_slow_service_keeps_its_initial_window(self):
+        """Guards against shrinking for time that is not queueing."""
+        window = Window(WindowSettings(), 4, 64)
+        for second in range(100):
+            while window.acquire(float(second)):
+                pass
+            for _ in range(window.in_use):
+                window.release(float(second))
+                window.on_latency(second + 0.5, 0.1 if second < 20 else 0.5, 0.0)
+        self.assertGreaterEqual(window.limit, 4)
