--- a/borageworks/routing/tests/test_queue.py
+++ b/borageworks/routing/tests/test_queue.py
@@ -19,9 +19,10 @@
         for number in (1, 2, 3):
             queue.add(0.0, waiting(number))
         first = queue.pop(0.0, "p", "a")
+        assert first is not None
         queue.add_first(first)
-        order = [queue.pop(0.0, "p", "a").request_id for _ in range(3)]
-        self.assertEqual([1, 2, 3], order)
+        popped = [queue.pop(0.0, "p", "a") for _ in range(3)]
+        self.assertEqual([1, 2, 3], [each.request_id for each in popped if each])
         self.assertIsNone(queue.pop(0.0, "p", "a"))
 
     def test_bounds_hold_per_organisation_and_in_all(self):
@@ -62,4 +63,4 @@
             OrganisationQueueFullError, queue.add, now, waiting(number + 1)
         )
         # Half of the queue, 20 requests at 2 a second, drains in 10 s.
-        self.assertTrue(8 <= refusal.retry_after <= 12, refusal.retry_after)
+        self.assertTrue(8 <= (refusal.retry_after or 0) <= 12, refusal.retry_after)
--- a/borageworks/wire/fleet.capnp
+++ b/borageworks/wire/fleet.capnp
@@ -5,10 +5,10 @@
 struct Hello { instance @0 :Text; incarnation @1 :UInt64; domain @2 :Text; nonce @3 :Data; }
 struct Demand { pool @0 :Text; organisation @1 :Text; waiting @2 :UInt32; }
 struct Grant { grantId @0 :UInt64; endpoint @1 :Text; pool @2 :Text; organisation @3 :Text; }
-struct Release { grantId @0 :UInt64; outcome @1 :UInt8; units @2 :Float64; firstToken @3 :Float32; tokenInterval @4 :Float32; }
+struct Release { grantId @0 :UInt64; outcome @1 :UInt8; units @2 :Float64; firstToken @3 :Float32; tokenInterval @4 :Float32; fingerprint @5 :Data; }
 struct Charge { grantId @0 :UInt64; units @1 :Float64; }
 struct Running { grantId @0 :UInt64; endpoint @1 :Text; pool @2 :Text; organisation @3 :Text; units @4 :Float64; }
-struct ServiceReport { pool @0 :Text; organisation @1 :Text; owner @2 :Text; incarnation @3 :UInt64; units @4 :Float64; backlogged @5 :Bool; domain @6 :Text; }
+struct ServiceReport { pool @0 :Text; organisation @1 :Text; owner @2 :Text; incarnation @3 :UInt64; units @4 :Float64; backlogged @5 :Bool; domain @6 :Text; owners @7 :UInt16; }
 struct ServiceError { pool @0 :Text; organisation @1 :Text; error @2 :Float64; owners @3 :UInt32; total @4 :Float64; }
 struct Claim { requestId @0 :UInt64; shard @1 :UInt16; keyHash @2 :Data; bodyHash @3 :Data; issued @4 :Float64; holder @5 :Text; }
 struct ClaimReply { requestId @0 :UInt64; outcome @1 :UInt8; holder @2 :Text; state @3 :UInt8; }
@@ -18,6 +18,8 @@
 struct CatalogDigest { revision @0 :UInt64; buckets @1 :List(UInt64); }
 struct CatalogPull { buckets @0 :List(UInt16); }
 struct CatalogObjects { objects @0 :List(Data); }
+struct AloneDemand { requestId @0 :UInt64; pool @1 :Text; organisation @2 :Text; }
+struct AloneGrant { requestId @0 :UInt64; grant @1 :Grant; }
 struct Suspect { fingerprint @0 :Data; endpoint @1 :Text; incarnation @2 :Text; alone @3 :Bool; }
 
 struct MemberUpdate { instance @0 :Text; domain @1 :Text; host @2 :Text; port @3 :UInt16; peerPort @4 :UInt16; incarnation @5 :UInt64; state @6 :UInt8; }
@@ -47,6 +49,8 @@
     ping @17 :Ping;
     pingRequest @18 :PingRequest;
     ack @19 :Ack;
+    aloneDemand @20 :AloneDemand;
+    aloneGrant @21 :AloneGrant;
   }
 }
 
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -92,7 +92,8 @@
     """End of the use of a grant.
 
     `units` are service units; `first_token` and `token_interval` are seconds, 0.0 when
-    not measured.
+    not measured. `fingerprint` identifies the request when the endpoint seems to have
+    crashed, else it is empty.
     """
 
     grant_id: int
@@ -100,6 +101,7 @@
     units: float
     first_token: float = 0.0
     token_interval: float = 0.0
+    fingerprint: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,7 +125,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceReport:
-    """Service units that an organisation received from one owner incarnation."""
+    """Service units that an organisation received from one owner incarnation.
+
+    An aggregator reports the sum of its domain to the aggregators of other domains;
+    `owner` is then empty and `owners` counts the owners that hold demand.
+    """
 
     pool: str
     organisation: str
@@ -132,6 +138,7 @@
     units: float
     backlogged: bool
     domain: str
+    owners: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -217,6 +224,23 @@
     objects: tuple[bytes, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class AloneDemand:
+    """A request that must run with no other request beside it; repeated each second."""
+
+    request_id: int
+    pool: str
+    organisation: str
+
+
+@dataclass(frozen=True, slots=True)
+class AloneGrant:
+    """All slots of an endpoint for one request."""
+
+    request_id: int
+    grant: Grant
+
+
 @dataclass(frozen=True, slots=True)
 class Suspect:
     """An endpoint incarnation crashed while it ran a request with this fingerprint."""
@@ -293,4 +317,6 @@
     | Ping
     | PingRequest
     | Ack
+    | AloneDemand
+    | AloneGrant
 )
