--- a/borageworks/tests/test_embedding.py
+++ b/borageworks/tests/test_embedding.py
@@ -17,6 +17,6 @@
         assert match is not None
         output = io.StringIO()
         with contextlib.redirect_stdout(output):
-            exec(match.group(1), {})  # noqa: S102
+            exec(match.group(1), {})
         picked = output.getvalue().split()
         self.assertEqual((6, 2), (picked.count("large"), picked.count("small")))
