Run suspected requests alone and test entry and owner sides under failures

Cause: a request that crashes each endpoint must cost three at most, others none. Change: owners confirm crashes by the endpoint's incarnation and tell all instances; suspects get an endpoint of their own; tests on an in-memory network.

--- a/borageworks/router/entry.py
+++ b/borageworks/router/entry.py
@@ -6,6 +6,8 @@
 import itertools
 from collections.abc import Callable, Mapping, Sequence
 
+import xxhash
+
 from borageworks.catalog.objects import Endpoint, PoolKind
 from borageworks.catalog.replica import Replica
 from borageworks.config.settings import Settings
@@ -26,6 +28,7 @@
     OutcomeUnknownError,
     QueueTimeoutError,
     Ran,
+    RequestSuspectedError,
     RetriesExhaustedError,
 )
 from borageworks.metrics import Metrics
@@ -33,13 +36,27 @@
 from borageworks.routing.budget import RetryBudget
 from borageworks.routing.demand import DemandPlan, TellOwner
 from borageworks.routing.queue import EntryQueue
+from borageworks.routing.suspects import CrashSuspects, Verdict
 from borageworks.routing.waiting import WaitingRequest
 from borageworks.timers import Subscription, Timers
-from borageworks.wire.messages import Charge, Grant, Message, Outcome, Release, Running
+from borageworks.wire.messages import (
+    AloneDemand,
+    AloneGrant,
+    Charge,
+    Grant,
+    Message,
+    Outcome,
+    Release,
+    Running,
+    Suspect,
+)
 
 Send = Callable[[str, Message], None]
 
 CHARGE_INTERVAL_S = 1.0
+# Owners tell within this time whether the endpoint crashed, so that a request that
+# crashes endpoints is known before it is tried again.
+CRASH_BACKOFF_S = 0.3
 
 
 class Entry:
@@ -77,6 +94,9 @@
         self._queue = EntryQueue(settings.queue)
         self._demand = DemandPlan(settings.queue)
         self._budget = RetryBudget(settings.retry)
+        self._suspects = CrashSuspects()
+        self._owners: Mapping[str, Sequence[str]] = {}
+        self._alone: dict[int, tuple[WaitingRequest, asyncio.Future[HeldGrant]]] = {}
         self._granted: dict[int, asyncio.Future[HeldGrant]] = {}
         self._held: dict[int, HeldGrant] = {}
         self._sequence = itertools.count(1)
@@ -118,6 +138,7 @@
         by_pool
             Owners by pool, nearest first.
         """
+        self._owners = by_pool
         self._demand.set_owners(by_pool)
         for held in self._held.values():
             owner = owners.get(held.grant.endpoint)
@@ -152,6 +173,27 @@
         self._metrics.observe("queue_wait", now - request.queued_at)
         self._granted.pop(request.request_id).set_result(held)
 
+    def receive_alone_grant(self, sender: str, message: AloneGrant) -> None:
+        """Give the whole endpoint to the request that waits for it, or return it."""
+        waiting = self._alone.pop(message.request_id, None)
+        if waiting is None:
+            grant_id = message.grant.grant_id
+            self._send(sender, Release(grant_id, Outcome.UNUSED, 0.0))
+            return
+        held = HeldGrant(message.grant, sender, Progress(), alone=True)
+        self._held[message.grant.grant_id] = held
+        waiting[1].set_result(held)
+
+    def receive_suspect(self, message: Suspect) -> None:
+        """Note that a request ran on an endpoint that crashed."""
+        self._suspects.record(
+            self._timers.now(),
+            message.fingerprint,
+            message.endpoint,
+            message.incarnation,
+            message.alone,
+        )
+
     async def run(self, call: Call, sink: Sink) -> None:
         """Run a call and write its answer.
 
@@ -172,15 +214,20 @@
     async def _run(self, call: Call, sink: Sink) -> None:
         deadline = self._timers.now() + call.service.queue_timeout_s
         progress = Progress()
+        fingerprint = _fingerprint(call)
         self._budget.record_first_attempt(call.organisation, call.service.id)
-        for attempt in itertools.count(1):
-            held = await self._wait_for_slot(call, deadline, progress, attempt > 1)
+        attempt = 0
+        while True:
+            held = await self._wait_for_slot(
+                call, deadline, progress, fingerprint, attempt > 0
+            )
             endpoint = self._replica.endpoints.get(held.grant.endpoint)
             if endpoint is None:
                 self._release(held, Outcome.UNUSED)
                 continue
+            attempt += 1
             try:
-                await self._attempt(endpoint, held, call, sink, progress)
+                await self._attempt(endpoint, held, call, sink, progress, fingerprint)
             except EndpointFailedError as error:
                 self._check_retry(error, call, sink, progress, attempt)
                 self._metrics.count("retries", error.code)
@@ -190,6 +237,8 @@
                     code=error.code,
                     detail=str(error),
                 )
+                if _outcome(error) is Outcome.CRASHED:
+                    await asyncio.sleep(CRASH_BACKOFF_S)
             else:
                 return
 
@@ -200,6 +249,7 @@
         call: Call,
         sink: Sink,
         progress: Progress,
+        fingerprint: bytes,
     ) -> None:
         held.progress = progress
         progress.units = 0.0
@@ -209,20 +259,28 @@
                 endpoint, call, sink, progress
             )
         except EndpointFailedError as error:
-            self._release(held, _outcome(error))
+            self._release(held, _outcome(error), fingerprint=fingerprint)
             raise
         except BaseException:
             self._release(held, Outcome.CANCELLED)
             raise
         self._release(held, Outcome.COMPLETED, exchange)
+        if held.alone:
+            self._suspects.clear(fingerprint)
         self._metrics.count("answers")
         if exchange.first_token:
             self._metrics.observe("first_token", exchange.first_token)
 
     async def _wait_for_slot(
-        self, call: Call, deadline: float, progress: Progress, again: bool
+        self,
+        call: Call,
+        deadline: float,
+        progress: Progress,
+        fingerprint: bytes,
+        again: bool,
     ) -> HeldGrant:
         now = self._timers.now()
+        ran = Ran.UNKNOWN if progress.sent else Ran.NOT_RUN
         request = WaitingRequest(
             request_id=next(self._sequence),
             pool=call.service.pool,
@@ -230,13 +288,15 @@
             queued_at=now,
             deadline=deadline,
         )
-        if again:
-            self._queue.add_first(request)
-        else:
-            self._queue.add(now, request)
-        future: asyncio.Future[HeldGrant] = asyncio.get_running_loop().create_future()
-        self._granted[request.request_id] = future
-        self._note_waiting(now, request.pool, request.organisation)
+        match self._suspects.verdict(now, fingerprint):
+            case Verdict.REFUSED:
+                raise RequestSuspectedError(
+                    "endpoints crashed while they ran this request", ran=ran
+                )
+            case Verdict.ALONE:
+                future = self._queue_alone(request)
+            case Verdict.CLEAR:
+                future = self._queue_shared(now, request, again)
         try:
             async with asyncio.timeout_at(deadline):
                 return await asyncio.shield(future)
@@ -245,13 +305,40 @@
             raise QueueTimeoutError(
                 f"no slot of pool {request.pool!r} was free in "
                 f"{call.service.queue_timeout_s:g} s",
-                ran=Ran.UNKNOWN if progress.sent else Ran.NOT_RUN,
+                ran=ran,
                 retry_after=1.0,
             ) from error
         except asyncio.CancelledError:
             self._give_up(request, future)
             raise
 
+    def _queue_shared(
+        self, now: float, request: WaitingRequest, again: bool
+    ) -> asyncio.Future[HeldGrant]:
+        if again:
+            self._queue.add_first(request)
+        else:
+            self._queue.add(now, request)
+        future: asyncio.Future[HeldGrant] = asyncio.get_running_loop().create_future()
+        self._granted[request.request_id] = future
+        self._note_waiting(now, request.pool, request.organisation)
+        return future
+
+    def _queue_alone(self, request: WaitingRequest) -> asyncio.Future[HeldGrant]:
+        self._metrics.count("runs_alone")
+        future: asyncio.Future[HeldGrant] = asyncio.get_running_loop().create_future()
+        self._alone[request.request_id] = request, future
+        self._tell_alone(request)
+        return future
+
+    def _tell_alone(self, request: WaitingRequest) -> None:
+        owners = self._owners.get(request.pool, ())
+        if owners:
+            self._send(
+                owners[0],
+                AloneDemand(request.request_id, request.pool, request.organisation),
+            )
+
     def _give_up(
         self, request: WaitingRequest, future: asyncio.Future[HeldGrant]
     ) -> None:
@@ -259,6 +346,8 @@
             # The grant arrived in the same loop turn as the timeout or cancellation.
             self._release(future.result(), Outcome.UNUSED)
             return
+        if self._alone.pop(request.request_id, None) is not None:
+            return
         del self._granted[request.request_id]
         self._queue.remove(request.request_id)
         self._note_waiting(self._timers.now(), request.pool, request.organisation)
@@ -293,7 +382,11 @@
             ) from error
 
     def _release(
-        self, held: HeldGrant, outcome: Outcome, exchange: Exchange | None = None
+        self,
+        held: HeldGrant,
+        outcome: Outcome,
+        exchange: Exchange | None = None,
+        fingerprint: bytes = b"",
     ) -> None:
         del self._held[held.grant.grant_id]
         if exchange is None:
@@ -308,6 +401,7 @@
                 exchange.units,
                 exchange.first_token,
                 exchange.token_interval,
+                fingerprint if outcome is Outcome.CRASHED else b"",
             ),
         )
 
@@ -330,6 +424,8 @@
 
     def _refresh(self, now: float) -> None:
         self._tell(self._demand.refresh(now))
+        for request, _ in self._alone.values():
+            self._tell_alone(request)
         for held in self._held.values():
             if held.progress.units > held.reported:
                 held.reported = held.progress.units
@@ -353,6 +449,15 @@
         )
 
 
+def _fingerprint(call: Call) -> bytes:
+    """Return a hash of what the caller asked for, the same for each resend."""
+    digest = xxhash.xxh3_64()
+    parts = (call.organisation, call.service.id, call.method, call.path)
+    digest.update("\0".join(parts).encode())
+    digest.update(call.body)
+    return digest.digest()
+
+
 def _is_resumable(error: EndpointFailedError, call: Call) -> bool:
     return call.stream and isinstance(
         error,
--- a/borageworks/router/grants.py
+++ b/borageworks/router/grants.py
@@ -26,6 +26,11 @@
         Service units charged so far, at first an estimate.
     received
         Service units that the entry has reported.
+    counted
+        Service units that this owner has added to its service counters; what a former
+        owner counted is not counted again.
+    alone
+        Whether the request runs with no other beside it.
     """
 
     grant_id: int
@@ -35,6 +40,8 @@
     organisation: str
     charged: float
     received: float = 0.0
+    counted: float = 0.0
+    alone: bool = False
 
 
 class GrantTable:
--- a/borageworks/router/held.py
+++ b/borageworks/router/held.py
@@ -22,9 +22,12 @@
         Progress of the call that uses it.
     reported
         Service units that the owner was told.
+    alone
+        Whether the request runs with no other beside it.
     """
 
     grant: Grant
     owner: str
     progress: Progress
     reported: float = 0.0
+    alone: bool = False
--- a/borageworks/router/owned.py
+++ b/borageworks/router/owned.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from borageworks.catalog.objects import Endpoint
 from borageworks.fair.window import Window
@@ -27,6 +27,11 @@
         As it last reported.
     missed_reports
         Load reports in a row that did not arrive.
+    reserved
+        Whether the endpoint is kept free for a request that runs alone.
+    crashed
+        Fingerprints that were running when connections to this incarnation broke, and
+        whether each ran alone; kept until a report tells whether it crashed.
     """
 
     endpoint: Endpoint
@@ -35,9 +40,11 @@
     up: bool = True
     incarnation: str = ""
     missed_reports: int = 0
+    reserved: bool = False
+    crashed: dict[bytes, bool] = field(default_factory=dict)
 
     def free(self, now: float) -> int:
         """Return the number of slots that can be granted now."""
-        if not self.up or now < self.grants_from:
+        if not self.up or self.reserved or now < self.grants_from:
             return 0
         return self.window.limit - self.window.in_use
--- a/borageworks/router/owner.py
+++ b/borageworks/router/owner.py
@@ -4,23 +4,24 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 
 from borageworks.catalog.objects import Endpoint
 from borageworks.catalog.replica import Replica
 from borageworks.config.settings import Settings
 from borageworks.endpoints.transport import Transport
 from borageworks.events import Event, emit
-from borageworks.exceptions import EndpointFailedError
-from borageworks.fair.cost import CostEstimator
+from borageworks.exceptions import EndpointFailedError, EndpointUnreachableError
 from borageworks.fair.load import LoadReport
-from borageworks.fair.queue import FairQueue
 from borageworks.fair.window import Window
 from borageworks.metrics import Metrics
 from borageworks.router.grants import GivenGrant, GrantTable
+from borageworks.router.isolation import IsolationQueue
 from borageworks.router.owned import OwnedEndpoint
+from borageworks.router.pool import OwnedPool
 from borageworks.timers import Subscription, Timers
 from borageworks.wire.messages import (
+    AloneDemand,
+    AloneGrant,
     Charge,
     Demand,
     Grant,
@@ -28,6 +29,7 @@
     Outcome,
     Release,
     Running,
+    Suspect,
 )
 
 Send = Callable[[str, Message], None]
@@ -39,14 +41,6 @@
 MILLISECONDS_PER_SECOND = 1000.0
 
 
-@dataclass(slots=True)
-class OwnedPool:
-    """Queue and cost estimates of one pool."""
-
-    queue: FairQueue
-    costs: CostEstimator
-
-
 class Owner:
     """Grants slots of owned endpoints in fair order.
 
@@ -64,6 +58,8 @@
         Table of the grants given out.
     send
         Sends a message to an instance, also to this one.
+    broadcast
+        Sends a message to all live instances, also to this one.
     """
 
     def __init__(
@@ -75,6 +71,7 @@
         transport: Transport,
         grants: GrantTable,
         send: Send,
+        broadcast: Callable[[Message], None],
     ) -> None:
         self._settings = settings
         self._replica = replica
@@ -83,6 +80,8 @@
         self._transport = transport
         self._grants = grants
         self._send = send
+        self._broadcast = broadcast
+        self._isolation = IsolationQueue()
         self._owned: dict[str, OwnedEndpoint] = {}
         self._pools: dict[str, OwnedPool] = {}
         self._subscription: Subscription | None = None
@@ -138,21 +137,22 @@
                 now + TAKEOVER_GRACE_S,
             )
             emit(Event.ENDPOINT_OWNED, endpoint=endpoint.id)
-            self._timers.after(
-                TAKEOVER_GRACE_S, lambda _, pool=endpoint.pool: self._grant(pool)
-            )
+            self._timers.after(TAKEOVER_GRACE_S, lambda _: self._grant_all())
             self._poll(endpoint)
         live = {owned.endpoint.pool for owned in self._owned.values()}
         for pool in [name for name in self._pools if name not in live]:
             del self._pools[pool]
 
     def receive(
-        self, sender: str, message: Demand | Release | Charge | Running
+        self, sender: str, message: Demand | AloneDemand | Release | Charge | Running
     ) -> None:
         """Handle a message of an entry instance."""
         match message:
             case Demand():
                 self._demand(sender, message)
+            case AloneDemand():
+                self._isolation.add(self._timers.now(), sender, message)
+                self._grant(message.pool)
             case Release():
                 self._release(message)
             case Charge():
@@ -162,6 +162,7 @@
 
     def link_lost(self, entry: str) -> None:
         """Free what an entry instance held, after the link to it was lost."""
+        self._isolation.drop_entry(entry)
         for pool in self._pools.values():
             pool.queue.drop_entry(entry)
         touched = set()
@@ -183,7 +184,7 @@
     def _pool(self, name: str) -> OwnedPool:
         pool = self._pools.get(name)
         if pool is None:
-            pool = self._pools[name] = OwnedPool(FairQueue(), CostEstimator())
+            pool = self._pools[name] = OwnedPool()
         return pool
 
     def _demand(self, sender: str, demand: Demand) -> None:
@@ -203,26 +204,67 @@
     def _grant(self, name: str) -> None:
         pool = self._pool(name)
         now = self._timers.now()
+        self._grant_alone(name, now)
         while (owned := self._freest(name, now)) is not None:
             pick = pool.queue.take(now)
-            if pick is None or not owned.window.acquire(now):
+            if pick is None:
                 return
-            estimate = pool.costs.estimate(pick.organisation, name, None)
-            pool.queue.charge(pick.organisation, estimate)
-            grant = GivenGrant(
-                self._grants.new_id(),
-                pick.entry,
-                owned.endpoint.id,
-                name,
-                pick.organisation,
-                estimate,
-            )
-            self._grants.add(grant)
-            self._metrics.count("grants")
-            self._send(
-                pick.entry,
-                Grant(grant.grant_id, grant.endpoint, name, pick.organisation),
-            )
+            grant = self._give(owned, pick.entry, pick.organisation, now)
+            self._send(pick.entry, grant)
+
+    def _grant_alone(self, name: str, now: float) -> None:
+        """Reserve an endpoint for a request that runs alone; grant it once empty."""
+        if not self._isolation.waits(now, name):
+            return
+        candidates = [
+            owned
+            for owned in self._owned.values()
+            if owned.endpoint.pool == name and owned.up and now >= owned.grants_from
+        ]
+        if not candidates:
+            return
+        owned = min(
+            candidates, key=lambda each: (not each.reserved, each.window.in_use)
+        )
+        owned.reserved = True
+        if owned.window.in_use:
+            return
+        waiting = self._isolation.pop(now, name)
+        assert waiting is not None
+        entry, demand = waiting
+        grant = self._give(owned, entry, demand.organisation, now, alone=True)
+        self._send(entry, AloneGrant(demand.request_id, grant))
+
+    def _give(
+        self,
+        owned: OwnedEndpoint,
+        entry: str,
+        organisation: str,
+        now: float,
+        *,
+        alone: bool = False,
+    ) -> Grant:
+        name = owned.endpoint.pool
+        pool = self._pool(name)
+        owned.window.occupy(now)
+        estimate = pool.costs.estimate(organisation, name, None)
+        pool.queue.charge(organisation, estimate)
+        grant = GivenGrant(
+            self._grants.new_id(),
+            entry,
+            owned.endpoint.id,
+            name,
+            organisation,
+            estimate,
+            alone=alone,
+        )
+        self._grants.add(grant)
+        self._metrics.count("grants", "alone" if alone else "shared")
+        return Grant(grant.grant_id, grant.endpoint, name, organisation)
+
+    def _grant_all(self) -> None:
+        for name in list(self._pools):
+            self._grant(name)
 
     def _freest(self, pool: str, now: float) -> OwnedEndpoint | None:
         candidates = [
@@ -252,7 +294,11 @@
                         release.first_token,
                         release.token_interval,
                     )
-            case Outcome.UNREACHABLE | Outcome.CRASHED if owned is not None:
+            case Outcome.CRASHED if owned is not None:
+                if release.fingerprint:
+                    owned.crashed[release.fingerprint] = grant.alone
+                self._suspend(owned)
+            case Outcome.UNREACHABLE if owned is not None:
                 self._suspend(owned)
             case _:
                 pass
@@ -265,17 +311,22 @@
         owned = self._owned.get(grant.endpoint)
         if owned is not None:
             owned.window.release(self._timers.now())
-        self._pool(grant.pool).queue.charge(grant.organisation, units - grant.charged)
+            if grant.alone:
+                owned.reserved = False
+        pool = self._pool(grant.pool)
+        pool.queue.charge(grant.organisation, units - grant.charged)
+        pool.count_service(grant.organisation, units - grant.counted)
 
     def _charge(self, charge: Charge) -> None:
         grant = self._grants.get(charge.grant_id)
         if grant is None:
             return
         grant.received = max(grant.received, charge.units)
+        pool = self._pool(grant.pool)
+        pool.count_service(grant.organisation, grant.received - grant.counted)
+        grant.counted = grant.received
         if charge.units > grant.charged:
-            self._pool(grant.pool).queue.charge(
-                grant.organisation, charge.units - grant.charged
-            )
+            pool.queue.charge(grant.organisation, charge.units - grant.charged)
             grant.charged = charge.units
 
     def _adopt(self, sender: str, running: Running) -> None:
@@ -293,17 +344,31 @@
                 running.organisation,
                 running.units,
                 running.units,
+                running.units,
             )
         )
 
     def _suspend(self, owned: OwnedEndpoint) -> None:
-        if owned.up:
-            owned.up = False
-            owned.window.on_failure(self._timers.now())
-            self._metrics.count("endpoints_down")
-            emit(Event.ENDPOINT_DOWN, endpoint=owned.endpoint.id)
+        """Give no grants until the next load report tells the endpoint's state."""
+        owned.up = False
         self._poll(owned.endpoint)
 
+    def _fail(self, owned: OwnedEndpoint) -> None:
+        owned.up = False
+        owned.window.on_failure(self._timers.now())
+        self._metrics.count("endpoints_down")
+        emit(Event.ENDPOINT_DOWN, endpoint=owned.endpoint.id)
+        self._blame(owned)
+
+    def _blame(self, owned: OwnedEndpoint) -> None:
+        """Tell all instances which requests ran on an incarnation that crashed."""
+        for fingerprint, alone in owned.crashed.items():
+            self._metrics.count("suspects")
+            self._broadcast(
+                Suspect(fingerprint, owned.endpoint.id, owned.incarnation, alone)
+            )
+        owned.crashed.clear()
+
     def _resume(self, owned: OwnedEndpoint) -> None:
         owned.up = True
         owned.window.on_recovered(self._timers.now())
@@ -329,15 +394,23 @@
         except EndpointFailedError as error:
             self._metrics.count("load_reports_failed", error.code)
             owned = self._owned.get(endpoint.id)
-            if owned is not None and owned.up:
-                owned.missed_reports += 1
-                if owned.missed_reports >= MISSED_REPORTS_DOWN:
-                    self._suspend(owned)
+            if owned is not None:
+                self._miss_report(owned, error)
         else:
             self._take_report(endpoint, body)
         finally:
             self._polled.discard(endpoint.id)
 
+    def _miss_report(self, owned: OwnedEndpoint, error: EndpointFailedError) -> None:
+        owned.missed_reports += 1
+        refused = isinstance(error, EndpointUnreachableError)
+        if not owned.up and refused:
+            self._blame(owned)
+        closed = not owned.up and refused
+        silent = owned.missed_reports >= MISSED_REPORTS_DOWN
+        if (closed or silent) and owned.window.limit > 0:
+            self._fail(owned)
+
     def _take_report(self, endpoint: Endpoint, body: Mapping[str, object]) -> None:
         owned = self._owned.get(endpoint.id)
         if owned is None:
@@ -350,6 +423,9 @@
             incarnation=str(body.get("incarnation", "")),
         )
         owned.missed_reports = 0
+        if owned.incarnation and report.incarnation != owned.incarnation:
+            self._blame(owned)
+        owned.crashed.clear()
         owned.incarnation = report.incarnation
         owned.window.on_report(self._timers.now(), report)
         if not owned.up:
--- /dev/null
+++ b/borageworks/router/pool.py
@@ -0,0 +1,42 @@
+"""State of a pool at one owner."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from borageworks.fair.cost import CostEstimator
+from borageworks.fair.queue import FairQueue
+
+
+class OwnedPool:
+    """Queue, cost estimates and service counters of one pool at one owner."""
+
+    def __init__(self) -> None:
+        self.queue = FairQueue()
+        self.costs = CostEstimator()
+        self._served: dict[str, float] = {}
+        self._served_total = 0.0
+        self._changed: set[str] = set()
+
+    @property
+    def served(self) -> Mapping[str, float]:
+        """Service units by organisation since this instance started."""
+        return self._served
+
+    @property
+    def served_total(self) -> float:
+        """Service units of all organisations."""
+        return self._served_total
+
+    def count_service(self, organisation: str, units: float) -> None:
+        """Add service units; counters never fall, so a refund is ignored."""
+        if units <= 0:
+            return
+        self._served[organisation] = self._served.get(organisation, 0.0) + units
+        self._served_total += units
+        self._changed.add(organisation)
+
+    def take_changed(self) -> set[str]:
+        """Return the organisations whose counters grew since the last call."""
+        changed, self._changed = self._changed, set()
+        return changed
--- /dev/null
+++ b/borageworks/router/tests/test_sides.py
@@ -0,0 +1,201 @@
+"""Tests of the entry and owner sides under failures."""
+
+import asyncio
+
+import testtools
+
+from borageworks.exceptions import (
+    OutcomeUnknownError,
+    QueueTimeoutError,
+    Ran,
+    RequestSuspectedError,
+)
+from borageworks.router.tests.harness import FakeNetwork, replica_with
+
+
+async def gather(*requests):
+    return await asyncio.gather(*requests, return_exceptions=True)
+
+
+class SidesTest(testtools.TestCase):
+    def test_all_requests_are_answered_within_the_windows(self):
+        """Guards against lost grants and against more requests than slots."""
+
+        async def scenario():
+            network = FakeNetwork(replica_with(3, window=2), "xyz")
+            results = await gather(
+                *(
+                    network.run(instance, organisation, number)
+                    for number in range(10)
+                    for instance in "xyz"
+                    for organisation in "abc"
+                )
+            )
+            await asyncio.sleep(0.1)
+            network.stop()
+            self.assertEqual([None] * 90, results)
+            self.assertEqual(90, len(set(network.endpoints.ran)))
+            self.assertTrue(max(network.endpoints.peak.values()) <= 2)
+            self.assertEqual(3, len(network.endpoints.peak))
+            for instance in network.instances.values():
+                self.assertEqual(0, instance.owner.grants_in_use)
+
+        asyncio.run(scenario())
+
+    def test_flood_does_not_starve_a_small_organisation(self):
+        """Guards against first come first served between organisations."""
+
+        async def scenario():
+            network = FakeNetwork(replica_with(1, window=1), "x")
+            flood = [asyncio.create_task(network.run("x", "a", n)) for n in range(60)]
+            await asyncio.sleep(0.4)
+            await network.run("x", "b", 0)
+            order = [request for _, request in network.endpoints.ran]
+            waited = len(order) - order.index("x-b-0")
+            self.assertTrue(len(order) < 59, "the flood was served first")
+            self.assertTrue(waited <= 3, order)
+            for task in flood:
+                task.cancel()
+            await gather(*flood)
+            network.stop()
+
+        asyncio.run(scenario())
+
+    def test_loss_of_an_owner_moves_its_demand(self):
+        """Guards against requests that wait for ever for a dead owner."""
+
+        async def scenario():
+            network = FakeNetwork(replica_with(4, window=1), "xyz")
+            tasks = [asyncio.create_task(network.run("x", "a", n)) for n in range(40)]
+            await asyncio.sleep(0.35)
+            dead = next(name for name in "yz" if network.instances[name].owner.owned)
+            network.kill(dead)
+            network.derive("xyz".replace(dead, ""))
+            self.assertEqual([None] * 40, await gather(*tasks))
+            network.stop()
+
+        asyncio.run(scenario())
+
+    def test_loss_of_an_entry_frees_its_slots(self):
+        """Guards against slots held for ever by a dead entry instance."""
+
+        async def scenario():
+            network = FakeNetwork(replica_with(1, window=2), "xy")
+            owner = next(n for n in "xy" if network.instances[n].owner.owned)
+            entry = "y" if owner == "x" else "x"
+
+            async def hang(endpoint, call):
+                if call.organisation == "a":
+                    await asyncio.sleep(3600)
+
+            network.endpoints.behaviour = hang
+            stuck = [asyncio.create_task(network.run(entry, "a", n)) for n in range(2)]
+            await asyncio.sleep(0.5)
+            self.assertEqual(2, network.instances[owner].owner.grants_in_use)
+            network.kill(entry)
+            await network.run(owner, "b", 0)
+            for task in stuck:
+                task.cancel()
+            await gather(*stuck)
+            network.stop()
+
+        asyncio.run(scenario())
+
+    def test_cancelled_callers_leave_no_state(self):
+        """Guards against slots granted to callers that left."""
+
+        async def scenario():
+            network = FakeNetwork(replica_with(1, window=1), "xy")
+            tasks = [asyncio.create_task(network.run("x", "a", n)) for n in range(20)]
+            await asyncio.sleep(0.4)
+            for task in tasks:
+                task.cancel()
+            await gather(*tasks)
+            await network.run("y", "b", 0)
+            await asyncio.sleep(0.1)
+            for instance in network.instances.values():
+                self.assertEqual(0, instance.owner.grants_in_use)
+                self.assertEqual(0, instance.entry.waiting)
+                self.assertEqual(0, instance.entry.calls)
+            network.stop()
+
+        asyncio.run(scenario())
+
+    def test_queue_timeout_is_not_run(self):
+        """Guards against a refusal that leaves the caller unsure."""
+
+        async def scenario():
+            network = FakeNetwork(replica_with(0, queue_timeout_s=0.05), "x")
+            (refusal,) = await gather(network.run("x", "a", 0))
+            network.stop()
+            self.assertIsInstance(refusal, QueueTimeoutError)
+            self.assertEqual(Ran.NOT_RUN, refusal.ran)
+            self.assertEqual([], network.endpoints.ran)
+
+        asyncio.run(scenario())
+
+    def test_unreachable_endpoint_is_left_and_others_serve(self):
+        """Guards against requests that fail while another endpoint is free."""
+
+        async def scenario():
+            network = FakeNetwork(replica_with(3), "x")
+            network.endpoints.down.add("e0")
+            results = await gather(*(network.run("x", "a", n) for n in range(20)))
+            network.stop()
+            failed = [r for r in results if r is not None]
+            self.assertEqual([], failed)
+
+        asyncio.run(scenario())
+
+    def test_non_idempotent_request_is_not_repeated(self):
+        """Guards against a second run after a lost answer."""
+
+        async def scenario():
+            network = FakeNetwork(replica_with(2, idempotent=False), "x")
+            network.endpoints.poison = b"poison"
+            (refusal,) = await gather(network.run("x", "a", 0, b"poison"))
+            network.stop()
+            self.assertIsInstance(refusal, OutcomeUnknownError)
+            self.assertEqual(Ran.UNKNOWN, refusal.ran)
+            self.assertEqual(1, len(network.endpoints.ran))
+
+        asyncio.run(scenario())
+
+    def test_non_idempotent_request_that_was_not_sent_waits(self):
+        """Guards against refusing, or running twice, what certainly did not run."""
+
+        async def scenario():
+            network = FakeNetwork(replica_with(1, idempotent=False), "x")
+            network.endpoints.down.add("e0")
+            task = asyncio.create_task(network.run("x", "a", 0))
+            await asyncio.sleep(0.5)
+            self.assertFalse(task.done())
+            network.endpoints.down.clear()
+            await task
+            network.stop()
+            self.assertEqual([("e0", "x-a-0")], network.endpoints.ran)
+
+        asyncio.run(scenario())
+
+    def test_crashing_request_costs_three_endpoints_at_most(self):
+        """Guards against one request taking down the fleet, and blaming others."""
+
+        async def scenario():
+            network = FakeNetwork(replica_with(6, window=4), "xyz")
+            network.endpoints.poison = b"poison"
+            crashed: list[BaseException | None] = []
+            for instance in "xyzxyz":
+                innocents = [
+                    network.run(instance, "b", len(crashed) * 100 + n) for n in range(6)
+                ]
+                results = await gather(
+                    network.run(instance, "a", len(crashed), b"poison"), *innocents
+                )
+                crashed.append(results[0])
+                self.assertEqual([None] * 6, results[1:])
+            network.stop()
+            self.assertTrue(sum(network.endpoints.incarnations.values()) <= 3)
+            self.assertIsInstance(crashed[-1], RequestSuspectedError)
+            self.assertEqual(Ran.NOT_RUN, crashed[-1].ran)
+
+        asyncio.run(scenario())
