--- a/borageworks/catalog/versioned.py
+++ b/borageworks/catalog/versioned.py
@@ -19,8 +19,8 @@
 from borageworks.exceptions import MessageMalformedError
 
 
-class _Record(BaseModel):
-    """JSON form: exactly one of `put` and `delete`."""
+class Record(BaseModel):
+    """JSON form of `Versioned`: exactly one of `put` and `delete`."""
 
     model_config = ConfigDict(frozen=True, extra="forbid")
 
@@ -29,11 +29,18 @@
     delete: ObjectRef | None = None
 
     @model_validator(mode="after")
-    def _one_change(self) -> _Record:
+    def _one_change(self) -> Record:
         if (self.put is None) == (self.delete is None):
             raise ValueError("exactly one of put and delete is needed")
         return self
 
+    def state(self) -> Versioned:
+        """Return the state that this record describes."""
+        if self.put is not None:
+            return Versioned(self.put.kind, self.put.id, self.ticket, self.put)
+        assert self.delete is not None
+        return Versioned(self.delete.kind, self.delete.id, self.ticket, None)
+
 
 @dataclass(frozen=True, slots=True)
 class Versioned:
@@ -86,49 +93,15 @@
             If the text is not the JSON form of an object's state.
         """
         try:
-            record = _Record.model_validate_json(data, strict=True)
+            record = Record.model_validate_json(data, strict=True)
         except ValidationError as error:
             raise MessageMalformedError(
-                f"configuration object of {len(data)} bytes: {_first_reason(error)}"
+                f"configuration object of {len(data)} bytes: {first_reason(error)}"
             ) from error
-        return _from_record(record)
-
-
-class _Records(BaseModel):
-    model_config = ConfigDict(frozen=True, extra="forbid")
-
-    objects: tuple[_Record, ...]
-
-
-def encode_all(objects: list[Versioned]) -> bytes:
-    """Return the JSON text of a bucket: `{"objects": [...]}`."""
-    return orjson.dumps({"objects": [item.record() for item in objects]})
-
-
-def decode_all(data: bytes) -> list[Versioned]:
-    """Return the objects in the JSON text of a bucket.
-
-    Raises
-    ------
-    MessageMalformedError
-        If the text is not the JSON form of a bucket.
-    """
-    try:
-        records = _Records.model_validate_json(data, strict=True)
-    except ValidationError as error:
-        raise MessageMalformedError(
-            f"configuration bucket of {len(data)} bytes: {_first_reason(error)}"
-        ) from error
-    return [_from_record(record) for record in records.objects]
-
-
-def _from_record(record: _Record) -> Versioned:
-    if record.put is not None:
-        return Versioned(record.put.kind, record.put.id, record.ticket, record.put)
-    assert record.delete is not None
-    return Versioned(record.delete.kind, record.delete.id, record.ticket, None)
+        return record.state()
 
 
-def _first_reason(error: ValidationError) -> str:
+def first_reason(error: ValidationError) -> str:
+    """Return the first fault of a validation error, without the input."""
     first = error.errors(include_url=False, include_input=False)[0]
     return f"{'.'.join(map(str, first['loc']))}: {first['msg']}"
