--- /dev/null
+++ b/borageworks/api/protocol.py
@@ -0,0 +1,64 @@
+"""HTTP connection whose own error answers are problem objects too."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp import web
+
+from borageworks.api.problem import problem_response
+from borageworks.events import Event, emit
+from borageworks.exceptions import RefusalError, RequestMalformedError, UnexpectedError
+
+INTERNAL_SERVER_ERROR = 500
+MAX_LINE_BYTES = 8_190
+
+CountRefusal = Callable[[RefusalError], None]
+
+
+class CallerProtocol(web.RequestHandler):
+    """Connection of one caller.
+
+    The HTTP library answers requests that it cannot parse with plain text; this class
+    answers them like every other refusal and counts them.
+    """
+
+    __slots__ = ("_count_refusal",)
+
+    def __init__(
+        self,
+        server: web.Server,
+        loop: asyncio.AbstractEventLoop,
+        count_refusal: CountRefusal,
+    ) -> None:
+        super().__init__(
+            server,
+            loop=loop,
+            access_log=None,  # type: ignore[arg-type]  # its type omits None
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+        )
+        self._count_refusal = count_refusal
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = INTERNAL_SERVER_ERROR,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer a request that could not be parsed, or whose handler failed."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer was already begun")
+        refusal: RefusalError
+        if status == INTERNAL_SERVER_ERROR:
+            emit(Event.TASK_FAILED, task="request", error=repr(exc))
+            refusal = UnexpectedError("the router failed; its log has the reason")
+        else:
+            reason = (message or "").partition("\n")[0].rstrip(":")
+            refusal = RequestMalformedError(reason or "the request cannot be parsed")
+        self._count_refusal(refusal)
+        response = problem_response(refusal, "")
+        response.force_close()
+        return response
--- a/borageworks/api/server.py
+++ b/borageworks/api/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -13,6 +14,7 @@
 from borageworks.api.completion import parse_completion
 from borageworks.api.frontend import Frontend
 from borageworks.api.problem import problem_event, problem_response
+from borageworks.api.protocol import CallerProtocol
 from borageworks.api.sink import ResponseSink
 from borageworks.catalog.objects import Organisation, PoolKind, Service
 from borageworks.catalog.replica import Replica
@@ -35,7 +37,7 @@
 from borageworks.metrics import Metrics
 
 COMPLETIONS_PATH = "/v1/chat/completions"
-MAX_HEADER_LINE_BYTES = 8_190
+BACKLOG = 1024
 LARGEST_BODY_BYTES = 64 * 1_048_576
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 REQUEST_ID = web.RequestKey("request_id", str)
@@ -65,7 +67,7 @@
         self._metrics = metrics
         self._sequence = itertools.count(1)
         self._runner: web.AppRunner | None = None
-        self._site: web.TCPSite | None = None
+        self._listener: asyncio.Server | None = None
         self._address = settings.listen.pair
 
     @property
@@ -87,30 +89,35 @@
         app.router.add_get("/livez", self._live)
         app.router.add_get("/metrics", self._metrics_text)
         app.router.add_get("/status", self._status)
-        self._runner = web.AppRunner(
-            app,
-            access_log=None,
-            handler_cancellation=True,
-            max_line_size=MAX_HEADER_LINE_BYTES,
-            max_field_size=MAX_HEADER_LINE_BYTES,
-        )
+        self._runner = web.AppRunner(app, handler_cancellation=True)
         await self._runner.setup()
         host, port = self._settings.listen.pair
-        self._site = web.TCPSite(self._runner, host, port)
-        await self._site.start()
-        self._address = self._runner.addresses[0][:2]
+        self._listener = await asyncio.get_running_loop().create_server(
+            self._connect, host, port, backlog=BACKLOG
+        )
+        self._address = self._listener.sockets[0].getsockname()[:2]
 
     async def stop_accepting(self) -> None:
         """Close the listening socket; open connections go on."""
-        if self._site is not None:
-            await self._site.stop()
-            self._site = None
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
 
     async def stop(self) -> None:
         """Close all connections."""
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def _connect(self) -> CallerProtocol:
+        assert self._runner is not None
+        assert self._runner.server is not None
+        return CallerProtocol(
+            self._runner.server, asyncio.get_running_loop(), self._count_refusal
+        )
+
+    def _count_refusal(self, refusal: RefusalError) -> None:
+        self._metrics.count("refusals", refusal.code)
+
     @web.middleware
     async def _errors(self, request: web.Request, handler: Handler) -> Any:
         request_id = f"{self._settings.instance}-{next(self._sequence)}"
@@ -124,7 +131,7 @@
             return self._refused(_refusal_for(error, request), request_id)
 
     def _refused(self, refusal: RefusalError, request_id: str) -> web.Response:
-        self._metrics.count("refusals", refusal.code)
+        self._count_refusal(refusal)
         emit(
             Event.REQUEST_REFUSED,
             request_id=request_id,
--- a/borageworks/exceptions.py
+++ b/borageworks/exceptions.py
@@ -198,6 +198,23 @@
     title = "The HTTP request is malformed"
 
 
+class UnexpectedError(RefusalError):
+    """The router itself failed; its log has the reason."""
+
+    code = "unexpected"
+    status = 500
+    title = "The router failed"
+
+    def __init__(
+        self,
+        detail: str,
+        *,
+        ran: Ran = Ran.UNKNOWN,
+        retry_after: float | None = None,
+    ) -> None:
+        super().__init__(detail, ran=ran, retry_after=retry_after)
+
+
 class KeyUnknownError(RefusalError):
     """The API key belongs to no organisation."""
 
--- a/borageworks/router/tests/test_sides.py
+++ b/borageworks/router/tests/test_sides.py
@@ -1,6 +1,7 @@
 """Tests of the entry and owner sides under failures."""
 
 import asyncio
+from typing import Any
 
 import testtools
 
@@ -183,7 +184,7 @@
         async def scenario():
             network = FakeNetwork(replica_with(6, window=4), "xyz")
             network.endpoints.poison = b"poison"
-            crashed: list[BaseException | None] = []
+            crashed: list[Any] = []
             for instance in "xyzxyz":
                 innocents = [
                     network.run(instance, "b", len(crashed) * 100 + n) for n in range(6)
