--- /dev/null
+++ b/borageworks/membership/actions.py
@@ -0,0 +1,36 @@
+"""Actions that the membership state machine asks its shell to execute."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from borageworks.membership.member import Member
+from borageworks.wire.messages import Ack, Ping, PingRequest
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class SendTo:
+    """Send one datagram."""
+
+    address: Address
+    message: Ping | PingRequest | Ack
+
+
+@dataclass(frozen=True, slots=True)
+class MemberChanged:
+    """A member is new, or its state, incarnation or address has changed."""
+
+    member: Member
+
+
+@dataclass(frozen=True, slots=True)
+class DomainReachable:
+    """Another domain can be reached again, or no longer."""
+
+    domain: str
+    reachable: bool
+
+
+Action = SendTo | MemberChanged | DomainReachable
--- /dev/null
+++ b/borageworks/membership/member.py
@@ -0,0 +1,42 @@
+"""A member of the fleet."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from borageworks.wire.messages import MemberState, MemberUpdate
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One instance as the local instance knows it.
+
+    `port` receives membership datagrams, `peer_port` accepts links. The incarnation
+    rises when the process restarts and when it refutes a suspicion.
+    """
+
+    id: str
+    domain: str
+    host: str
+    port: int
+    peer_port: int
+    incarnation: int
+    state: MemberState
+
+    @property
+    def usable(self) -> bool:
+        """Whether the member may own endpoints."""
+        return self.state in (MemberState.ALIVE, MemberState.SUSPECT)
+
+    @classmethod
+    def from_update(cls, update: MemberUpdate) -> Member:
+        """Return the member that an update describes."""
+        return cls(
+            update.instance,
+            update.domain,
+            update.host,
+            update.port,
+            update.peer_port,
+            update.incarnation,
+            update.state,
+        )
