--- a/borageworks/endpoints/transport.py
+++ b/borageworks/endpoints/transport.py
@@ -28,12 +28,30 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 
 
+class _SingleAttempt:
+    """Client middleware that keeps the HTTP library from repeating a request.
+
+    The library sends GET, PUT, DELETE and the like once more after a lost connection;
+    that would run a non-idempotent service twice and bypass the retry budgets.
+    """
+
+    def __init__(self) -> None:
+        self._sent = False
+
+    async def __call__(
+        self, request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        if self._sent:
+            raise aiohttp.ServerDisconnectedError("the connection was lost")
+        self._sent = True
+        return await handler(request)
+
+
 class Transport:
     """Connections to endpoints.
 
     Non-idempotent requests use a fresh connection each: a failure to connect is then
-    known to have happened before the request was sent, and the HTTP library cannot
-    repeat the request on another connection.
+    known to have happened before the request was sent.
     """
 
     def __init__(self) -> None:
@@ -128,6 +146,7 @@
                 headers=headers,
                 timeout=timeout,
                 allow_redirects=False,
+                middlewares=(_SingleAttempt(),),
             ) as response:
                 _check_request_id(endpoint, call, response)
                 yield response
--- /dev/null
+++ b/borageworks/router/exchange.py
@@ -0,0 +1,219 @@
+"""Exchange of service received between owners, through one aggregator per pool."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from borageworks.catalog.replica import Replica
+from borageworks.config.settings import Settings
+from borageworks.fair.aggregator import Aggregator
+from borageworks.fair.correction import Correction
+from borageworks.membership.member import Member
+from borageworks.metrics import Metrics
+from borageworks.router.owner import Owner
+from borageworks.router.pool import OwnedPool
+from borageworks.routing.rendezvous import rendezvous
+from borageworks.timers import Subscription, Timers
+from borageworks.wire.messages import Message, ServiceError, ServiceReport
+
+Send = Callable[[str, Message], None]
+
+# A report counts as demand until the second exchange after it was missed.
+EXPIRY_EXCHANGES = 2.5
+
+
+@dataclass(slots=True)
+class _PoolState:
+    """What this owner reported of one pool and to whom."""
+
+    correction: Correction
+    aggregator: str | None = None
+    reported_backlog: set[str] = field(default_factory=set)
+    served_total: float = 0.0
+    served_interval: float = 0.0
+
+
+class ServiceExchange:
+    """Reports this owner's counters, aggregates for its domain, applies corrections.
+
+    Parameters
+    ----------
+    settings
+        Exchange interval and correction gains.
+    incarnation
+        Incarnation of this instance; its counters start at 0 with it.
+    replica
+        Configuration in force, for shares.
+    owner
+        Owner side of this instance.
+    timers, metrics
+        Services of the process.
+    send
+        Sends a message to an instance, also to this one.
+    members
+        Returns the live, reachable members.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        incarnation: int,
+        replica: Replica,
+        owner: Owner,
+        timers: Timers,
+        metrics: Metrics,
+        send: Send,
+        members: Callable[[], Sequence[Member]],
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._replica = replica
+        self._owner = owner
+        self._timers = timers
+        self._metrics = metrics
+        self._send = send
+        self._members = members
+        self._pools: dict[str, _PoolState] = {}
+        self._aggregators: dict[str, Aggregator] = {}
+        self._peers: dict[str, set[str]] = {}
+        self._subscription: Subscription | None = None
+
+    def start(self) -> None:
+        """Subscribe to the timers."""
+        self._subscription = self._timers.every(
+            self._settings.fair.exchange_interval_s, self._exchange
+        )
+
+    def stop(self) -> None:
+        """Cancel the timer."""
+        if self._subscription is not None:
+            self._subscription.cancel()
+
+    def member_dead(self, instance: str) -> None:
+        """Drop a dead owner's demand."""
+        for aggregator in self._aggregators.values():
+            aggregator.forget(instance)
+
+    def receive(self, sender: str, message: ServiceReport | ServiceError) -> None:
+        """Handle a report or an error."""
+        match message:
+            case ServiceReport():
+                self._aggregator(message.pool).report(self._timers.now(), message)
+            case ServiceError():
+                self._correct(message)
+
+    def _exchange(self, now: float) -> None:
+        domains = self._domains()
+        self._tell_errors(now)
+        self._tell_domains(domains)
+        for name, pool in self._owner.pools.items():
+            self._report(name, pool, domains)
+        for name in [name for name in self._pools if name not in self._owner.pools]:
+            del self._pools[name]
+
+    def _report(
+        self, name: str, pool: OwnedPool, domains: Mapping[str, list[str]]
+    ) -> None:
+        state = self._pools.get(name)
+        if state is None:
+            state = self._pools[name] = _PoolState(Correction(self._settings.fair))
+        state.correction.end_exchange()
+        total = pool.served_total
+        state.served_interval = total - state.served_total
+        state.served_total = total
+        aggregator = rendezvous(
+            _aggregator_key(name), domains.get(self._settings.domain, [])
+        )
+        if aggregator is None:
+            return
+        backlog = pool.queue.backlogged()
+        names = pool.take_changed() | backlog | state.reported_backlog
+        if aggregator != state.aggregator:
+            # A new aggregator has none of the counters of its predecessor.
+            names |= pool.served.keys()
+            state.aggregator = aggregator
+        state.reported_backlog = backlog
+        for organisation in sorted(names):
+            self._metrics.count("service_reports")
+            self._send(
+                aggregator,
+                ServiceReport(
+                    pool=name,
+                    organisation=organisation,
+                    owner=self._settings.instance,
+                    incarnation=self._incarnation,
+                    units=pool.served.get(organisation, 0.0),
+                    backlogged=organisation in backlog,
+                    domain=self._settings.domain,
+                    owners=1,
+                ),
+            )
+
+    def _tell_errors(self, now: float) -> None:
+        shares = {
+            organisation.id: organisation.share
+            for organisation in self._replica.organisations.values()
+        }
+        for aggregator in self._aggregators.values():
+            for action in aggregator.errors(now, shares):
+                for owner in action.owners:
+                    self._send(owner, action.error)
+
+    def _tell_domains(self, domains: Mapping[str, list[str]]) -> None:
+        for pool, aggregator in self._aggregators.items():
+            changed = aggregator.domain_reports()
+            known = self._peers.get(pool, set())
+            peers = {
+                peer
+                for domain, members in domains.items()
+                if domain != self._settings.domain
+                and (peer := rendezvous(_aggregator_key(pool), members)) is not None
+            }
+            for peer in peers:
+                reports = changed if peer in known else aggregator.all_domain_reports()
+                for report in reports:
+                    self._send(peer, report)
+            self._peers[pool] = peers
+
+    def _correct(self, message: ServiceError) -> None:
+        pool = self._owner.pools.get(message.pool)
+        state = self._pools.get(message.pool)
+        if pool is None or state is None:
+            return
+        shares = sum(
+            organisation.share
+            for name in pool.queue.backlogged()
+            if (organisation := self._replica.organisations.get(name)) is not None
+        )
+        if shares <= 0:
+            return
+        delta = state.correction.update(
+            message.organisation,
+            message.error,
+            message.owners,
+            state.served_interval / shares,
+        )
+        if delta:
+            self._metrics.count("corrections")
+            pool.queue.correct(message.organisation, delta)
+
+    def _aggregator(self, pool: str) -> Aggregator:
+        aggregator = self._aggregators.get(pool)
+        if aggregator is None:
+            aggregator = self._aggregators[pool] = Aggregator(
+                pool,
+                self._settings.domain,
+                EXPIRY_EXCHANGES * self._settings.fair.exchange_interval_s,
+            )
+        return aggregator
+
+    def _domains(self) -> dict[str, list[str]]:
+        domains: dict[str, list[str]] = {}
+        for member in self._members():
+            domains.setdefault(member.domain, []).append(member.id)
+        return domains
+
+
+def _aggregator_key(pool: str) -> str:
+    return f"service/{pool}"
