--- a/borageworks/exceptions.py
+++ b/borageworks/exceptions.py
@@ -64,6 +64,12 @@
     code = "store_compacted"
 
 
+class StoreLeaseExpiredError(BorageworksError):
+    """A lease of the platform store no longer exists."""
+
+    code = "store_lease_expired"
+
+
 class StoreReplyMalformedError(BorageworksError):
     """The platform store answered with something outside its protocol."""
 
