--- a/borageworks/fair/ledger.py
+++ b/borageworks/fair/ledger.py
@@ -8,6 +8,7 @@
 
 from borageworks.fair.counter import ServiceCounter
 from borageworks.fair.levels import ServiceLevels
+from borageworks.fair.snapshot import LedgerSnapshot
 
 # Owners whose late counters are recognised after they were retired.
 RETIRED_OWNERS = 4096
@@ -28,7 +29,7 @@
     keeps the larger one, so repeated and reordered merges are harmless. When an owner
     reports a newer incarnation, all but its latest two are folded into one base; later
     values for folded incarnations are ignored, which keeps totals from counting twice.
-    `counters` leaves out what retired owners had served.
+    `counters` leaves out what retired owners had served; `snapshot` has it.
     """
 
     def __init__(self) -> None:
@@ -97,9 +98,7 @@
         held = self._owners.pop(owner, None)
         if held is None:
             return
-        self._retired[owner] = max([held.folded, *held.live])
-        if len(self._retired) > RETIRED_OWNERS:
-            self._retired.popitem(last=False)
+        self._bury(owner, max([held.folded, *held.live]))
 
     def counters(self) -> Iterator[ServiceCounter]:
         """Return all counters, to be merged into another ledger."""
@@ -110,6 +109,31 @@
                 for organisation, units in live.items():
                     yield ServiceCounter(name, incarnation, organisation, units)
 
+    def snapshot(self) -> LedgerSnapshot:
+        """Return the whole state."""
+        return LedgerSnapshot(
+            dict(self._retired), tuple(self.counters()), dict(self._totals)
+        )
+
+    def merge_snapshot(self, snapshot: LedgerSnapshot) -> None:
+        """Take over the state of another ledger where it is larger.
+
+        Once the counters are merged, a larger total can only come from owners that the
+        other ledger has retired, whose counters are ignored from here on.
+        """
+        for owner, incarnation in snapshot.retired.items():
+            held = self._owners.get(owner)
+            if held is None:
+                self._bury(owner, incarnation)
+            elif max([held.folded, *held.live]) <= incarnation:
+                self.retire(owner)
+                self._bury(owner, incarnation)
+        for counter in snapshot.counters:
+            self.merge(counter)
+        for organisation, total in snapshot.totals.items():
+            if total > self._totals.get(organisation, 0.0):
+                self._totals[organisation] = total
+
     def totals(self) -> dict[str, float]:
         """Return the service units of each organisation."""
         return dict(self._totals)
@@ -139,3 +163,8 @@
             for organisation, units in owner.live.pop(old).items():
                 owner.base[organisation] = owner.base.get(organisation, 0.0) + units
         owner.folded = max(owner.folded, incarnation)
+
+    def _bury(self, owner: str, incarnation: int) -> None:
+        self._retired[owner] = max(incarnation, self._retired.get(owner, -1))
+        if len(self._retired) > RETIRED_OWNERS:
+            self._retired.popitem(last=False)
