Apply tickets to the store by one transaction

Cause: a ticket has to take effect as a whole, once, whatever the store and other operators do meanwhile. Change: apply_ticket reads head and buckets at one revision, plans, and commits one transaction that compares the head and the touched buckets; it writes the head, the buckets and a record by ticket digest.

--- /dev/null
+++ b/borageworks/catalog/state.py
@@ -0,0 +1,80 @@
+"""Whole configuration as it stands in the platform store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from borageworks.catalog.bucket import Bucket, Lookup
+from borageworks.catalog.buckets import BUCKETS
+from borageworks.catalog.head import Head
+from borageworks.catalog.keys import CatalogKeys
+from borageworks.catalog.versioned import Versioned
+from borageworks.store.store import Store
+
+
+@dataclass(frozen=True, slots=True)
+class StoredState:
+    """Head and buckets at one store revision.
+
+    `head_revision` is the revision that wrote the head, 0 if there is none yet;
+    `read_revision` is the store's revision when it was read.
+    """
+
+    head: Head = field(default_factory=Head)
+    head_revision: int = 0
+    buckets: tuple[Bucket, ...] = (Bucket(),) * BUCKETS
+    read_revision: int = 0
+
+    def objects(self) -> Iterator[Versioned]:
+        """Yield the objects and tombstones of all buckets."""
+        for bucket in self.buckets:
+            yield from bucket.objects
+
+
+async def read_state(
+    store: Store,
+    keys: CatalogKeys,
+    previous: StoredState | None = None,
+    known: Lookup | None = None,
+) -> StoredState:
+    """Read head and buckets at one revision, in one call.
+
+    Parameters
+    ----------
+    store, keys
+        Where to read.
+    previous
+        Buckets that did not change since then are taken from it.
+    known
+        See `Bucket.decode`.
+
+    Raises
+    ------
+    StoreUnavailableError
+        If the store does not answer.
+    StoreReplyMalformedError
+        If a value is not what tickets write.
+    """
+    found = await store.range(keys.state)
+    values = found.values
+    previous = previous or StoredState()
+    buckets = []
+    for index, old in enumerate(previous.buckets):
+        stored = values.get(keys.bucket(index))
+        if stored is None:
+            buckets.append(Bucket())
+        elif stored.mod_revision == old.mod_revision:
+            buckets.append(old)
+        else:
+            # Decoding one bucket of 28,000 organisations takes milliseconds; the other
+            # tasks of the loop run in between.
+            await asyncio.sleep(0)
+            buckets.append(Bucket.decode(stored.value, stored.mod_revision, known))
+    stored_head = values.get(keys.head)
+    head, head_revision = Head(), 0
+    if stored_head is not None:
+        head = Head.decode(stored_head.value)
+        head_revision = stored_head.mod_revision
+    return StoredState(head, head_revision, tuple(buckets), found.revision)
--- /dev/null
+++ b/borageworks/catalog/tests/test_tickets.py
@@ -0,0 +1,200 @@
+"""Tests of applying tickets to a store that races, loses replies and fails."""
+
+import asyncio
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from borageworks.catalog import keys as keys_module
+from borageworks.catalog import tickets as tickets_module
+from borageworks.catalog.buckets import bucket_of
+from borageworks.catalog.head import Head
+from borageworks.catalog.keys import CatalogKeys
+from borageworks.catalog.objects import Organisation
+from borageworks.catalog.state import read_state
+from borageworks.catalog.tests.builders import organisation, pool, ticket
+from borageworks.catalog.tests.fakes import FakeStore
+from borageworks.catalog.tickets import TicketResult, apply_ticket
+from borageworks.exceptions import (
+    StoreOutcomeUnknownError,
+    StoreReplyMalformedError,
+    StoreUnavailableError,
+    TicketConflictError,
+    TicketInvalidError,
+)
+from borageworks.store.values import StoredValue
+
+PREFIX = "catalog"
+
+
+def apply(store, change):
+    """Apply a ticket on a loop of its own."""
+    return asyncio.run(apply_ticket(store, PREFIX, change))
+
+
+class ApplyTicketTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(tickets_module, "RACE_PAUSE_S", 0.0)
+
+    def stored(self, store):
+        state = asyncio.run(read_state(store, CatalogKeys(PREFIX)))
+        return {item.key: item.ticket for item in state.objects()}
+
+    def test_replay_gives_the_same_result(self):
+        """Guards against a repeated ticket that is refused or applied twice."""
+        store = FakeStore()
+        first = apply(store, ticket(5, pool("p"), organisation("a")))
+        apply(store, ticket(6, organisation("a", share=2.0)))
+        again = apply(store, ticket(5, organisation("a"), pool("p")))
+        self.assertEqual(TicketResult(5, first.revision, True), again)
+        self.assertEqual(
+            {("pool", "p"): 5, ("organisation", "a"): 6}, self.stored(store)
+        )
+
+    def test_other_content_under_a_used_number_conflicts(self):
+        """Guards against two states of one object under one ticket number."""
+        store = FakeStore()
+        apply(store, ticket(5, organisation("a")))
+        changed = ticket(5, organisation("a", share=2.0))
+        error = self.assertRaises(TicketConflictError, apply, store, changed)
+        self.assertIn("organisation 'a' has ticket 5", str(error))
+
+    def test_lost_replies_are_settled(self):
+        """Guards against a ticket reported failed that took effect, or the reverse."""
+        for lost in (["after"], ["before"], ["late"], ["before", "after", "late"]):
+            store = FakeStore(lost_replies=list(lost))
+            result = apply(store, ticket(5, organisation("a")))
+            head = store.values[CatalogKeys(PREFIX).head]
+            self.assertEqual(TicketResult(5, head.mod_revision, False), result)
+            self.assertEqual(1, Head.decode(head.value).tickets)
+
+    def test_store_down_after_a_lost_reply_is_not_reported_as_not_applied(self):
+        """Guards against `nothing was written` for a ticket that took effect."""
+
+        class FailingStore(FakeStore):
+            async def commit(self, transaction):
+                try:
+                    return await super().commit(transaction)
+                finally:
+                    self.down = True
+
+        store = FailingStore(lost_replies=["after"])
+        change = ticket(5, organisation("a"))
+        self.assertRaises(StoreOutcomeUnknownError, apply, store, change)
+        store.down = False
+        self.assertTrue(apply(store, change).replayed)
+
+    def test_every_reply_lost_ends_as_unknown(self):
+        """Guards against an endless loop and against a wrong final report."""
+        store = FakeStore(lost_replies=["before"] * 100)
+        change = ticket(5, organisation("a"))
+        self.assertRaises(StoreOutcomeUnknownError, apply, store, change)
+        self.assertEqual(tickets_module.MAX_ATTEMPTS, store.calls["commit"])
+
+    def test_store_down_is_reported_at_once(self):
+        """Guards against waiting out attempts while nothing can be written."""
+        store = FakeStore()
+        store.down = True
+        change = ticket(5, organisation("a"))
+        self.assertRaises(StoreUnavailableError, apply, store, change)
+        self.assertEqual(1, sum(store.calls.values()))
+
+    def test_racing_operators_in_one_bucket_all_succeed(self):
+        """Guards against a lost update and against a needless conflict."""
+        store = FakeStore()
+
+        async def race():
+            names = [f"o{n}" for n in range(2000)]
+            names = [n for n in names if bucket_of("organisation", n) == 0][:6]
+            changes = [ticket(5, organisation(name)) for name in names]
+            return await asyncio.gather(
+                *(apply_ticket(store, PREFIX, change) for change in changes)
+            )
+
+        results = asyncio.run(race())
+        self.assertEqual(6, len({result.revision for result in results}))
+        self.assertEqual(6, len(self.stored(store)))
+
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(
+        st.lists(st.tuples(st.integers(1, 5), st.integers(1, 3)), max_size=6),
+        st.lists(st.sampled_from([None, "before", "after", "late"]), max_size=6),
+    )
+    def test_racing_operators_leave_one_order(self, changes, lost):
+        """Guards against races and lost replies that leave a state no order gives."""
+        store = FakeStore(lost_replies=lost)
+
+        async def race():
+            return await asyncio.gather(
+                *(
+                    apply_ticket(
+                        store, PREFIX, ticket(number, organisation("a", share=share))
+                    )
+                    for number, share in changes
+                ),
+                return_exceptions=True,
+            )
+
+        results = asyncio.run(race())
+        accepted = {}
+        for (number, share), result in zip(changes, results, strict=True):
+            if isinstance(result, TicketResult):
+                accepted[result.revision] = (number, share)
+            else:
+                self.assertIsInstance(result, TicketConflictError)
+        ordered = [accepted[revision] for revision in sorted(accepted)]
+        numbers = [number for number, _ in ordered]
+        self.assertEqual(sorted(set(numbers)), numbers)
+        if changes:
+            state = asyncio.run(read_state(store, CatalogKeys(PREFIX)))
+            (item,) = state.objects()
+            assert isinstance(item.value, Organisation)
+            self.assertEqual(ordered[-1], (item.ticket, item.value.share))
+            self.assertEqual(max(changes)[0], item.ticket)
+
+    def test_lost_races_end_as_a_conflict(self):
+        """Guards against an endless loop under a steady stream of other tickets."""
+
+        class BusyStore(FakeStore):
+            async def get(self, key):
+                head = CatalogKeys(PREFIX).head
+                self.revision += 1
+                value = Head().encode()
+                self.values[head] = StoredValue(value, self.revision)
+                return await super().get(key)
+
+        store = BusyStore()
+        change = ticket(5, organisation("a"))
+        error = self.assertRaises(TicketConflictError, apply, store, change)
+        self.assertIn("races", str(error))
+
+    def test_oversized_bucket_is_refused(self):
+        """Guards against a value that the store rejects after the plan."""
+        self.patch(tickets_module, "VALUE_LIMIT_BYTES", 300)
+        store = FakeStore()
+        change = ticket(5, organisation("a", 1, 2, 3, 4, 5, 6))
+        error = self.assertRaises(TicketInvalidError, apply, store, change)
+        self.assertIn("store accepts less than 300", str(error))
+        self.assertEqual(0, store.calls["commit"])
+
+    def test_ticket_records_are_bounded(self):
+        """Guards against a store that grows with every ticket."""
+        self.patch(keys_module, "REPLAY_RECORDS", 3)
+        store = FakeStore()
+        for number in range(1, 11):
+            apply(store, ticket(number, organisation("a")))
+        records = [key for key in store.values if key.startswith("catalog/tickets/")]
+        self.assertEqual(3, len(records))
+        self.assertTrue(apply(store, ticket(10, organisation("a"))).replayed)
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.binary(max_size=40) | st.just(Head().encode()[:-1]))
+    def test_malformed_stored_values_are_typed_errors(self, data):
+        """Guards against an untyped failure when the stored state is damaged."""
+        for key in (CatalogKeys(PREFIX).head, CatalogKeys(PREFIX).bucket(3)):
+            store = FakeStore()
+            store.values[key] = StoredValue(data, 1)
+            change = ticket(5, organisation("a"))
+            self.assertRaises(StoreReplyMalformedError, apply, store, change)
