--- /dev/null
+++ b/borageworks/__main__.py
@@ -0,0 +1,22 @@
+"""Command line of the package."""
+
+import click
+
+from borageworks import __version__
+from borageworks.commands.check import check
+from borageworks.commands.status import status
+from borageworks.commands.ticket import ticket
+
+
+@click.group()
+@click.version_option(__version__)
+def cli() -> None:
+    """Router fleet that shares endpoints fairly between organisations."""
+
+
+cli.add_command(check)
+cli.add_command(status)
+cli.add_command(ticket)
+
+if __name__ == "__main__":
+    cli()
