--- /dev/null
+++ b/borageworks_emulator/faults.py
@@ -0,0 +1,52 @@
+"""Fault switches of an emulated endpoint."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Faults:
+    """Faults that a scenario switches while the endpoint runs.
+
+    The `*_every` switches apply to each n-th request, so that a run can be repeated;
+    0 turns the fault off.
+
+    Attributes
+    ----------
+    crash_marker : bytes
+        A request whose body contains it crashes the endpoint; empty never crashes.
+    down_s : float
+        Seconds that the endpoint refuses connections after a crash.
+    late_every, late_s
+        Which answers are held back after the run, and for how many seconds.
+    crossed : int
+        Pairs of answers that are still to be exchanged.
+    cut_every, cut_chunks
+        Which streams end without end marker, and after how many chunks.
+    frozen_load : bool
+        `/load` keeps its last values.
+    garbage_every : int
+        Which answers are outside the protocol.
+    refuse_every : int
+        Which requests are refused with status 503 before they run.
+    slowdown : float
+        Factor on every duration.
+    """
+
+    crash_marker: bytes = b""
+    down_s: float = 2.0
+    late_every: int = 0
+    late_s: float = 5.0
+    crossed: int = 0
+    cut_every: int = 0
+    cut_chunks: int = 3
+    frozen_load: bool = False
+    garbage_every: int = 0
+    refuse_every: int = 0
+    slowdown: float = 1.0
+    applied: dict[str, int] = field(default_factory=dict)
+
+    def note(self, fault: str) -> None:
+        """Count one application of a fault."""
+        self.applied[fault] = self.applied.get(fault, 0) + 1
