--- a/borageworks_emulator/analysis.py
+++ b/borageworks_emulator/analysis.py
@@ -26,9 +26,10 @@
 
 @dataclass(slots=True)
 class CallRecord:
-    """What one caller saw of one request; times are of the monotonic clock.
+    """What one caller saw of one attempt; times are of the monotonic clock.
 
-    `tag` is the number of the request in its trace and `attempt` counts resends.
+    `tag` is the number of the request in its trace, `attempt` counts resends, `target`
+    is the index of the router and `request_id` its name for the attempt.
     """
 
     tag: str
@@ -43,6 +44,7 @@
     ran: str = ""
     request_id: str = ""
     attempt: int = 0
+    target: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/borageworks_emulator/engine.py
+++ b/borageworks_emulator/engine.py
@@ -360,6 +360,9 @@
                 "Cache-Control": "no-cache",
             }
         )
+        if RESUME_OFFSET in request.headers:
+            # The echo tells the router that the stream starts at this byte.
+            response.headers[RESUME_OFFSET] = request.headers[RESUME_OFFSET]
         await response.prepare(request)
         cut = self._hit(self.faults.cut_every, number, "cut")
         chunk: dict[str, Any] = {
