Add router processes, fleet settings and tickets, targets and the report

Cause: the fleet must run as real processes, and a missed target must show. Change: processes controlled by their id and ended in any case; settings files and the first ticket of a deployment; probes of readiness and metrics; targets of the design page as constants; a result as JSON and as a table; calls that break with a killed router are counted apart; an emulated engine catches up after stalls of up to 0.25 s (20 ms before). Conclusion: scenarios can be built on this.

--- a/borageworks_emulator/analysis.py
+++ b/borageworks_emulator/analysis.py
@@ -58,6 +58,19 @@
     seconds: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Excuse:
+    """Span in which the connections to one router broke because it was killed."""
+
+    target: int
+    since: float
+    until: float
+
+    def covers(self, call: CallRecord) -> bool:
+        """Whether the call was lost with the router."""
+        return call.target == self.target and self.since <= call.end <= self.until
+
+
 @dataclass(slots=True)
 class Measures:
     """Measures of one run of a load; waits are in seconds."""
@@ -66,6 +79,7 @@
     incomplete: int = 0
     wrong: int = 0
     lost: int = 0
+    excused: int = 0
     doubled: int = 0
     false_not_run: int = 0
     cut: int = 0
@@ -205,11 +219,14 @@
     calls: Sequence[CallRecord],
     shares: Mapping[str, float],
     until: float,
+    excused: Sequence[Excuse] = (),
 ) -> Measures:
     """Compute all measures of one run.
 
     Parameters
     ----------
+    excused
+        Spans in which a router was killed: calls that it lost are counted apart.
     until
         Time at which the load ended, in seconds; later bins do not count, since the
         drain of a finite load is no steady backlog.
@@ -220,7 +237,8 @@
     for run in runs:
         if run.started is not None and run.tag:
             started[run.tag] = min(started.get(run.tag, inf), run.started)
-    _count_verdicts(measures, calls, started)
+    _count_verdicts(measures, calls, started, excused)
+    measures.false_not_run = _false_not_run(calls, runs)
     measures.doubled = doubled(runs)
     answered = {call.tag for call in calls if call.verdict is Verdict.ANSWERED}
     for pool in sorted({recording.pool for recording in recordings}):
@@ -245,12 +263,39 @@
     return measures
 
 
+def _false_not_run(calls: Sequence[CallRecord], runs: Sequence[Run]) -> int:
+    """Count calls told `not_run` that ran.
+
+    A request that was sent once is found by its tag. For resends only the attempt's
+    own request id tells whether that attempt ran.
+    """
+    tags = {run.tag for run in runs if run.ran}
+    request_ids = {run.request_id for run in runs if run.ran}
+    attempts = Counter(call.tag for call in calls)
+    return sum(
+        1
+        for call in calls
+        if call.ran == "not_run"
+        and (
+            call.request_id in request_ids
+            or (attempts[call.tag] == 1 and call.tag in tags)
+        )
+    )
+
+
 def _count_verdicts(
-    measures: Measures, calls: Sequence[CallRecord], started: Mapping[str, float]
+    measures: Measures,
+    calls: Sequence[CallRecord],
+    started: Mapping[str, float],
+    excused: Sequence[Excuse],
 ) -> None:
     waits: defaultdict[str, list[float]] = defaultdict(list)
     refusals: Counter[str] = Counter()
     for call in calls:
+        broken = call.verdict in (Verdict.LOST, Verdict.INCOMPLETE)
+        if broken and any(excuse.covers(call) for excuse in excused):
+            measures.excused += 1
+            continue
         match call.verdict:
             case Verdict.ANSWERED:
                 measures.answers += 1
@@ -259,8 +304,6 @@
                     waits[call.organisation].append(max(0.0, begun - call.sent))
             case Verdict.REFUSED:
                 refusals[call.code or "without_code"] += 1
-                if call.ran == "not_run" and call.tag in started:
-                    measures.false_not_run += 1
             case Verdict.WRONG:
                 measures.wrong += 1
             case Verdict.INCOMPLETE:
--- a/borageworks_emulator/engine.py
+++ b/borageworks_emulator/engine.py
@@ -28,9 +28,9 @@
 CACHE_BLOCK_TOKENS = 16
 PROMPT_TOKEN_UNITS = 0.1
 GENERATED_TOKEN_UNITS = 1.0
-# A scheduler that is later than this skips the lost time and does not catch up, as an
-# engine cannot run faster than its token interval.
-MAX_LATENESS_S = 0.02
+# After a stall of the emulator's own process the scheduler catches up, so that capacity
+# does not depend on how busy the machine is; a longer stall is skipped.
+MAX_LATENESS_S = 0.25
 _LENGTH = re.compile(r"answer_tokens=(\d+)")
 
 
@@ -364,7 +364,7 @@
             # The echo tells the router that the stream starts at this byte.
             response.headers[RESUME_OFFSET] = request.headers[RESUME_OFFSET]
         await response.prepare(request)
-        cut = self._hit(self.faults.cut_every, number, "cut")
+        cut = self.faults.cut_every > 0 and number % self.faults.cut_every == 0
         chunk: dict[str, Any] = {
             "id": job.run.request_id,
             "object": "chat.completion.chunk",
@@ -404,6 +404,7 @@
         self, request: web.Request, response: web.StreamResponse, job: _Job
     ) -> web.StreamResponse:
         """Break the connection without the stream's end marker."""
+        self.faults.note("cut")
         self.recording.finish(job.run, RunOutcome.CUT)
         if request.transport is not None:
             request.transport.close()
--- /dev/null
+++ b/borageworks_emulator/fleet.py
@@ -0,0 +1,209 @@
+"""A fleet of router processes for an emulated deployment."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import socket
+import sys
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from borageworks.catalog.objects import Ticket
+from borageworks.config.settings import Settings
+from borageworks_emulator.probe import control_bytes, read_metrics
+from borageworks_emulator.process import PROJECT_ROOT, RouterProcess
+from borageworks_emulator.topology import Topology
+
+HOST = "127.0.0.1"
+TICKET_LIMIT_S = 30.0
+
+
+class TicketFailedError(Exception):
+    """The ticket command failed."""
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSample:
+    """Counters of the routers that ran at one time, by instance."""
+
+    at: float
+    cpu_s: dict[str, float] = field(default_factory=dict)
+    control_bytes: dict[str, float] = field(default_factory=dict)
+    memory_mb: dict[str, float] = field(default_factory=dict)
+    starts: dict[str, int] = field(default_factory=dict)
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports of the loopback address that are free for TCP and for UDP."""
+    held: list[socket.socket] = []
+    ports: list[int] = []
+    try:
+        while len(ports) < count:
+            stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            held.append(stream)
+            stream.bind((HOST, 0))
+            datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            held.append(datagram)
+            try:
+                datagram.bind((HOST, stream.getsockname()[1]))
+            except OSError:
+                continue
+            ports.append(stream.getsockname()[1])
+    finally:
+        for opened in held:
+            opened.close()
+    return ports
+
+
+def router_settings(
+    topology: Topology,
+    routers: int,
+    store_url: str,
+    overrides: Mapping[str, Any] | None = None,
+) -> list[Settings]:
+    """Return settings of `routers` instances spread over the topology's domains.
+
+    Parameters
+    ----------
+    overrides
+        Sections that replace the ones given here, by name.
+    """
+    ports = free_ports(3 * routers)
+    key = secrets.token_hex(32)
+    gossip = [{"host": HOST, "port": ports[3 * i + 1]} for i in range(routers)]
+    return [
+        Settings.model_validate(
+            {
+                "instance": f"router-{i}",
+                "domain": topology.domain_of(i),
+                "listen": {"host": HOST, "port": ports[3 * i]},
+                "gossip": gossip[i],
+                "peer": {"host": HOST, "port": ports[3 * i + 2]},
+                "store": {"url": store_url},
+                "membership": {"seeds": gossip, "keys": [key]},
+                "shutdown": {"balancer_lag_s": 1.0},
+                **(overrides or {}),
+            }
+        )
+        for i in range(routers)
+    ]
+
+
+class Fleet:
+    """Router processes; every one that was started is ended by `stop`.
+
+    Parameters
+    ----------
+    settings
+        Settings of each instance.
+    directory
+        Where settings files, tickets and output go.
+    """
+
+    def __init__(self, settings: list[Settings], directory: Path) -> None:
+        self.directory = directory
+        self.routers = [RouterProcess(one, directory) for one in settings]
+        self._session: aiohttp.ClientSession | None = None
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """HTTP session for probes; `start` opens it."""
+        assert self._session is not None
+        return self._session
+
+    @property
+    def urls(self) -> list[str]:
+        """Base addresses of the routers."""
+        return [router.url for router in self.routers]
+
+    async def start(self) -> None:
+        """Start all routers; they become ready once a ticket was applied."""
+        self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=5.0))
+        for router in self.routers:
+            await router.start()
+
+    async def wait_ready(self) -> None:
+        """Wait until every router is ready."""
+        await asyncio.gather(*(r.wait_ready(self.session) for r in self.routers))
+
+    async def stop(self) -> None:
+        """End every router."""
+        await asyncio.gather(*(router.end() for router in self.routers))
+        if self._session is not None:
+            await self._session.close()
+
+    async def apply(self, ticket: Ticket) -> None:
+        """Apply a ticket with the operators' command."""
+        await apply_ticket(self.routers[0].settings_file, ticket, self.directory)
+
+    async def sample(self) -> FleetSample:
+        """Read counters of all routers that run."""
+        sample = FleetSample(asyncio.get_running_loop().time())
+        for router in self.routers:
+            if not router.alive:
+                continue
+            name = router.settings.instance
+            control = control_bytes(await read_metrics(self.session, router.url))
+            if control is not None:
+                sample.control_bytes[name] = control
+            sample.cpu_s[name] = router.cpu_s
+            sample.memory_mb[name] = router.memory_mb
+            sample.starts[name] = router.starts
+        return sample
+
+
+async def apply_ticket(settings_file: Path, ticket: Ticket, directory: Path) -> None:
+    """Apply a ticket with `borageworks ticket apply`.
+
+    Raises
+    ------
+    TicketFailedError
+        If the command does not exit with 0.
+    """
+    path = directory / f"ticket-{ticket.number}.json"
+    path.write_text(ticket.model_dump_json())
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "borageworks",
+        *ticket_arguments(settings_file, path),
+        cwd=PROJECT_ROOT,
+        stdin=asyncio.subprocess.DEVNULL,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    try:
+        async with asyncio.timeout(TICKET_LIMIT_S):
+            output, _ = await process.communicate()
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+    if process.returncode != 0:
+        raise TicketFailedError(output.decode(errors="replace")[-2000:])
+
+
+def ticket_arguments(settings: Path, ticket: Path) -> list[str]:
+    """Return the arguments of the command that applies a ticket."""
+    return ["ticket", "apply", str(ticket), "--settings", str(settings)]
+
+
+def largest_rate(before: FleetSample, after: FleetSample, name: str) -> float | None:
+    """Return the largest rate per second of a counter over routers that ran throughout.
+
+    `name` is `cpu_s` or `control_bytes`; None when no router reported it.
+    """
+    first: dict[str, float] = getattr(before, name)
+    last: dict[str, float] = getattr(after, name)
+    span = after.at - before.at
+    rates = [
+        (last[router] - first[router]) / span
+        for router in first
+        if router in last and before.starts[router] == after.starts[router]
+    ]
+    return max(rates, default=None) if span > 0 else None
--- a/borageworks_emulator/load.py
+++ b/borageworks_emulator/load.py
@@ -59,6 +59,8 @@
         Span of the flow in seconds of the load; `end_s` 0 is the end of the load.
     marker
         Text in each body, for faults that react to it.
+    limit
+        Largest number of requests of each worker; 0 is unlimited.
     """
 
     organisation: str
@@ -78,6 +80,7 @@
     start_s: float = 0.0
     end_s: float = 0.0
     marker: str = ""
+    limit: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,11 +129,11 @@
         )
 
     def closed_loop(self, number: int, worker: int) -> Iterator[Plan]:
-        """Yield the requests of one worker of flow `number`, without end."""
+        """Yield the requests of one worker of flow `number`."""
         flow = self.flows[number]
         source = random.Random(f"{self.seed}/{number}/{worker}")
         index = 0
-        while True:
+        while not flow.limit or index < flow.limit:
             yield self._plan(f"{number}.{worker}.{index}", flow, 0.0, source)
             index += 1
 
--- /dev/null
+++ b/borageworks_emulator/report.py
@@ -0,0 +1,183 @@
+"""Result of one scenario, as JSON and as a table."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+
+from borageworks_emulator.analysis import Measures
+
+
+@dataclass(frozen=True, slots=True)
+class Check:
+    """One target: what was measured, and whether it was met."""
+
+    name: str
+    measured: float
+    limit: float
+    passed: bool
+
+    def line(self) -> str:
+        """Return the check as one line of text."""
+        word = "met" if self.passed else "MISSED"
+        return f"{word:6}  {self.name}: {self.measured:.4g} (limit {self.limit:.4g})"
+
+
+@dataclass(slots=True)
+class Result:
+    """Everything that a scenario measured.
+
+    Attributes
+    ----------
+    control_bytes_per_second, cpu_percent, idle_cpu_percent
+        Largest of all routers that ran throughout; None when no router reported it.
+    emulator_lag_ms
+        99th percentile of the lateness of the emulator's own event loop. A large value
+        says that the emulator, not the fleet, was the limit.
+    """
+
+    scenario: str
+    topology: str
+    seed: int
+    routers: int
+    duration_s: float
+    measures: Measures = field(default_factory=Measures)
+    central: Measures | None = None
+    control_bytes_per_second: float | None = None
+    cpu_percent: float | None = None
+    idle_cpu_percent: float | None = None
+    memory_mb: float = 0.0
+    store_calls_per_second: float = 0.0
+    store_calls: dict[str, int] = field(default_factory=dict)
+    emulator_lag_ms: dict[str, float] = field(default_factory=dict)
+    faults: dict[str, int] = field(default_factory=dict)
+    notes: dict[str, float] = field(default_factory=dict)
+    checks: list[Check] = field(default_factory=list)
+
+    @property
+    def passed(self) -> bool:
+        """Whether every target was met."""
+        return all(check.passed for check in self.checks)
+
+    def document(self) -> dict[str, Any]:
+        """Return the result in the form of its JSON."""
+        return {
+            "scenario": self.scenario,
+            "topology": self.topology,
+            "seed": self.seed,
+            "routers": self.routers,
+            "duration_s": self.duration_s,
+            **_measures(self.measures),
+            "control_bytes_per_second": self.control_bytes_per_second,
+            "cpu_percent": self.cpu_percent,
+            "idle_cpu_percent": self.idle_cpu_percent,
+            "memory_mb": self.memory_mb,
+            "store_calls_per_second": self.store_calls_per_second,
+            "store_calls": self.store_calls,
+            "emulator_lag_ms": self.emulator_lag_ms,
+            "faults": self.faults,
+            "notes": self.notes,
+            "central": _measures(self.central) if self.central else None,
+            "checks": [
+                {
+                    "name": check.name,
+                    "measured": check.measured,
+                    "limit": check.limit,
+                    "passed": check.passed,
+                }
+                for check in self.checks
+            ],
+            "passed": self.passed,
+        }
+
+    def json(self) -> bytes:
+        """Return the result as indented JSON."""
+        return orjson.dumps(self.document(), option=orjson.OPT_INDENT_2)
+
+    def table(self, shares: dict[str, float]) -> str:
+        """Return the result as text for people."""
+        lines = [
+            f"{self.scenario} on {self.topology}: seed {self.seed}, "
+            f"{self.routers} routers, {self.duration_s:g} s",
+            "",
+            f"{'measure':28}{'fleet':>12}{'central':>12}",
+        ]
+        ours, theirs = _measures(self.measures), _measures(self.central or Measures())
+        for name in COUNTS:
+            lines.append(f"{name:28}{ours[name]:>12}{theirs[name]:>12}")
+        for name in ("fairness_gap", "utilisation"):
+            for pool, value in ours[name].items():
+                other = theirs[name].get(pool, 0.0)
+                label = f"{name} {pool}"
+                lines.append(f"{label:28}{value:>12.4g}{other:>12.4g}")
+        lines.append(f"{'store calls/s':28}{self.store_calls_per_second:>12.4g}")
+        for label, figure in (
+            ("control bytes/s (largest)", self.control_bytes_per_second),
+            ("CPU % (largest)", self.cpu_percent),
+            ("idle CPU % (largest)", self.idle_cpu_percent),
+        ):
+            text = "unknown" if figure is None else f"{figure:.4g}"
+            lines.append(f"{label:28}{text:>12}")
+        lines.append("")
+        lines.extend(organisation_lines(self.measures, self.central, shares))
+        lines.extend(["", *_counts("refusals", self.measures.refusals)])
+        lines.extend(_counts("faults", self.faults))
+        lines.extend(["", *(check.line() for check in self.checks)])
+        return "\n".join(lines)
+
+
+COUNTS = (
+    "answers",
+    "incomplete",
+    "wrong",
+    "lost",
+    "excused",
+    "doubled",
+    "false_not_run",
+    "cut",
+)
+
+
+def organisation_lines(
+    measures: Measures, central: Measures | None, shares: dict[str, float]
+) -> list[str]:
+    """Return one line per organisation: share, service received and wait."""
+    pools = sorted(measures.service)
+    head = f"{'organisation':14}{'share':>7}"
+    head += "".join(f"{pool + ' units':>16}" for pool in pools)
+    lines = [f"{head}{'wait ms':>10}{'p95':>8}{'central':>10}"]
+    for name, share in shares.items():
+        line = f"{name:14}{share:>7g}"
+        for pool in pools:
+            line += f"{measures.service[pool].get(name, 0.0):>16.1f}"
+        waits = (
+            measures.wait.get(name),
+            measures.wait_p95.get(name),
+            central.wait.get(name) if central else None,
+        )
+        texts = ["-" if wait is None else f"{1000 * wait:.0f}" for wait in waits]
+        lines.append(f"{line}{texts[0]:>10}{texts[1]:>8}{texts[2]:>10}")
+    return lines
+
+
+def _counts(title: str, counts: dict[str, int]) -> list[str]:
+    return [f"{title}: " + (", ".join(f"{k} {v}" for k, v in counts.items()) or "none")]
+
+
+def _measures(measures: Measures) -> dict[str, Any]:
+    document: dict[str, Any] = {name: getattr(measures, name) for name in COUNTS}
+    return document | {
+        "fairness_gap": measures.fairness_gap,
+        "fairness_gap_between": {
+            pool: [gap.first, gap.second, gap.seconds]
+            for pool, gap in measures.gap_detail.items()
+        },
+        "utilisation": measures.utilisation,
+        "largest_units": measures.largest_units,
+        "wait": measures.wait,
+        "wait_p95": measures.wait_p95,
+        "service": measures.service,
+        "refusals": measures.refusals,
+    }
--- /dev/null
+++ b/borageworks_emulator/targets.py
@@ -0,0 +1,16 @@
+"""Targets of docs/design.md, section 1; never taken from measurements."""
+
+from __future__ import annotations
+
+GAP_RATIO = 1.5
+UTILISATION_RATIO = 0.98
+WAIT_RATIO = 1.5
+CONTROL_BYTES_PER_S = 11_000.0
+CONTROL_CPU_PERCENT = 3.5
+MEMORY_MB = 256.0
+RATE_PER_ROUTER = 26.0
+LEAVING_S = 3.0
+CRASHED_ENDPOINTS = 3
+# Store budget of an idle fleet: a tenth of 2,000 reads/s and 300 writes/s at 800
+# instances, per instance.
+STORE_CALLS_PER_ROUTER = 0.1 * (2_000 + 300) / 800
--- /dev/null
+++ b/borageworks_emulator/tests/test_fleet.py
@@ -0,0 +1,129 @@
+"""Tests of the settings, tickets and probes of an emulated fleet."""
+
+import asyncio
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+import aiohttp
+import testtools
+from aiohttp import web
+
+from borageworks.catalog.objects import Ticket
+from borageworks.config.settings import Settings
+from borageworks_emulator.fleet import FleetSample, largest_rate, router_settings
+from borageworks_emulator.probe import (
+    RouterNotReadyError,
+    control_bytes,
+    parse_metrics,
+    wait_ready,
+)
+from borageworks_emulator.process import RouterProcess
+from borageworks_emulator.topology import PATITSA, SLAAPCEL
+
+
+class SettingsTest(testtools.TestCase):
+    def test_settings_are_valid_and_addresses_distinct(self):
+        """Guards against two routers on one port and files that `run` refuses."""
+        settings = router_settings(PATITSA, 6, "http://127.0.0.1:1")
+        pairs = [
+            address.pair
+            for one in settings
+            for address in (one.listen, one.gossip, one.peer)
+        ]
+        self.assertEqual(18, len(set(pairs)))
+        self.assertEqual(3, len({one.domain for one in settings}))
+        for one in settings:
+            self.assertEqual(one, Settings.model_validate_json(one.model_dump_json()))
+
+    def test_first_ticket_is_complete(self):
+        """Guards against a deployment whose objects refer to missing ones."""
+
+        async def main(topology):
+            endpoints = topology.endpoints()
+            for endpoint in endpoints:
+                await endpoint.start()
+            try:
+                return topology.ticket(endpoints)
+            finally:
+                for endpoint in endpoints:
+                    await endpoint.stop()
+
+        for topology in (PATITSA, SLAAPCEL):
+            ticket = asyncio.run(main(topology))
+            copy = Ticket.model_validate_json(ticket.model_dump_json())
+            self.assertEqual(ticket, copy)
+            pools = {item.id for item in ticket.put if item.kind == "pool"}
+            used = {
+                item.pool for item in ticket.put if item.kind in ("endpoint", "service")
+            }
+            self.assertEqual(pools, used)
+
+
+class SampleTest(testtools.TestCase):
+    def test_restarted_routers_do_not_count(self):
+        """Guards against a rate from counters that a restart set back."""
+        before = FleetSample(
+            0.0, control_bytes={"a": 100.0, "b": 0.0}, starts={"a": 1, "b": 1}
+        )
+        after = FleetSample(
+            2.0, control_bytes={"a": 10.0, "b": 50.0}, starts={"a": 2, "b": 1}
+        )
+        self.assertEqual(25.0, largest_rate(before, after, "control_bytes"))
+        self.assertIsNone(largest_rate(before, after, "cpu_s"))
+
+
+class ProbeTest(testtools.TestCase):
+    def test_metrics_are_summed_over_labels(self):
+        """Guards against control bytes of which one label is missed."""
+        text = (
+            "# TYPE borageworks_control_bytes_total counter\n"
+            'borageworks_control_bytes_total{reason="sent"} 5\n'
+            'borageworks_control_bytes_total{reason="received"} 7\n'
+        )
+        self.assertEqual(12.0, control_bytes(parse_metrics(text)))
+        self.assertIsNone(control_bytes(parse_metrics("other 1\n")))
+
+    def test_unready_router_is_an_error_that_says_what_it_lacks(self):
+        """Guards against load on a fleet that is not ready."""
+
+        async def unready(request):
+            return web.json_response({"lacking": ["catalog"]}, status=503)
+
+        async def main():
+            application = web.Application()
+            application.router.add_get("/readyz", unready)
+            runner = web.AppRunner(application)
+            await runner.setup()
+            await web.TCPSite(runner, "127.0.0.1", 0).start()
+            url = f"http://127.0.0.1:{runner.addresses[0][1]}"
+            try:
+                async with aiohttp.ClientSession() as session:
+                    await wait_ready(session, url, 0.2)
+            finally:
+                await runner.cleanup()
+
+        error = self.assertRaises(RouterNotReadyError, asyncio.run, main())
+        self.assertIn("catalog", str(error))
+
+
+class ProcessTest(testtools.TestCase):
+    def test_end_kills_a_stopped_process(self):
+        """Guards against router processes that outlive a measurement."""
+
+        async def main(directory):
+            [settings] = router_settings(PATITSA, 1, "http://127.0.0.1:1")
+            router = RouterProcess(settings, directory)
+            router._process = await asyncio.create_subprocess_exec(
+                sys.executable, "-c", "import time; time.sleep(60)"
+            )
+            router.send(signal.SIGSTOP)
+            usage = router.cpu_s, router.memory_mb
+            await router.end()
+            return usage, router.alive
+
+        with tempfile.TemporaryDirectory() as directory:
+            (cpu_s, memory_mb), alive = asyncio.run(main(Path(directory)))
+        self.assertFalse(alive)
+        self.assertTrue(cpu_s >= 0.0 and memory_mb > 0.0)
--- /dev/null
+++ b/borageworks_emulator/tests/test_report.py
@@ -0,0 +1,66 @@
+"""Tests of the result of a scenario."""
+
+import orjson
+import testtools
+
+from borageworks_emulator.analysis import CallRecord, Excuse, Measures, Verdict, analyse
+from borageworks_emulator.report import Check, Result
+
+KEYS = (
+    "answers",
+    "incomplete",
+    "doubled",
+    "fairness_gap",
+    "utilisation",
+    "control_bytes_per_second",
+    "store_calls_per_second",
+    "wait",
+    "refusals",
+    "false_not_run",
+    "cut",
+    "faults",
+    "central",
+)
+
+
+class ResultTest(testtools.TestCase):
+    def result(self, *checks):
+        measures = Measures(answers=3, wait={"a": 0.25}, service={"p": {"a": 7.0}})
+        measures.fairness_gap["p"] = 1.5
+        result = Result("s", "t", 1, 3, 2.0, measures, central=Measures(answers=4))
+        result.checks = list(checks)
+        return result
+
+    def test_json_has_all_keys_for_fleet_and_baseline(self):
+        """Guards against readers of the JSON that miss a measure."""
+        document = orjson.loads(self.result().json())
+        self.assertEqual(set(), set(KEYS) - set(document))
+        self.assertEqual(4, document["central"]["answers"])
+        self.assertEqual({"p": 1.5}, document["fairness_gap"])
+
+    def test_one_missed_target_fails_and_is_named(self):
+        """Guards against a miss that neither the exit code nor the table shows."""
+        met, missed = Check("x", 1, 2, True), Check("doubled", 1, 0, False)
+        self.assertTrue(self.result(met).passed)
+        result = self.result(met, missed)
+        self.assertFalse(result.passed)
+        self.assertIn("MISSED  doubled", result.table({"a": 1.0}))
+
+    def test_unreported_figures_are_not_zero(self):
+        """Guards against an unknown control traffic that looks free."""
+        self.assertIn("unknown", self.result().table({"a": 1.0}))
+
+
+class ExcuseTest(testtools.TestCase):
+    def test_only_calls_broken_by_the_killed_router_are_excused(self):
+        """Guards against an excuse that hides faults of other routers."""
+        calls = [
+            CallRecord("1", "a", "p", "", 0.0, end=5.0, target=1),
+            CallRecord("2", "a", "p", "", 0.0, end=5.0, target=2),
+            CallRecord("3", "a", "p", "", 0.0, end=9.0, target=1),
+            CallRecord(
+                "4", "a", "p", "", 0.0, end=5.0, target=1, verdict=Verdict.WRONG
+            ),
+        ]
+        measures = analyse([], calls, {"a": 1.0}, 10.0, [Excuse(1, 4.0, 6.0)])
+        self.assertEqual((1, 2, 1), (measures.excused, measures.lost, measures.wrong))
