Add scenarios with their targets and the measure command

Ports of routers and endpoints are taken below the system's range for outgoing connections, since a caller's connection could otherwise hold the port of a router between two starts. The everyday load now reaches 26 requests/s per router on both deployments (215 of 234 before, found by a test). Partition is not covered: no router setting separates the address that an instance announces from the one it binds, so no relay can stand between two.

--- /dev/null
+++ b/borageworks/commands/measure.py
@@ -0,0 +1,86 @@
+"""`borageworks measure`: runs a scenario against emulated endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import click
+
+from borageworks.commands.loop import run_loop
+from borageworks_emulator.report import Result
+from borageworks_emulator.scenario import Options, run_scenario
+from borageworks_emulator.scenarios import SCENARIOS
+from borageworks_emulator.topology import PATITSA, TOPOLOGIES
+
+EXIT_MISSED = 1
+
+
+@click.command()
+@click.argument("name", required=False, type=click.Choice(sorted(SCENARIOS)))
+@click.option("--list", "list_names", is_flag=True, help="List the scenarios.")
+@click.option("--seed", default=1, show_default=True, help="Seed of the load.")
+@click.option("--routers", default=9, show_default=True, type=click.IntRange(1, 100))
+@click.option(
+    "--duration",
+    default=20.0,
+    show_default=True,
+    type=click.FloatRange(2.0, 3600.0),
+    help="Seconds of load, for the fleet and again for the central queue.",
+)
+@click.option(
+    "--topology",
+    default=PATITSA.name,
+    show_default=True,
+    type=click.Choice(sorted(TOPOLOGIES)),
+)
+@click.option(
+    "--json",
+    "json_file",
+    type=click.Path(dir_okay=False, allow_dash=True, path_type=Path),
+    help="Write the result as JSON; - writes to standard output.",
+)
+@click.option(
+    "--directory",
+    type=click.Path(file_okay=False, path_type=Path),
+    help="Keep settings files and output of the routers here.",
+)
+def measure(
+    name: str | None,
+    list_names: bool,
+    seed: int,
+    routers: int,
+    duration: float,
+    topology: str,
+    json_file: Path | None,
+    directory: Path | None,
+) -> None:
+    """Run scenario NAME and exit with 1 if it misses a target."""
+    if list_names:
+        for scenario in SCENARIOS.values():
+            click.echo(f"{scenario.name:18}{scenario.description}")
+        return
+    if name is None:
+        raise click.UsageError("name a scenario or use --list")
+    options = Options(TOPOLOGIES[topology], seed, routers, duration, directory)
+    result = run_loop(_run(name, options))
+    table = result.table(options.topology.shares)
+    if json_file is None:
+        click.echo(table)
+    elif str(json_file) == "-":
+        click.echo(table, err=True)
+        click.echo(result.json())
+    else:
+        click.echo(table)
+        json_file.write_bytes(result.json())
+    if not result.passed:
+        sys.exit(EXIT_MISSED)
+
+
+async def _run(name: str, options: Options) -> Result:
+    """Run a scenario; SIGTERM cancels it, so that started routers are ended."""
+    task = asyncio.ensure_future(run_scenario(SCENARIOS[name], options))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await task
--- a/borageworks_emulator/endpoint.py
+++ b/borageworks_emulator/endpoint.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from borageworks_emulator.faults import Faults
+from borageworks_emulator.ports import free_ports
 from borageworks_emulator.recording import Recording
 
 T = TypeVar("T")
@@ -74,10 +75,9 @@
         )
         await self._runner.setup()
         self.host = host
+        port = port or free_ports(1)[0]
         self._site = web.TCPSite(self._runner, host, port, reuse_address=True)
         await self._site.start()
-        if port == 0:
-            port = self._runner.addresses[0][1]
         self.port = port
         self._report = self._load_report()
         self._background.append(asyncio.create_task(self._refresh_load()))
--- a/borageworks_emulator/fleet.py
+++ b/borageworks_emulator/fleet.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import secrets
-import socket
 import sys
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -15,11 +14,11 @@
 
 from borageworks.catalog.objects import Ticket
 from borageworks.config.settings import Settings
+from borageworks_emulator.ports import HOST, free_ports
 from borageworks_emulator.probe import control_bytes, read_metrics
 from borageworks_emulator.process import PROJECT_ROOT, RouterProcess
 from borageworks_emulator.topology import Topology
 
-HOST = "127.0.0.1"
 TICKET_LIMIT_S = 30.0
 
 
@@ -38,28 +37,6 @@
     starts: dict[str, int] = field(default_factory=dict)
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports of the loopback address that are free for TCP and for UDP."""
-    held: list[socket.socket] = []
-    ports: list[int] = []
-    try:
-        while len(ports) < count:
-            stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            held.append(stream)
-            stream.bind((HOST, 0))
-            datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            held.append(datagram)
-            try:
-                datagram.bind((HOST, stream.getsockname()[1]))
-            except OSError:
-                continue
-            ports.append(stream.getsockname()[1])
-    finally:
-        for opened in held:
-            opened.close()
-    return ports
-
-
 def router_settings(
     topology: Topology,
     routers: int,
--- a/borageworks_emulator/report.py
+++ b/borageworks_emulator/report.py
@@ -120,6 +120,10 @@
         ):
             text = "unknown" if figure is None else f"{figure:.4g}"
             lines.append(f"{label:28}{text:>12}")
+        late = [self.emulator_lag_ms.get(side, 0.0) for side in ("fleet", "central")]
+        lines.append(
+            f"{'emulator lateness p99, ms':28}{late[0]:>12.4g}{late[1]:>12.4g}"
+        )
         lines.append("")
         lines.extend(organisation_lines(self.measures, self.central, shares))
         lines.extend(["", *_counts("refusals", self.measures.refusals)])
--- /dev/null
+++ b/borageworks_emulator/scenario.py
@@ -0,0 +1,319 @@
+"""Runs one scenario: the baseline first, then the fleet, on the same trace."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable, Mapping
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import click
+
+from borageworks.config.settings import FairSettings
+from borageworks.fair.bound import gap_bound
+from borageworks_emulator import targets
+from borageworks_emulator.analysis import Excuse, Gap, Measures, analyse
+from borageworks_emulator.baseline import run_central
+from borageworks_emulator.fleet import Fleet, FleetSample, largest_rate, router_settings
+from borageworks_emulator.lag import LoopLag
+from borageworks_emulator.load import Balancer, Flow, LoadGenerator, LoadResult, Trace
+from borageworks_emulator.report import Check, Result
+from borageworks_emulator.store import EmulatedStore
+from borageworks_emulator.topology import AnyEndpoint, Topology
+
+IDLE_SPAN_S = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """How to run a scenario; `directory` None uses a temporary one."""
+
+    topology: Topology
+    seed: int = 1
+    routers: int = 9
+    duration_s: float = 20.0
+    directory: Path | None = None
+
+
+@dataclass(slots=True)
+class Stage:
+    """What the faults of a scenario act on.
+
+    Attributes
+    ----------
+    excused
+        Spans in which calls to a killed router may break.
+    notes
+        Figures that the scenario measures itself.
+    applied
+        Faults other than those of endpoints, by name.
+    """
+
+    options: Options
+    endpoints: list[AnyEndpoint]
+    fleet: Fleet
+    balancer: Balancer
+    store: EmulatedStore
+    began: float = 0.0
+    excused: list[Excuse] = field(default_factory=list)
+    notes: dict[str, float] = field(default_factory=dict)
+    applied: Counter[str] = field(default_factory=Counter)
+
+    async def until(self, part: float) -> None:
+        """Sleep until a part of the load's duration has passed."""
+        at = self.began + part * self.options.duration_s
+        await asyncio.sleep(max(0.0, at - time.monotonic()))
+
+
+async def _no_faults(stage: Stage) -> None:
+    """Leave everything as it is."""
+
+
+async def _no_endpoint_faults(endpoints: list[AnyEndpoint], duration_s: float) -> None:
+    """Leave the baseline's endpoints as they are."""
+
+
+def _no_checks(result: Result, calls: LoadResult) -> list[Check]:
+    return []
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """A load with faults and targets.
+
+    Parameters
+    ----------
+    flows
+        Load for a topology and a number of routers.
+    faults
+        Acts on the fleet's side while the load runs. The run ends with the later of
+        load and faults.
+    endpoint_faults
+        The faults that the baseline's endpoints get too: those that change speed.
+    compared
+        Whether gap and utilisation are held against the baseline: the load keeps some
+        organisations backlogged.
+    checks
+        Targets of this scenario beyond the common ones.
+    may_refuse
+        Refusal codes that are right answers in this scenario.
+    overrides
+        Sections of the routers' settings.
+    """
+
+    name: str
+    description: str
+    flows: Callable[[Topology, int], list[Flow]]
+    faults: Callable[[Stage], Awaitable[None]] = _no_faults
+    endpoint_faults: Callable[[list[AnyEndpoint], float], Awaitable[None]] = (
+        _no_endpoint_faults
+    )
+    compared: bool = False
+    checks: Callable[[Result, LoadResult], list[Check]] = _no_checks
+    may_refuse: frozenset[str] = frozenset()
+    overrides: Mapping[str, Any] = field(default_factory=dict)
+
+
+async def run_scenario(scenario: Scenario, options: Options) -> Result:
+    """Run baseline and fleet and hold the result against the targets."""
+    topology = options.topology
+    trace = Trace(
+        scenario.flows(topology, options.routers), options.seed, options.duration_s
+    )
+    result = Result(
+        scenario.name,
+        topology.name,
+        options.seed,
+        options.routers,
+        options.duration_s,
+    )
+
+    async def central_faults(endpoints: list[AnyEndpoint]) -> None:
+        await scenario.endpoint_faults(endpoints, options.duration_s)
+
+    _say(f"{scenario.name}: central queue, {options.duration_s:g} s")
+    async with LoopLag() as lag:
+        central = await run_central(topology, trace, central_faults)
+    result.central = central.measures
+    result.emulator_lag_ms["central"] = 1000 * lag.quantile(99)
+    with contextlib.ExitStack() as stack:
+        directory = options.directory
+        if directory is None:
+            temporary = tempfile.TemporaryDirectory(prefix="borageworks-")
+            directory = Path(stack.enter_context(temporary))
+        directory.mkdir(parents=True, exist_ok=True)
+        calls = await _run_fleet(scenario, options, trace, result, directory)
+    result.checks = common_checks(scenario, options, result)
+    result.checks += scenario.checks(result, calls)
+    return result
+
+
+async def _run_fleet(
+    scenario: Scenario,
+    options: Options,
+    trace: Trace,
+    result: Result,
+    directory: Path,
+) -> LoadResult:
+    topology = options.topology
+    store = EmulatedStore()
+    endpoints = topology.endpoints()
+    fleet: Fleet | None = None
+    try:
+        await store.start()
+        for endpoint in endpoints:
+            await endpoint.start()
+        settings = router_settings(
+            topology, options.routers, store.url, scenario.overrides
+        )
+        fleet = Fleet(settings, directory)
+        _say(f"{scenario.name}: starting {options.routers} routers")
+        await fleet.start()
+        await fleet.apply(topology.ticket(endpoints))
+        await fleet.wait_ready()
+        stage = Stage(options, endpoints, fleet, Balancer(fleet.urls), store)
+        await _measure_idle(stage, result)
+        _say(f"{scenario.name}: load for {options.duration_s:g} s")
+        async with LoopLag() as lag:
+            load = await _load(scenario, stage, trace, result)
+        result.emulator_lag_ms["fleet"] = 1000 * lag.quantile(99)
+    finally:
+        if fleet is not None:
+            await fleet.stop()
+        for endpoint in endpoints:
+            await endpoint.stop()
+        await store.stop()
+    recordings = [endpoint.recording for endpoint in endpoints]
+    result.measures = analyse(
+        recordings, load.calls, topology.shares, load.until, stage.excused
+    )
+    faults = Counter(stage.applied)
+    for endpoint in endpoints:
+        faults.update(endpoint.faults.applied)
+    result.faults = dict(sorted(faults.items()))
+    result.notes.update(stage.notes)
+    return load
+
+
+async def _measure_idle(stage: Stage, result: Result) -> None:
+    """Measure what the fleet does without any request."""
+    before, calls = await stage.fleet.sample(), Counter(stage.store.calls)
+    await asyncio.sleep(IDLE_SPAN_S)
+    after = await stage.fleet.sample()
+    cpu = largest_rate(before, after, "cpu_s")
+    result.idle_cpu_percent = None if cpu is None else 100 * cpu
+    made = Counter(stage.store.calls) - calls
+    result.notes["idle_store_calls_per_second"] = made.total() / IDLE_SPAN_S
+
+
+async def _load(
+    scenario: Scenario, stage: Stage, trace: Trace, result: Result
+) -> LoadResult:
+    generator = LoadGenerator(trace, stage.balancer)
+    before, calls = await stage.fleet.sample(), Counter(stage.store.calls)
+    stage.began = time.monotonic()
+    faults = asyncio.ensure_future(scenario.faults(stage))
+    sampler = asyncio.create_task(_sample_at_end(stage))
+    try:
+        load = await generator.run()
+        after = await sampler
+        made = Counter(stage.store.calls) - calls
+        result.store_calls = dict(sorted(made.items()))
+        result.store_calls_per_second = made.total() / (time.monotonic() - stage.began)
+        await faults
+    finally:
+        for task in (faults, sampler):
+            task.cancel()
+            with suppress(asyncio.CancelledError):
+                await task
+    cpu = largest_rate(before, after, "cpu_s")
+    result.cpu_percent = None if cpu is None else 100 * cpu
+    result.control_bytes_per_second = largest_rate(before, after, "control_bytes")
+    result.memory_mb = max(after.memory_mb.values(), default=0.0)
+    return load
+
+
+async def _sample_at_end(stage: Stage) -> FleetSample:
+    """Sample when the load ends, before the drain."""
+    await stage.until(1.0)
+    return await stage.fleet.sample()
+
+
+def common_checks(scenario: Scenario, options: Options, result: Result) -> list[Check]:
+    """Hold a result against the targets that are common to all scenarios."""
+    measures, central = result.measures, result.central or Measures()
+    checks = [
+        at_most(name, getattr(measures, name), 0)
+        for name in ("wrong", "lost", "incomplete", "doubled", "false_not_run", "cut")
+    ]
+    unexpected = sum(
+        count
+        for code, count in measures.refusals.items()
+        if code not in scenario.may_refuse
+    )
+    checks.append(at_most("refusals that the scenario does not allow", unexpected, 0))
+    checks.append(at_least("answers", measures.answers, 1))
+    checks.append(
+        at_most("memory of a router, MB", result.memory_mb, targets.MEMORY_MB)
+    )
+    if scenario.compared:
+        flows = scenario.flows(options.topology, options.routers)
+        backlogged = {flow.pool for flow in flows if flow.workers and not flow.limit}
+        checks += _comparison(options, backlogged, measures, central)
+    return checks
+
+
+def _comparison(
+    options: Options, backlogged: set[str], measures: Measures, central: Measures
+) -> list[Check]:
+    checks = []
+    for pool in sorted(backlogged):
+        gap = measures.gap_detail[pool]
+        limit = targets.GAP_RATIO * central.fairness_gap[pool]
+        checks.append(at_most(f"fairness gap of {pool}", gap.units, limit))
+        bound = _bound(options.topology, pool, gap, measures)
+        checks.append(at_most(f"fairness gap of {pool}, bound", gap.units, bound))
+        checks.append(
+            at_least(
+                f"utilisation of {pool}",
+                measures.utilisation[pool],
+                targets.UTILISATION_RATIO * central.utilisation[pool],
+            )
+        )
+    return checks
+
+
+def _bound(topology: Topology, pool: str, gap: Gap, measures: Measures) -> float:
+    if not gap.first:
+        return 0.0
+    shares = topology.shares
+    fair = FairSettings()
+    largest = measures.largest_units[pool]
+    return gap_bound(
+        topology.slots(pool),
+        (largest, largest),
+        (shares[gap.first], shares[gap.second]),
+        interval_s=fair.exchange_interval_s,
+        rate=topology.capacity(pool) / min(shares.values()),
+        gain=fair.correction_gain,
+    )
+
+
+def at_most(name: str, measured: float, limit: float) -> Check:
+    """Return a check that a figure is not above a limit."""
+    return Check(name, measured, limit, measured <= limit)
+
+
+def at_least(name: str, measured: float, limit: float) -> Check:
+    """Return a check that a figure is not below a limit."""
+    return Check(name, measured, limit, measured >= limit)
+
+
+def _say(text: str) -> None:
+    click.echo(text, err=True)
--- /dev/null
+++ b/borageworks_emulator/scenarios/crash_request.py
@@ -0,0 +1,56 @@
+"""A request crashes every engine that runs it, and its caller sends it again."""
+
+from __future__ import annotations
+
+from borageworks_emulator import targets
+from borageworks_emulator.load import Flow, LoadResult
+from borageworks_emulator.report import Check, Result
+from borageworks_emulator.scenario import Scenario, Stage, at_least, at_most
+from borageworks_emulator.scenarios.flows import LIGHT_PART, everyday
+from borageworks_emulator.topology import Topology
+
+MARKER = "crash-marker"
+RESENDS = 9
+RESEND_AFTER_S = 1.0
+START_S = 2.0
+
+
+def _flows(topology: Topology, routers: int) -> list[Flow]:
+    crashing = Flow(
+        topology.organisations[5],
+        topology.model,
+        topology.engine_pool,
+        workers=1,
+        limit=1,
+        start_s=START_S,
+        resends=RESENDS,
+        resend_after_s=RESEND_AFTER_S,
+        marker=MARKER,
+    )
+    return [*everyday(topology, routers, LIGHT_PART), crashing]
+
+
+async def _faults(stage: Stage) -> None:
+    for endpoint in stage.endpoints:
+        endpoint.faults.crash_marker = MARKER.encode()
+
+
+def _checks(result: Result, load: LoadResult) -> list[Check]:
+    crashes = result.faults.get("crash", 0)
+    suspected = result.measures.refusals.get("request_suspected", 0)
+    return [
+        at_least("endpoints lost to the request", crashes, 1),
+        at_most("endpoints lost to the request", crashes, targets.CRASHED_ENDPOINTS),
+        at_least("resends refused as suspect", suspected, 1),
+        at_most("refusals in all", sum(result.measures.refusals.values()), RESENDS + 1),
+    ]
+
+
+CRASH_REQUEST = Scenario(
+    name="crash-request",
+    description="one request crashes engines and is sent ten times",
+    flows=_flows,
+    faults=_faults,
+    checks=_checks,
+    may_refuse=frozenset(("request_suspected", "retries_exhausted", "outcome_unknown")),
+)
--- /dev/null
+++ b/borageworks_emulator/scenarios/crossed_answers.py
@@ -0,0 +1,40 @@
+"""Endpoints exchange pairs of answers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from borageworks_emulator.load import LoadResult
+from borageworks_emulator.report import Check, Result
+from borageworks_emulator.scenario import Scenario, Stage, at_least
+from borageworks_emulator.scenarios.flows import everyday
+
+FROM_PART = 0.2
+UNTIL_PART = 0.8
+EVERY_S = 1.0
+
+
+async def _faults(stage: Stage) -> None:
+    await stage.until(FROM_PART)
+    end = stage.began + UNTIL_PART * stage.options.duration_s
+    while time.monotonic() < end:
+        for endpoint in stage.endpoints:
+            endpoint.faults.crossed = 1
+        await asyncio.sleep(EVERY_S)
+    for endpoint in stage.endpoints:
+        endpoint.faults.crossed = 0
+
+
+def _checks(result: Result, load: LoadResult) -> list[Check]:
+    return [at_least("pairs of answers exchanged", result.faults.get("crossed", 0), 1)]
+
+
+CROSSED_ANSWERS = Scenario(
+    name="crossed-answers",
+    description="each endpoint exchanges a pair of answers every second",
+    flows=everyday,
+    faults=_faults,
+    checks=_checks,
+    may_refuse=frozenset(("outcome_unknown", "retries_exhausted")),
+)
--- /dev/null
+++ b/borageworks_emulator/scenarios/rolling_restart.py
@@ -0,0 +1,53 @@
+"""Routers are stopped gracefully and started again, one after the other."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+
+from borageworks_emulator.load import LoadResult
+from borageworks_emulator.report import Check, Result
+from borageworks_emulator.scenario import Scenario, Stage, at_least, at_most
+from borageworks_emulator.scenarios.flows import everyday
+
+FROM_PART = 0.1
+UNTIL_PART = 0.9
+# Shorter than the time that a router goes on accepting after SIGTERM.
+BALANCER_LAG_S = 0.5
+MIN_RESTARTS = 2
+
+
+async def _faults(stage: Stage) -> None:
+    await stage.until(FROM_PART)
+    end = stage.began + UNTIL_PART * stage.options.duration_s
+    for index, router in enumerate(stage.fleet.routers):
+        if time.monotonic() >= end:
+            return
+        router.send(signal.SIGTERM)
+        stage.applied["router_terminated"] += 1
+        await asyncio.sleep(BALANCER_LAG_S)
+        stage.balancer.set_up(index, False)
+        code = await router.wait_exit()
+        stage.notes["failed_exits"] = stage.notes.get("failed_exits", 0) + (code != 0)
+        await router.start()
+        await router.wait_ready(stage.fleet.session)
+        stage.balancer.set_up(index, True)
+
+
+def _checks(result: Result, load: LoadResult) -> list[Check]:
+    return [
+        at_least(
+            "routers restarted", result.faults.get("router_terminated", 0), MIN_RESTARTS
+        ),
+        at_most("exit codes other than 0", result.notes.get("failed_exits", 0), 0),
+    ]
+
+
+ROLLING_RESTART = Scenario(
+    name="rolling-restart",
+    description="routers get SIGTERM and restart, one after the other",
+    flows=everyday,
+    faults=_faults,
+    checks=_checks,
+)
--- /dev/null
+++ b/borageworks_emulator/scenarios/store_outage.py
@@ -0,0 +1,54 @@
+"""The platform store is down for a while."""
+
+from __future__ import annotations
+
+from borageworks_emulator.analysis import Verdict
+from borageworks_emulator.load import LoadResult
+from borageworks_emulator.report import Check, Result
+from borageworks_emulator.scenario import Scenario, Stage, at_least, at_most
+from borageworks_emulator.scenarios.flows import everyday
+
+FROM_PART = 0.25
+UNTIL_PART = 0.6
+CLAIM_CODE = "claim_unavailable"
+
+
+async def _faults(stage: Stage) -> None:
+    await stage.until(FROM_PART)
+    stage.store.unavailable = True
+    stage.applied["store_outage"] += 1
+    await stage.until(UNTIL_PART)
+    stage.store.unavailable = False
+
+
+def _checks(result: Result, load: LoadResult) -> list[Check]:
+    refused = [call for call in load.calls if call.code == CLAIM_CODE]
+    back = load.began + 0.9 * result.duration_s
+    late = [
+        call
+        for call in load.calls
+        if call.key and call.sent > back and call.verdict is Verdict.ANSWERED
+    ]
+    return [
+        at_most(
+            "requests without key refused for the store",
+            sum(1 for call in refused if not call.key),
+            0,
+        ),
+        at_most(
+            "refusals for the store not marked not_run",
+            sum(1 for call in refused if call.ran != "not_run"),
+            0,
+        ),
+        at_least("protected answers after the outage", len(late), 1),
+    ]
+
+
+STORE_OUTAGE = Scenario(
+    name="store-outage",
+    description="the store refuses every call for a third of the run",
+    flows=everyday,
+    faults=_faults,
+    checks=_checks,
+    may_refuse=frozenset((CLAIM_CODE,)),
+)
--- /dev/null
+++ b/borageworks_emulator/scenarios/uneven.py
@@ -0,0 +1,28 @@
+"""Backlogged organisations reach the fleet through one router each."""
+
+from __future__ import annotations
+
+from borageworks_emulator.load import Flow
+from borageworks_emulator.scenario import Scenario
+from borageworks_emulator.scenarios.flows import LIGHT_PART, backlog, everyday
+from borageworks_emulator.topology import Topology
+
+
+def _flows(topology: Topology, routers: int) -> list[Flow]:
+    workers = 2 * topology.slots(topology.engine_pool)
+    first, second, third, *_, small, _ = topology.organisations
+    return [
+        *everyday(topology, routers, LIGHT_PART),
+        backlog(topology, first, workers, router=0),
+        backlog(topology, second, workers),
+        backlog(topology, third, workers, router=1 % routers),
+        backlog(topology, small, workers, router=2 % routers),
+    ]
+
+
+UNEVEN = Scenario(
+    name="uneven",
+    description="three backlogged organisations on one router each, one on all",
+    flows=_flows,
+    compared=True,
+)
--- /dev/null
+++ b/borageworks_emulator/tests/test_scenarios.py
@@ -0,0 +1,196 @@
+"""Tests of the scenarios' loads, faults and targets without router processes."""
+
+import asyncio
+import time
+from collections import Counter
+from types import SimpleNamespace
+from typing import Any
+
+import testtools
+
+from borageworks_emulator import targets
+from borageworks_emulator.analysis import CallRecord, Gap, Measures, Verdict
+from borageworks_emulator.load import Balancer, LoadResult, Trace
+from borageworks_emulator.report import Result
+from borageworks_emulator.scenario import Options, Stage, common_checks
+from borageworks_emulator.scenarios import SCENARIOS
+from borageworks_emulator.topology import PATITSA, TOPOLOGIES
+
+ROUTERS = 9
+
+
+def _result(name, measures, central):
+    result = Result(name, PATITSA.name, 1, ROUTERS, 10.0, measures, central)
+    result.notes = {
+        "idle_store_calls_per_second": 0.0,
+        "work_before": 1,
+        "last_new_work_s": 0.0,
+    }
+    return result
+
+
+def _measures(gap, utilisation, **fields):
+    measures = Measures(answers=10, **fields)
+    for pool in (PATITSA.engine_pool, PATITSA.plain_pool):
+        measures.fairness_gap[pool] = gap
+        measures.gap_detail[pool] = Gap(gap, pool, "org-0", "org-3", 9.0)
+        measures.utilisation[pool] = utilisation
+        measures.largest_units[pool] = 100.0
+    measures.wait[PATITSA.smallest] = 0.1
+    return measures
+
+
+def _missed(name, measures, central):
+    checks = common_checks(
+        SCENARIOS[name], Options(PATITSA), _result(name, measures, central)
+    )
+    return [check.name for check in checks if not check.passed]
+
+
+class CommonTargetTest(testtools.TestCase):
+    def test_equal_to_the_baseline_meets_all(self):
+        """Guards against targets that no fleet can meet."""
+        self.assertEqual(
+            [], _missed("flood", _measures(100.0, 1.0), _measures(100.0, 1.0))
+        )
+
+    def test_gap_and_utilisation_are_held_against_the_baseline(self):
+        """Guards against a fleet that is less fair or idle without a miss."""
+        missed = _missed("flood", _measures(151.0, 0.97), _measures(100.0, 1.0))
+        self.assertEqual(["fairness gap of models", "utilisation of models"], missed)
+
+    def test_gap_above_the_bound_is_missed_even_if_the_baseline_is_worse(self):
+        """Guards against a gap excused by a bad baseline."""
+        missed = _missed("flood", _measures(1e6, 1.0), _measures(1e6, 1.0))
+        self.assertEqual(["fairness gap of models, bound"], missed)
+
+    def test_each_zero_target_is_checked(self):
+        """Guards against a broken promise that the exit code does not show."""
+        for name in ("wrong", "lost", "incomplete", "doubled", "false_not_run", "cut"):
+            measures = _measures(1.0, 1.0, **{name: 1})
+            self.assertEqual([name], _missed("steady", measures, _measures(1.0, 1.0)))
+
+    def test_only_named_refusals_are_allowed(self):
+        """Guards against refusals under load that pass as normal."""
+        measures = _measures(1.0, 1.0, refusals={"claim_unavailable": 3})
+        central = _measures(1.0, 1.0)
+        self.assertEqual([], _missed("store-outage", measures, central))
+        self.assertEqual(1, len(_missed("steady", measures, central)))
+
+
+class ScenarioTargetTest(testtools.TestCase):
+    def checks(self, name, result, calls=()):
+        load = LoadResult(0.0, 10.0, list(calls))
+        return [c.name for c in SCENARIOS[name].checks(result, load) if not c.passed]
+
+    def test_wait_of_the_smallest_under_a_flood(self):
+        """Guards against a starved small organisation."""
+        measures, central = _measures(1.0, 1.0), _measures(1.0, 1.0)
+        self.assertEqual([], self.checks("flood", _result("flood", measures, central)))
+        measures.wait[PATITSA.smallest] = 0.151
+        self.assertEqual(
+            1, len(self.checks("flood", _result("flood", measures, central)))
+        )
+
+    def test_unreported_control_traffic_is_missed(self):
+        """Guards against a router without the counter that meets the target."""
+        result = _result("steady", _measures(1.0, 1.0), None)
+        self.assertEqual(2, len(self.checks("steady", result)))
+        result.control_bytes_per_second = targets.CONTROL_BYTES_PER_S
+        result.idle_cpu_percent = targets.CONTROL_CPU_PERCENT
+        self.assertEqual([], self.checks("steady", result))
+
+    def test_store_refusal_must_be_not_run_and_only_for_keys(self):
+        """Guards against an outage that blocks or misleads callers."""
+        calls = [
+            CallRecord("1", "a", "p", "k", 9.5, verdict=Verdict.ANSWERED),
+            CallRecord("2", "a", "p", "k", 4.0, code="claim_unavailable"),
+            CallRecord("3", "a", "p", "", 4.0, code="claim_unavailable"),
+        ]
+        for call in calls[1:]:
+            call.ran = "not_run"
+        result = _result("store-outage", _measures(1.0, 1.0), None)
+        self.assertEqual([], self.checks("store-outage", result, calls[:2]))
+        self.assertEqual(1, len(self.checks("store-outage", result, calls)))
+        calls[1].ran = "unknown"
+        self.assertEqual(1, len(self.checks("store-outage", result, calls[:2])))
+        calls[1].ran = "not_run"
+        self.assertEqual(1, len(self.checks("store-outage", result, calls[1:2])))
+
+
+class LoadTest(testtools.TestCase):
+    def test_every_load_repeats_and_fits_every_topology(self):
+        """Guards against scenarios whose runs cannot be compared."""
+        for topology in TOPOLOGIES.values():
+            for scenario in SCENARIOS.values():
+                flows = scenario.flows(topology, ROUTERS)
+                self.assertEqual(flows, scenario.flows(topology, ROUTERS))
+                for flow in flows:
+                    self.assertIn(flow.organisation, topology.shares)
+                    self.assertEqual(topology.service_pools[flow.service], flow.pool)
+                tags = [p.tag for p in Trace(flows, 1, 2.0).open_loop]
+                self.assertEqual(len(tags), len(set(tags)))
+
+    def test_everyday_load_has_the_rate_of_the_target(self):
+        """Guards against a control figure measured at a lower rate."""
+        flows = SCENARIOS["steady"].flows(PATITSA, ROUTERS)
+        rate = sum(flow.rate for flow in flows)
+        self.assertAlmostEqual(targets.RATE_PER_ROUTER * ROUTERS, rate)
+
+
+class _Router:
+    alive = True
+
+    def __init__(self):
+        self.signals = []
+
+    def send(self, number):
+        self.signals.append(number.name)
+
+    async def wait_exit(self):
+        return 0
+
+    async def start(self):
+        self.signals.append("start")
+
+    async def wait_ready(self, session):
+        self.signals.append("ready")
+
+
+class FaultTest(testtools.TestCase):
+    def run_faults(self, name, duration=0.2):
+        async def main():
+            fleet: Any = SimpleNamespace(
+                routers=[_Router() for _ in range(3)], session=None
+            )
+            store: Any = SimpleNamespace(
+                unavailable=False, faults=SimpleNamespace(lost_replies=0)
+            )
+            stage = Stage(
+                Options(PATITSA, duration_s=duration),
+                PATITSA.endpoints(),
+                fleet,
+                Balancer(["a", "b", "c"]),
+                store,
+                began=time.monotonic(),
+            )
+            await SCENARIOS[name].faults(stage)
+            return stage
+
+        return asyncio.run(main())
+
+    def test_killed_router_returns_and_excuses_only_itself(self):
+        """Guards against a fault that leaves the fleet smaller than announced."""
+        stage = self.run_faults("restart")
+        self.assertEqual(["SIGKILL", "start", "ready"], stage.fleet.routers[1].signals)
+        self.assertEqual([1], [excuse.target for excuse in stage.excused])
+        self.assertEqual(Counter(router_killed=1), stage.applied)
+
+    def test_switched_faults_are_off_at_the_end(self):
+        """Guards against an outage that reaches into the drain of the load."""
+        self.assertFalse(self.run_faults("store-outage").store.unavailable)
+        self.assertEqual(0, self.run_faults("lost-replies").store.faults.lost_replies)
+        slow = self.run_faults("slow-engine")
+        self.assertEqual([1.0] * 8, [e.faults.slowdown for e in slow.endpoints])
+        crossed = self.run_faults("crossed-answers")
+        self.assertEqual([0] * 8, [e.faults.crossed for e in crossed.endpoints])
