--- a/borageworks/__main__.py
+++ b/borageworks/__main__.py
@@ -4,6 +4,8 @@
 
 from borageworks import __version__
 from borageworks.commands.check import check
+from borageworks.commands.measure import measure
+from borageworks.commands.run import run
 from borageworks.commands.status import status
 from borageworks.commands.ticket import ticket
 
@@ -15,6 +17,8 @@
 
 
 cli.add_command(check)
+cli.add_command(measure)
+cli.add_command(run)
 cli.add_command(status)
 cli.add_command(ticket)
 
--- /dev/null
+++ b/borageworks/commands/run.py
@@ -0,0 +1,49 @@
+"""`borageworks run`: one router process."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import click
+import eliot
+
+from borageworks.commands.loop import run_loop
+from borageworks.config.loader import load_settings
+from borageworks.config.settings import Settings
+from borageworks.exceptions import SettingsInvalidError
+from borageworks.router.router import Router
+
+EXIT_SETTINGS = 2
+
+
+async def _serve(settings: Settings) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    router = Router(settings)
+    await router.start()
+    host, port = router.address
+    click.echo(f"{settings.instance} listens on {host}:{port}", err=True)
+    await stop.wait()
+    await router.stop()
+
+
+@click.command()
+@click.argument("path", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+def run(path: Path) -> None:
+    """Run one router with the settings in PATH until SIGTERM."""
+    try:
+        settings = load_settings(path)
+    except SettingsInvalidError as error:
+        for reason in error.reasons:
+            click.echo(reason, err=True)
+        sys.exit(EXIT_SETTINGS)
+    if settings.log_file is not None:
+        eliot.to_file(open(settings.log_file, "ab"))  # noqa: SIM115
+    else:
+        eliot.to_file(sys.stderr)
+    run_loop(_serve(settings))
--- a/borageworks_emulator/scenario.py
+++ b/borageworks_emulator/scenario.py
@@ -27,6 +27,8 @@
 from borageworks_emulator.store import EmulatedStore
 from borageworks_emulator.topology import AnyEndpoint, Topology
 
+# Instances take up their roles and load the configuration within this time.
+SETTLE_S = 3.0
 IDLE_SPAN_S = 4.0
 
 
@@ -203,6 +205,7 @@
 
 async def _measure_idle(stage: Stage, result: Result) -> None:
     """Measure what the fleet does without any request."""
+    await asyncio.sleep(SETTLE_S)
     before, calls = await stage.fleet.sample(), Counter(stage.store.calls)
     await asyncio.sleep(IDLE_SPAN_S)
     after = await stage.fleet.sample()
