Keep the window open when a late report describes ended load

Cause: the decrease started from the slots held since the last report, so a late report of a burst that had ended would set the limit to 1. Change: the requests that the report describes count as well, and a report at most halves the limit. Conclusion: three reports over the target on an idle endpoint leave 50 of 60 slots.

--- a/borageworks/fair/tests/naive_window.py
+++ b/borageworks/fair/tests/naive_window.py
@@ -60,13 +60,13 @@
         target = self.settings.token_interval_target_s
         interval = report.token_interval_s
         running = report.running or limit
-        used = min(limit, max(1, peak))
         if report.waiting or interval > target:
             safe = limit if report.waiting else int(running * target / interval)
             seen = running + report.waiting
+            used = min(limit, max(1, peak, seen))
             if seen <= limit and in_use <= limit:
                 safe = min(safe, int(used * 0.9))
-            return max(1, min(limit, max(safe, used // 2)))
+            return max(1, min(limit, max(safe, limit // 2)))
         if interval < 0.8 * target and peak >= limit:
             safe = int(running * 0.8 * target / interval)
             step = max(1, self.largest // 64)
--- a/borageworks/fair/tests/test_window.py
+++ b/borageworks/fair/tests/test_window.py
@@ -148,6 +148,13 @@
         self.run_engine(30, waiting=3)
         self.assertEqual(8, self.window.limit)
 
+    def test_late_report_after_a_burst_does_not_close_the_window(self):
+        """Guards against a limit of 1 taken from a report of a load that has ended."""
+        window = Window(WindowSettings(), 60, 60)
+        for second in range(3):
+            window.on_report(float(second), LoadReport(60, 0, 0.06, "1"))
+        self.assertGreaterEqual(window.limit, 50)
+
     def test_engine_that_holds_requests_back_gets_fewer(self):
         """Guards against queueing inside an engine, where no order is kept."""
         for _ in range(8):
--- a/borageworks/fair/window.py
+++ b/borageworks/fair/window.py
@@ -224,8 +224,9 @@
 
     def _shrink(self, safe: int, seen: int, floor: int = 1) -> None:
         self._shrunk = True
-        used = min(self._limit, max(1, self._peak))
-        lowest = int(used / LARGEST_STEP_RATIO)
+        # A late report can describe more requests than have held a slot since.
+        used = min(self._limit, max(1, self._peak, seen))
+        lowest = int(self._limit / LARGEST_STEP_RATIO)
         # Until an earlier decrease has taken effect, a report shows the former load.
         if max(seen, self._in_use) <= self._limit:
             safe = min(safe, int(used * DECREASE_RATIO))
