--- /dev/null
+++ b/borageworks/claims/retained.py
@@ -0,0 +1,22 @@
+"""A retained response."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+# Allowance for the dictionary entry, key hash and object headers.
+OVERHEAD_BYTES = 400
+
+
+@dataclass(frozen=True, slots=True)
+class RetainedAnswer:
+    """Complete response of a non-idempotent request."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+    @property
+    def size(self) -> int:
+        """Memory in bytes, approximately."""
+        return OVERHEAD_BYTES + len(self.content_type) + len(self.body)
--- a/borageworks/exceptions.py
+++ b/borageworks/exceptions.py
@@ -76,6 +76,12 @@
     code = "store_reply_malformed"
 
 
+class ClaimSegmentMalformedError(BorageworksError):
+    """A claim segment in the platform store cannot be decoded."""
+
+    code = "claim_segment_malformed"
+
+
 class MessageMalformedError(BorageworksError):
     """Bytes from another instance are not a valid message."""
 
