--- a/borageworks/membership/gossip.py
+++ b/borageworks/membership/gossip.py
@@ -156,9 +156,9 @@
                 membership.probe_timeout_s / TICKS_PER_TIMEOUT,
                 membership.probe_interval_s / TICKS_PER_INTERVAL,
             ),
-            self._tick,
+            lambda _now: self._tick(),
         )
-        self._tick(self._last_tick)
+        self._tick()
 
     async def stop(self) -> None:
         """Close the socket; after `leave`, tell others that the instance is gone."""
@@ -235,10 +235,10 @@
         self._on_paused()
         self._execute(actions)
 
-    def _tick(self, now: float) -> None:
+    def _tick(self) -> None:
         self._notice_pause()
-        self._last_tick = now
-        self._execute(self._membership.tick(now))
+        self._last_tick = self._timers.now()
+        self._execute(self._membership.tick(self._last_tick))
 
     def _open(self, data: bytes) -> Datagram:
         if len(data) > PACKET_BYTES:
--- a/borageworks/membership/membership.py
+++ b/borageworks/membership/membership.py
@@ -86,8 +86,12 @@
 
 @dataclass(slots=True)
 class _Candidate:
+    """A member of the own domain that only another domain says is alive."""
+
     update: MemberUpdate
+    teller: str
     expires: float
+    answers_others: bool = False
 
 
 @dataclass(slots=True)
@@ -369,7 +373,7 @@
         elif update.state is MemberState.DEAD:
             if (
                 known is not None
-                and known.state is MemberState.ALIVE
+                and known.state in (MemberState.ALIVE, MemberState.SUSPECT)
                 and (listed or not trusted or sender.domain != self._own.domain)
             ):
                 # The sender may have been on the other side of a partition.
@@ -378,7 +382,7 @@
             known is None or known.state is MemberState.DEAD
         ):
             # It may be long dead, or cut off from this instance but not from others.
-            self._try_candidate(now, update, actions)
+            self._try_candidate(now, update, sender, actions)
             return
         if known is None:
             if update.state is MemberState.DEAD and listed:
@@ -453,7 +457,11 @@
                 bridge.queue.put(update)
 
     def _try_candidate(
-        self, now: float, update: MemberUpdate, actions: list[Action]
+        self,
+        now: float,
+        update: MemberUpdate,
+        teller: MemberUpdate,
+        actions: list[Action],
     ) -> None:
         tried = self._candidates.get(update.instance)
         if len(self._candidates) >= CANDIDATES or (
@@ -461,19 +469,31 @@
         ):
             return
         expires = now + self._settings.probe_interval_s * CANDIDATE_INTERVALS
-        self._candidates[update.instance] = _Candidate(update, expires)
+        candidate = _Candidate(update, teller.instance, expires)
+        self._candidates[update.instance] = candidate
         if tried is None:
-            self._ping(now, update, actions)
+            self._probe_candidate(now, candidate, actions)
+
+    def _probe_candidate(
+        self, now: float, candidate: _Candidate, actions: list[Action]
+    ) -> None:
+        sequence = self._ping(now, candidate.update, actions)
+        self._probes[sequence].relays_asked = True
+        teller = self._updates.get(candidate.teller)
+        if teller is not None:
+            request = PingRequest(sequence, self._own, candidate.update.instance)
+            self._send(_address(teller), request, actions)
 
     def _check_candidates(self, now: float, actions: list[Action]) -> None:
         for instance, candidate in list(self._candidates.items()):
-            if candidate.expires <= now:
-                del self._candidates[instance]
-                if instance not in self._updates:
-                    # Other domains still list a member that this domain has forgotten.
-                    self._store(
-                        now, replace(candidate.update, state=MemberState.DEAD), actions
-                    )
+            if candidate.expires > now:
+                continue
+            del self._candidates[instance]
+            # If it answers other domains, this instance is cut off from it, and its
+            # death would be refuted and declared again for as long as that lasts.
+            if not candidate.answers_others:
+                update = replace(candidate.update, state=MemberState.DEAD)
+                self._store(now, update, actions)
 
     def _suspect(self, now: float, instance: str, actions: list[Action]) -> None:
         update = self._updates.get(instance)
@@ -509,7 +529,7 @@
 
     def _run_interval(self, now: float, actions: list[Action]) -> None:
         for candidate in self._candidates.values():
-            self._ping(now, candidate.update, actions)
+            self._probe_candidate(now, candidate, actions)
         self._list_packets = LIST_PACKETS
         self._forget(now)
         target = self._next_target()
@@ -613,7 +633,7 @@
         actions: list[Action],
         suspects: bool = False,
         relay_for: tuple[str, int] | None = None,
-    ) -> None:
+    ) -> int:
         timeout = self._settings.probe_timeout_s
         sequence = self._sequence
         self._sequence += 1
@@ -628,6 +648,7 @@
             relay_for,
         )
         self._send(_address(target), self._make_ping(sequence, target), actions)
+        return sequence
 
     def _make_ping(self, sequence: int, target: MemberUpdate | None) -> Ping:
         revision, content_hash = self._catalog_version()
@@ -667,6 +688,10 @@
             sender.domain == self._own.domain or not self._own_live()
         ):
             self._acknowledged = True
+        candidate = self._candidates.get(probe.target)
+        if candidate is not None:
+            candidate.answers_others = True
+            return
         target = self._updates.get(probe.target)
         if target is None:
             return
@@ -744,17 +769,31 @@
         self._request_list(self._updates[self._rng.choice(list(live))], actions)
 
     def _request_list(self, member: MemberUpdate, actions: list[Action]) -> None:
-        request = PingRequest(self._digest, self._own, "", self._piggyback(member))
+        digest = self._digest
+        if member.domain == self._own.domain:
+            digest ^= self._summary_digest()
+        request = PingRequest(digest, self._own, "", self._piggyback(member))
         self._send(_address(member), request, actions)
 
+    def _summary_digest(self) -> int:
+        digest = 0
+        live = self._own_live()
+        for (instance, _), summary in self._summaries.items():
+            if instance in live or instance == self._own.instance:
+                text = f"{instance} {summary.domain} {summary.incarnation}"
+                digest ^= xxhash.xxh32_intdigest(text.encode())
+        return digest
+
     def _send_list(
         self, receiver: MemberUpdate, digest: int, actions: list[Action]
     ) -> None:
-        if digest == self._digest:
-            return
+        own_digest = self._digest
         updates = list(self._updates.values())
         if receiver.domain == self._own.domain:
+            own_digest ^= self._summary_digest()
             updates += self._summaries.values()
+        if digest == own_digest:
+            return
         # With a different start each time, repeated requests fill the gaps that a
         # bound or a loss has left.
         start = self._rng.randrange(len(updates) + 1)
