Move the view of other domains out of the membership state machine

Cause: membership.py held two concerns. A bridge that restarted with an earlier clock could also publish summaries older than those of its former process, which others ignored. Change: DomainView chooses bridges and combines their summaries; a new summary is newer than any earlier one of the same instance that is known. Conclusion: the state machine is shorter and the summary versions always rise.

--- a/borageworks/membership/membership.py
+++ b/borageworks/membership/membership.py
@@ -14,10 +14,10 @@
 from borageworks.membership.actions import (
     Action,
     Address,
-    DomainReachable,
     MemberChanged,
     SendTo,
 )
+from borageworks.membership.domain_view import DomainView, is_summary
 from borageworks.membership.member import Member
 from borageworks.membership.update_queue import UpdateQueue, packed_size
 from borageworks.wire.messages import Ack, MemberState, MemberUpdate, Ping, PingRequest
@@ -34,7 +34,6 @@
 # A member that only heard of a suspicion waits this many times longer for the verdict
 # of those whose own probe failed, which keeps one lossy prober from spreading deaths.
 HEARSAY_FACTOR = 5
-BRIDGES = 2  # members per domain that probe another domain
 BRIDGE_TRANSMISSIONS = 4  # per update and bridge
 UNREACHABLE_INTERVALS = 5
 UNREACHABLE_PROBES = 3
@@ -48,7 +47,6 @@
 CANDIDATES = 256
 CANDIDATE_INTERVALS = 3  # one lost probe must not let a live member be taken for dead
 FORGET_S = 3600.0  # domains lose contact for up to an hour
-SUMMARY_PREFIX = "@"  # not allowed in an instance id
 LIST_SEQUENCE = 0
 SPREAD_SEQUENCE = 1
 FIRST_SEQUENCE = 2
@@ -154,11 +152,8 @@
         self._buried: dict[str, float] = {}
         self._candidates: dict[str, _Candidate] = {}
         self._bridges: dict[str, _Bridge] = {}
-        self._bridge_ids: dict[str, tuple[str, ...]] = {}
+        self._view = DomainView(own.instance, own.domain)
         self._bridges_stale = False
-        self._summaries: dict[tuple[str, str], MemberUpdate] = {}
-        self._unreachable: set[str] = set()
-        self._summary_version = incarnation
         self._intervals = 0
         self._phase = rng.randrange(SEED_INTERVALS * DEAD_PROBE_INTERVALS)
         self._next_interval: float | None = None
@@ -184,7 +179,7 @@
     @property
     def unreachable_domains(self) -> frozenset[str]:
         """Other domains of which no probed member answers."""
-        return frozenset(self._unreachable)
+        return self._view.unreachable
 
     @property
     def confirmed(self) -> bool:
@@ -360,7 +355,7 @@
         if update.instance == self._own.instance:
             self._refute(update, actions)
             return
-        if update.instance.startswith(SUMMARY_PREFIX):
+        if is_summary(update):
             if sender.domain == self._own.domain:
                 self._hear_summary(update, actions)
             return
@@ -522,8 +517,7 @@
             if forget_at <= now:
                 del self._buried[instance], self._updates[instance]
                 del self._members[instance]
-                for key in [key for key in self._summaries if key[0] == instance]:
-                    del self._summaries[key]
+                self._view.forget(instance)
 
     # Probes
 
@@ -596,7 +590,7 @@
         bridge.probed.add(target)
         self._ping(now, self._updates[target], actions)
         bridge.sync_in -= 1
-        if bridge.sync_in <= 0 and domain not in self._unreachable:
+        if bridge.sync_in <= 0 and domain not in self._view.unreachable:
             bridge.sync_in = self._sync_pause()
             self._request_list(self._updates[target], actions)
 
@@ -747,7 +741,7 @@
         if self._queue and (live := self._own_live()):
             self._send_spread(self._rng.choice(list(live)), actions)
         for domain, bridge in self._bridges.items():
-            if bridge.queue and domain not in self._unreachable:
+            if bridge.queue and domain not in self._view.unreachable:
                 live = self._live[domain]
                 self._send_spread(self._rng.choice(list(live)), actions)
 
@@ -771,27 +765,18 @@
     def _request_list(self, member: MemberUpdate, actions: list[Action]) -> None:
         digest = self._digest
         if member.domain == self._own.domain:
-            digest ^= self._summary_digest()
+            digest ^= self._view.digest(self._own_live())
         request = PingRequest(digest, self._own, "", self._piggyback(member))
         self._send(_address(member), request, actions)
 
-    def _summary_digest(self) -> int:
-        digest = 0
-        live = self._own_live()
-        for (instance, _), summary in self._summaries.items():
-            if instance in live or instance == self._own.instance:
-                text = f"{instance} {summary.domain} {summary.incarnation}"
-                digest ^= xxhash.xxh32_intdigest(text.encode())
-        return digest
-
     def _send_list(
         self, receiver: MemberUpdate, digest: int, actions: list[Action]
     ) -> None:
         own_digest = self._digest
         updates = list(self._updates.values())
         if receiver.domain == self._own.domain:
-            own_digest ^= self._summary_digest()
-            updates += self._summaries.values()
+            own_digest ^= self._view.digest(self._own_live())
+            updates += self._view.summaries
         if digest == own_digest:
             return
         # With a different start each time, repeated requests fill the gaps that a
@@ -824,7 +809,6 @@
 
     def _choose_bridges(self, now: float, actions: list[Action]) -> None:
         self._bridges_stale = False
-        own = self._own.domain
         usable = [
             instance
             for instance in self._own_live()
@@ -832,27 +816,13 @@
         ]
         if self._own.state is MemberState.ALIVE or not usable:
             usable.append(self._own.instance)
-        domains = [domain for domain, live in self._live.items() if live]
-        self._bridge_ids = {
-            domain: tuple(
-                sorted(
-                    usable,
-                    key=lambda instance: xxhash.xxh64_intdigest(
-                        f"{own} {domain} {instance}".encode()
-                    ),
-                )[:BRIDGES]
-            )
-            for domain in domains
-            if domain != own
+        self._view.choose(usable, [name for name, live in self._live.items() if live])
+        self._bridges = {
+            domain: self._bridges.get(domain)
+            or _Bridge(now, self._rng.randint(1, SYNC_INTERVALS))
+            for domain in self._view.bridged()
         }
-        bridges: dict[str, _Bridge] = {}
-        for domain, chosen in self._bridge_ids.items():
-            if self._own.instance in chosen:
-                bridges[domain] = self._bridges.get(domain) or _Bridge(
-                    now, self._rng.randint(1, SYNC_INTERVALS)
-                )
-        self._bridges = bridges
-        self._review_domains(actions)
+        actions.extend(self._view.review())
 
     def _publish(
         self, domain: str, bridge: _Bridge, reachable: bool, actions: list[Action]
@@ -862,40 +832,10 @@
         bridge.published = reachable
         if reachable:
             bridge.sync_in = min(bridge.sync_in, 1)
-        self._summary_version = max(self._summary_version + 1, self._own.incarnation)
-        summary = MemberUpdate(
-            SUMMARY_PREFIX + self._own.instance,
-            domain,
-            "",
-            0,
-            0,
-            self._summary_version,
-            MemberState.ALIVE if reachable else MemberState.DEAD,
-        )
+        summary = self._view.summarise(domain, reachable, self._own.incarnation)
         self._hear_summary(summary, actions)
 
     def _hear_summary(self, summary: MemberUpdate, actions: list[Action]) -> None:
-        key = (summary.instance[len(SUMMARY_PREFIX) :], summary.domain)
-        known = self._summaries.get(key)
-        if known is not None and known.incarnation >= summary.incarnation:
-            return
-        self._summaries[key] = summary
-        self._queue.put(summary)
-        self._review_domains(actions)
-
-    def _review_domains(self, actions: list[Action]) -> None:
-        for domain, chosen in self._bridge_ids.items():
-            verdicts = [
-                summary.state is MemberState.ALIVE
-                for instance in chosen
-                if (summary := self._summaries.get((instance, domain))) is not None
-            ]
-            if not verdicts:
-                continue
-            reachable = any(verdicts)
-            if reachable == (domain in self._unreachable):
-                if reachable:
-                    self._unreachable.discard(domain)
-                else:
-                    self._unreachable.add(domain)
-                actions.append(DomainReachable(domain, reachable))
+        if self._view.hear(summary):
+            self._queue.put(summary)
+            actions.extend(self._view.review())
