Test that a bucket older than the head is read again

Cause: a changed line that accepted such a bucket passed every test. Change: a store that returns one old bucket after a ticket. Conclusion: none beyond the test.

--- a/borageworks/catalog/tests/test_sync.py
+++ b/borageworks/catalog/tests/test_sync.py
@@ -247,6 +247,28 @@
 
         run(scenario())
 
+    def test_bucket_older_than_the_head_is_read_again(self):
+        """Guards against a revision that is reported without its objects."""
+
+        class StaleStore(FakeStore):
+            async def get(self, key):
+                self.stale = getattr(self, "stale", {})
+                current = await super().get(key)
+                return self.stale.pop(key, current) if "bucket" in key else current
+
+        async def scenario():
+            store, fleet = StaleStore(), Fleet()
+            await apply(store, 1, organisation("a"))
+            lone = await fleet.add("lone", "d1", store)
+            await asyncio.sleep(5)
+            store.stale = {k: v for k, v in store.values.items() if "bucket" in k}
+            revision = await apply(store, 2, organisation("a", share=2.0))
+            await fleet.settled(revision)
+            self.assertEqual(2.0, lone.replica.organisations["a"].share)
+            await fleet.stop()
+
+        run(scenario())
+
     def test_another_instance_takes_over_from_a_watcher(self):
         """Guards against a domain that stops following the store."""
 
