Test that a settled loss is not reported as unknown

Cause: a changed line that kept the outcome unknown passed every test. Change: a store where another ticket follows a lost request. Conclusion: none beyond the test.

--- a/borageworks/catalog/tests/test_tickets.py
+++ b/borageworks/catalog/tests/test_tickets.py
@@ -86,6 +86,25 @@
         store.down = False
         self.assertTrue(apply(store, change).replayed)
 
+    def test_settled_loss_is_not_reported_as_unknown(self):
+        """Guards against an unknown outcome where the ticket can take no effect."""
+
+        class BusyStore(FakeStore):
+            async def commit(self, transaction):
+                if self.calls["commit"] == 1:
+                    self.down = True
+                try:
+                    return await super().commit(transaction)
+                finally:
+                    # Another ticket moves the head past the lost one.
+                    self.revision += 1
+                    head = StoredValue(Head().encode(), self.revision)
+                    self.values[CatalogKeys(PREFIX).head] = head
+
+        store = BusyStore(lost_replies=["before"])
+        change = ticket(5, organisation("a"))
+        self.assertRaises(StoreUnavailableError, apply, store, change)
+
     def test_every_reply_lost_ends_as_unknown(self):
         """Guards against an endless loop and against a wrong final report."""
         store = FakeStore(lost_replies=["before"] * 100)
