Send recent changes with a digest and pull only on an answer

At 28,000 organisations a bucket is 84 KB of objects, and most pulls fetched nothing new or one object. Change: an instance that gets a digest first sends its recent changes (64 at most) in the differing buckets, then its own digest; buckets are pulled only on a digest that answers one's own. From a peer that stays behind for 10 s, four buckets are fetched. The test of answered digests lists the new messages; the test of large replies uses 3,000 objects, as its replies must be many times the largest message, which is now bigger.

--- a/borageworks/catalog/sync.py
+++ b/borageworks/catalog/sync.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import (
     Callable,
     Coroutine,
@@ -12,7 +13,7 @@
     Sequence,
 )
 
-from borageworks.catalog.buckets import BUCKETS
+from borageworks.catalog.buckets import BUCKETS, bucket_of
 from borageworks.catalog.digest import Digest
 from borageworks.catalog.follower import StoreFollower
 from borageworks.catalog.replica import Replica
@@ -55,12 +56,16 @@
 ROLE_INTERVAL_S = 1.0
 EXCHANGE_INTERVAL_S = 0.5
 
-# A peer with an older revision rarely holds anything newer. A few of its buckets are
-# still fetched now and then, in case it alone received an object before the store and
-# the sender failed.
-BEHIND_PULL_INTERVAL_S = 10.0
+# A peer with an older revision mostly holds nothing newer. If it stays behind for this
+# long, a few of its buckets are fetched: it may alone have received an object before
+# the store and the sender failed.
+BEHIND_PULL_AFTER_S = 10.0
 BEHIND_PULL_BUCKETS = 4
 
+# A peer that missed a push lacks some of the last few changes; more than one message
+# of them would not pay, since they go out whenever digests differ.
+RECENT_OBJECTS = MESSAGE_LIMIT_OBJECTS
+
 RETRY_S = 1.0
 RETRY_MAX_S = 30.0
 
@@ -127,9 +132,11 @@
         self._reply_task: asyncio.Task[None] | None = None
         # Version that peers reported in heartbeats, where it differs from ours.
         self._differing: dict[str, tuple[int, int]] = {}
+        self._recent: deque[Versioned] = deque(maxlen=RECENT_OBJECTS)
         self._replies: dict[tuple[str, int], None] = {}
         self._store_tried = False
-        self._next_behind_pull = 0.0
+        # Time since when a peer with an older revision differs.
+        self._behind: dict[str, float] = {}
         self._pulled_until = [0.0] * BUCKETS
         self._digest_sent: dict[str, float] = {}
         self._changed_at = 0.0
@@ -184,6 +191,7 @@
         if content == self._replica.version()[1]:
             self._replica.note_revision(revision)
             self._differing.pop(instance, None)
+            self._behind.pop(instance, None)
         else:
             self._differing[instance] = (revision, content)
 
@@ -223,16 +231,43 @@
             return
         if self._loading:
             return
-        ours = self._replica.digest()
+        asked = sender in self._digest_sent
+        if asked:
+            self._pull_differing(sender, theirs, differing)
+        if self._replica.revision:
+            self._send_recent(sender, differing)
+        if not asked:
+            self._send_digest(sender)
+
+    def _pull_differing(
+        self, sender: str, theirs: Digest, differing: Sequence[int]
+    ) -> None:
         # An empty bucket has nothing to fetch.
         filled = [index for index in differing if theirs.hashes[index]]
-        if theirs.revision >= ours.revision:
+        if theirs.revision >= self._replica.revision:
             self._pull(sender, filled)
-        elif self._timers.now() >= self._next_behind_pull and filled:
-            self._next_behind_pull = self._timers.now() + BEHIND_PULL_INTERVAL_S
+            return
+        now = self._timers.now()
+        since = self._behind.setdefault(sender, now)
+        if now - since >= BEHIND_PULL_AFTER_S and filled:
+            self._behind[sender] = now
             count = min(BEHIND_PULL_BUCKETS, len(filled))
             self._pull(sender, self._rng.sample(filled, count))
-        self._send_digest(sender)
+
+    def _send_recent(self, peer: str, buckets: Sequence[int]) -> None:
+        """Send the recent changes in some buckets.
+
+        They are mostly all that the peer lacks, and far smaller than the buckets. They
+        go before the digest, so the peer then sees no difference that it would pull.
+        """
+        wanted = set(buckets)
+        encoded = [
+            item.encode()
+            for item in self._recent
+            if bucket_of(item.kind, item.id) in wanted
+        ]
+        for message in _split(encoded):
+            self._send_objects(peer, message)
 
     def _take_pull(self, sender: str, message: CatalogPull) -> None:
         indexes = [index for index in message.buckets if 0 <= index < BUCKETS]
@@ -246,6 +281,7 @@
     def _merge(self, objects: Iterable[Versioned]) -> list[Versioned]:
         changed = self._replica.merge(objects)
         if changed:
+            self._recent.extend(changed)
             self._changed_at = self._timers.now()
             self._metrics.count("catalog_objects_changed", amount=len(changed))
             emit(
@@ -328,12 +364,13 @@
             and now - self._exchanged_at < SETTLE_LIMIT_S
         ):
             return
-        content = self._replica.version()[1]
         members = [
             member.id
             for member in self._members()
             if member.id != self._settings.instance
         ]
+        self._behind = {p: t for p, t in self._behind.items() if p in members}
+        content = self._replica.version()[1]
         candidates = [
             peer
             for peer in members
--- a/borageworks/catalog/tests/test_sync.py
+++ b/borageworks/catalog/tests/test_sync.py
@@ -9,6 +9,7 @@
 
 from borageworks.catalog import follower
 from borageworks.catalog import sync as sync_module
+from borageworks.catalog.buckets import bucket_of
 from borageworks.catalog.keys import CATALOG_PREFIX
 from borageworks.catalog.tests.builders import organisation, ticket
 from borageworks.catalog.tests.fakes import FakeStore
@@ -140,17 +141,22 @@
             ours = lone.replica.digest()
             empty = CatalogDigest(0, (0,) * len(ours.hashes))
             newer = CatalogDigest(ours.revision + 1, (7, *ours.hashes[1:]))
+            self.assertNotEqual(0, bucket_of("organisation", "a"))
             for _ in range(2):
                 lone.sync.receive("behind", empty)
                 lone.sync.receive("ahead", newer)
                 lone.sync.receive("also-ahead", newer)
             answer = CatalogDigest(ours.revision, ours.hashes)
+            recent = Versioned("organisation", "a", 1, organisation("a"))
+            objects = CatalogObjects((recent.encode(),))
             self.assertEqual(
                 [
+                    ("behind", objects),
                     ("behind", answer),
-                    ("ahead", CatalogPull((0,))),
                     ("ahead", answer),
                     ("also-ahead", answer),
+                    ("behind", objects),
+                    ("ahead", CatalogPull((0,))),
                 ],
                 [(receiver, message) for _, receiver, message in fleet.sent],
             )
@@ -312,7 +318,7 @@
 
         async def scenario():
             store, fleet = FakeStore(), Fleet()
-            names = tuple(f"organisation-with-a-long-name-{n:05d}" for n in range(900))
+            names = tuple(f"organisation-with-a-long-name-{n:05d}" for n in range(3000))
             await apply(store, 1, *(organisation(name) for name in names))
             await start(fleet, store, 2)
             await fleet.settled()
@@ -321,7 +327,7 @@
             late = await fleet.add("late", "d1", store)
             sent = [i.metrics for i in fleet.instances.values()]
             await fleet.settled()
-            self.assertEqual(900, len(late.replica.organisations))
+            self.assertEqual(3000, len(late.replica.organisations))
             total = sum(metrics.value("catalog_bytes_sent") for metrics in sent)
             self.assertGreater(total, fleet.largest_frame * 20)
             self.assertLess(fleet.largest_frame, FRAME_LIMIT_BYTES)
