Test the first ticket against the operators' command

Cause: the fleet is created through `borageworks ticket apply`. Change: a test applies the ticket of a preset with the command to an emulated store and expects an older ticket to be refused. Conclusion: the command accepts the ticket as written.

--- a/borageworks_emulator/tests/test_fleet.py
+++ b/borageworks_emulator/tests/test_fleet.py
@@ -12,7 +12,13 @@
 
 from borageworks.catalog.objects import Ticket
 from borageworks.config.settings import Settings
-from borageworks_emulator.fleet import FleetSample, largest_rate, router_settings
+from borageworks_emulator.fleet import (
+    Fleet,
+    FleetSample,
+    TicketFailedError,
+    largest_rate,
+    router_settings,
+)
 from borageworks_emulator.probe import (
     RouterNotReadyError,
     control_bytes,
@@ -20,6 +26,7 @@
     wait_ready,
 )
 from borageworks_emulator.process import RouterProcess
+from borageworks_emulator.store import EmulatedStore
 from borageworks_emulator.topology import PATITSA, SLAAPCEL
 
 
@@ -61,6 +68,36 @@
             self.assertEqual(pools, used)
 
 
+class TicketTest(testtools.TestCase):
+    def test_operators_command_accepts_the_ticket_and_refuses_an_older_one(self):
+        """Guards against a deployment that the operators' command cannot create."""
+
+        async def main(directory):
+            store = EmulatedStore()
+            endpoints = PATITSA.endpoints()
+            await store.start()
+            try:
+                for endpoint in endpoints:
+                    await endpoint.start()
+                [settings] = router_settings(PATITSA, 1, store.url)
+                fleet = Fleet([settings], directory)
+                await fleet.apply(PATITSA.ticket(endpoints, number=2))
+                try:
+                    await fleet.apply(PATITSA.ticket(endpoints[:-1], number=1))
+                except TicketFailedError as error:
+                    return store.calls["txn"], str(error)
+                return store.calls["txn"], ""
+            finally:
+                for endpoint in endpoints:
+                    await endpoint.stop()
+                await store.stop()
+
+        with tempfile.TemporaryDirectory() as directory:
+            writes, error = asyncio.run(main(Path(directory)))
+        self.assertTrue(writes >= 1)
+        self.assertIn("ticket_conflict", error)
+
+
 class SampleTest(testtools.TestCase):
     def test_restarted_routers_do_not_count(self):
         """Guards against a rate from counters that a restart set back."""
