--- a/borageworks/commands/measure.py
+++ b/borageworks/commands/measure.py
@@ -8,10 +8,11 @@
 from pathlib import Path
 
 import click
+import orjson
 
 from borageworks.commands.loop import run_loop
 from borageworks_emulator.report import Result
-from borageworks_emulator.scenario import Options, run_scenario
+from borageworks_emulator.scenario import Options, median_checks, run_scenario
 from borageworks_emulator.scenarios import SCENARIOS
 from borageworks_emulator.topology import PATITSA, TOPOLOGIES
 
@@ -51,6 +52,7 @@
     name: str | None,
     list_names: bool,
     seed: int,
+    repeat: int,
     routers: int,
     duration: float,
     topology: str,
@@ -64,18 +66,23 @@
         return
     if name is None:
         raise click.UsageError("name a scenario or use --list")
-    options = Options(TOPOLOGIES[topology], seed, routers, duration, directory)
-    result = run_loop(_run(name, options))
-    table = result.table(options.topology.shares)
-    if json_file is None:
-        click.echo(table)
-    elif str(json_file) == "-":
-        click.echo(table, err=True)
-        click.echo(result.json())
-    else:
-        click.echo(table)
-        json_file.write_bytes(result.json())
-    if not result.passed:
+    found = []
+    for number in range(seed, seed + repeat):
+        options = Options(TOPOLOGIES[topology], number, routers, duration, directory)
+        found.append(run_loop(_run(name, options)))
+        click.echo(found[-1].table(options.topology.shares) + "\n", err=bool(json_file))
+    checks = median_checks(SCENARIOS[name], found) if repeat > 1 else []
+    for check in checks:
+        click.echo(check.line(), err=bool(json_file))
+    documents = [result.document() for result in found]
+    encoded = orjson.dumps(
+        documents if repeat > 1 else documents[0], option=orjson.OPT_INDENT_2
+    )
+    if json_file is not None and str(json_file) == "-":
+        click.echo(encoded)
+    elif json_file is not None:
+        json_file.write_bytes(encoded)
+    if not all([*(one.passed for one in found), *(one.passed for one in checks)]):
         sys.exit(EXIT_MISSED)
 
 
--- a/borageworks_emulator/process.py
+++ b/borageworks_emulator/process.py
@@ -11,11 +11,13 @@
 import aiohttp
 
 from borageworks.config.settings import Settings
+from borageworks.events import Event
 from borageworks_emulator.probe import RouterNotReadyError, wait_ready
 
 READY_LIMIT_S = 30.0
 EXIT_LIMIT_S = 90.0
 KILL_LIMIT_S = 5.0
+ERROR_MARKS = (Event.TASK_FAILED.message_type, "Traceback", "Error handling request")
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 PROJECT_ROOT = Path(__file__).resolve().parent.parent
 
@@ -101,6 +103,15 @@
         """Return the end of what the process wrote."""
         return self.output_file.read_text(errors="replace")[-2000:]
 
+    def internal_errors(self) -> list[str]:
+        """Return log lines of failed tasks and uncaught exceptions."""
+        text = self.output_file.read_text(errors="replace")
+        return [
+            line[:1000]
+            for line in text.splitlines()
+            if any(mark in line for mark in ERROR_MARKS)
+        ]
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
         if self._process is not None and self.alive:
--- a/borageworks_emulator/report.py
+++ b/borageworks_emulator/report.py
@@ -33,6 +33,8 @@
     ----------
     control_bytes_per_second, cpu_percent, idle_cpu_percent
         Largest of all routers that ran throughout; None when no router reported it.
+    failures
+        What went wrong in the run itself, such as a router that did not start again.
     emulator_lag_ms
         99th percentile of the lateness of the emulator's own event loop. A large value
         says that the emulator, not the fleet, was the limit.
@@ -54,6 +56,7 @@
     emulator_lag_ms: dict[str, float] = field(default_factory=dict)
     faults: dict[str, int] = field(default_factory=dict)
     notes: dict[str, float] = field(default_factory=dict)
+    failures: list[str] = field(default_factory=list)
     checks: list[Check] = field(default_factory=list)
 
     @property
@@ -79,6 +82,7 @@
             "emulator_lag_ms": self.emulator_lag_ms,
             "faults": self.faults,
             "notes": self.notes,
+            "failures": self.failures,
             "central": _measures(self.central) if self.central else None,
             "checks": [
                 {
@@ -128,6 +132,7 @@
         lines.extend(organisation_lines(self.measures, self.central, shares))
         lines.extend(["", *_counts("refusals", self.measures.refusals)])
         lines.extend(_counts("faults", self.faults))
+        lines.extend(f"failure: {text}" for text in self.failures)
         lines.extend(["", *(check.line() for check in self.checks)])
         return "\n".join(lines)
 
--- a/borageworks_emulator/scenario.py
+++ b/borageworks_emulator/scenario.py
@@ -7,10 +7,12 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
+from math import inf
 from pathlib import Path
+from statistics import median
 from typing import Any
 
 import click
@@ -20,12 +22,19 @@
 from borageworks_emulator import targets
 from borageworks_emulator.analysis import Excuse, Gap, Measures, analyse
 from borageworks_emulator.baseline import run_central
-from borageworks_emulator.fleet import Fleet, FleetSample, largest_rate, router_settings
+from borageworks_emulator.fleet import (
+    Fleet,
+    FleetSample,
+    TicketFailedError,
+    largest_rate,
+    router_settings,
+)
 from borageworks_emulator.lag import LoopLag
 from borageworks_emulator.load import Balancer, Flow, LoadGenerator, LoadResult, Trace
+from borageworks_emulator.probe import RouterNotReadyError
 from borageworks_emulator.report import Check, Result
 from borageworks_emulator.store import EmulatedStore
-from borageworks_emulator.topology import AnyEndpoint, Topology
+from borageworks_emulator.topology import TOPOLOGIES, AnyEndpoint, Topology
 
 IDLE_SPAN_S = 4.0
 
@@ -226,7 +235,8 @@
         made = Counter(stage.store.calls) - calls
         result.store_calls = dict(sorted(made.items()))
         result.store_calls_per_second = made.total() / (time.monotonic() - stage.began)
-        await faults
+        await _finish_faults(faults, result)
+        _note_routers(stage, result)
     finally:
         for task in (faults, sampler):
             task.cancel()
@@ -239,6 +249,25 @@
     return load
 
 
+async def _finish_faults(faults: asyncio.Future[None], result: Result) -> None:
+    """Wait for the faults; one that could not be applied is a failure of the run."""
+    try:
+        await faults
+    except (RouterNotReadyError, TicketFailedError, TimeoutError) as error:
+        result.failures.append(f"{type(error).__name__}: {error}")
+
+
+def _note_routers(stage: Stage, result: Result) -> None:
+    """Note routers that ended by themselves and internal errors that they logged."""
+    for router in stage.fleet.routers:
+        name = router.settings.instance
+        if not router.alive:
+            result.failures.append(f"{name} ended: {router.output_tail()}")
+        errors = router.internal_errors()
+        if errors:
+            result.failures.append(f"{name} logged internal errors: {errors[0]}")
+
+
 async def _sample_at_end(stage: Stage) -> FleetSample:
     """Sample when the load ends, before the drain."""
     await stage.until(1.0)
@@ -258,13 +287,13 @@
         if code not in scenario.may_refuse
     )
     checks.append(at_most("refusals that the scenario does not allow", unexpected, 0))
+    checks.append(at_most("failures of the run itself", len(result.failures), 0))
     checks.append(at_least("answers", measures.answers, 1))
     checks.append(
         at_most("memory of a router, MB", result.memory_mb, targets.MEMORY_MB)
     )
     if scenario.compared:
-        flows = scenario.flows(options.topology, options.routers)
-        backlogged = {flow.pool for flow in flows if flow.workers and not flow.limit}
+        backlogged = _backlogged_pools(scenario, result)
         checks += _comparison(options, backlogged, measures, central)
     return checks
 
@@ -289,6 +318,28 @@
     return checks
 
 
+def median_checks(scenario: Scenario, results: Sequence[Result]) -> list[Check]:
+    """Hold the median of the gaps over seeds against the baseline."""
+    if not scenario.compared:
+        return []
+    checks = []
+    for pool in sorted(_backlogged_pools(scenario, results[0])):
+        ratios = [
+            result.measures.fairness_gap[pool] / result.central.fairness_gap[pool]
+            for result in results
+            if result.central and result.central.fairness_gap[pool]
+        ]
+        middle = median(ratios) if ratios else inf
+        name = f"median gap of {pool} by the baseline's"
+        checks.append(at_most(name, middle, targets.GAP_MEDIAN_RATIO))
+    return checks
+
+
+def _backlogged_pools(scenario: Scenario, result: Result) -> set[str]:
+    flows = scenario.flows(TOPOLOGIES[result.topology], result.routers)
+    return {flow.pool for flow in flows if flow.workers and not flow.limit}
+
+
 def _bound(topology: Topology, pool: str, gap: Gap, measures: Measures) -> float:
     if not gap.first:
         return 0.0
--- a/borageworks_emulator/targets.py
+++ b/borageworks_emulator/targets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 GAP_RATIO = 1.5
+GAP_MEDIAN_RATIO = 1.2
 UTILISATION_RATIO = 0.98
 WAIT_RATIO = 1.5
 CONTROL_BYTES_PER_S = 11_000.0
--- a/borageworks_emulator/tests/test_scenarios.py
+++ b/borageworks_emulator/tests/test_scenarios.py
@@ -12,7 +12,7 @@
 from borageworks_emulator.analysis import CallRecord, Gap, Measures, Verdict
 from borageworks_emulator.load import Balancer, LoadResult, Trace
 from borageworks_emulator.report import Result
-from borageworks_emulator.scenario import Options, Stage, common_checks
+from borageworks_emulator.scenario import Options, Stage, common_checks, median_checks
 from borageworks_emulator.scenarios import SCENARIOS
 from borageworks_emulator.topology import PATITSA, TOPOLOGIES
 
@@ -70,6 +70,25 @@
             measures = _measures(1.0, 1.0, **{name: 1})
             self.assertEqual([name], _missed("steady", measures, _measures(1.0, 1.0)))
 
+    def test_failure_of_the_run_is_a_miss(self):
+        """Guards against a fault that was not applied and so broke nothing."""
+        result = _result("steady", _measures(1.0, 1.0), _measures(1.0, 1.0))
+        result.failures.append("router-1 ended")
+        checks = common_checks(SCENARIOS["steady"], Options(PATITSA), result)
+        self.assertEqual(
+            ["failures of the run itself"], [c.name for c in checks if not c.passed]
+        )
+
+    def test_median_over_seeds_has_its_own_target(self):
+        """Guards against a fleet that is always just within the limit of one run."""
+        results = [
+            _result("flood", _measures(gap, 1.0), _measures(100.0, 1.0))
+            for gap in (100.0, 130.0, 140.0)
+        ]
+        [check] = median_checks(SCENARIOS["flood"], results)
+        self.assertEqual((1.3, False), (check.measured, check.passed))
+        self.assertEqual([], median_checks(SCENARIOS["steady"], results))
+
     def test_only_named_refusals_are_allowed(self):
         """Guards against refusals under load that pass as normal."""
         measures = _measures(1.0, 1.0, refusals={"claim_unavailable": 3})
--- a/borageworks_emulator/topology.py
+++ b/borageworks_emulator/topology.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from borageworks.catalog.objects import (
     Endpoint,
@@ -170,12 +170,3 @@
     status="records",
 )
 TOPOLOGIES = {topology.name: topology for topology in (PATITSA, SLAAPCEL)}
-
-
-def scaled(topology: Topology, time_scale: float) -> Topology:
-    """Return a topology whose endpoints take `time_scale` times as long."""
-    return replace(
-        topology,
-        engine_profile=replace(topology.engine_profile, time_scale=time_scale),
-        service_profile=replace(topology.service_profile, time_scale=time_scale),
-    )
