--- a/borageworks/commands/measure.py
+++ b/borageworks/commands/measure.py
@@ -23,6 +23,13 @@
 @click.argument("name", required=False, type=click.Choice(sorted(SCENARIOS)))
 @click.option("--list", "list_names", is_flag=True, help="List the scenarios.")
 @click.option("--seed", default=1, show_default=True, help="Seed of the load.")
+@click.option(
+    "--repeat",
+    default=1,
+    show_default=True,
+    type=click.IntRange(1, 100),
+    help="Run so many seeds, and hold the median gap against the baseline too.",
+)
 @click.option("--routers", default=9, show_default=True, type=click.IntRange(1, 100))
 @click.option(
     "--duration",
