Add the demo command

Cause: a new user needs to see the fleet work within a minute. Change: three routers in two failure domains, two engines, two order desks, a store and 16 organisations in one process; a ticket is applied, one organisation floods, progress is shown, and a table ends the run. It waits 3 s after readiness: in a run without that wait nothing was answered in the first second, since routers owned no endpoint yet.

--- /dev/null
+++ b/borageworks/commands/demo.py
@@ -0,0 +1,197 @@
+"""`borageworks demo`: three routers, both kinds of endpoints and a flood."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from contextlib import AsyncExitStack, suppress
+from dataclasses import replace
+from pathlib import Path
+
+import aiohttp
+import click
+
+from borageworks.catalog.keys import CATALOG_PREFIX
+from borageworks.catalog.objects import Ticket
+from borageworks.catalog.tickets import apply_ticket
+from borageworks.commands.loop import run_loop
+from borageworks.config.settings import Settings
+from borageworks.metrics import Metrics
+from borageworks.router.router import Router
+from borageworks.store.etcd import EtcdStore
+from borageworks_emulator.analysis import Verdict, analyse
+from borageworks_emulator.fleet import router_settings
+from borageworks_emulator.load import Balancer, Flow, LoadGenerator, Trace
+from borageworks_emulator.probe import control_bytes, read_metrics, wait_ready
+from borageworks_emulator.report import Result, organisation_lines
+from borageworks_emulator.store import EmulatedStore
+from borageworks_emulator.topology import PATITSA, AnyEndpoint, Topology
+
+ROUTERS = 3
+SEED = 1
+READY_LIMIT_S = 20.0
+# A router owns endpoints once its membership is confirmed by another one, which a ready
+# router may still wait for.
+SETTLE_S = 3.0
+FLOODER = "org-3"
+# All parts share one event loop, so the load stays well below what one core can do.
+DEMO = replace(
+    PATITSA, name="demo", domains=("domain-a", "domain-b"), engines=2, services=2
+)
+
+
+@click.command()
+@click.option(
+    "--json",
+    "json_file",
+    type=click.Path(dir_okay=False, allow_dash=True, path_type=Path),
+    help="Write the result as JSON; - writes to standard output.",
+)
+@click.option(
+    "--duration",
+    default=10.0,
+    show_default=True,
+    type=click.FloatRange(2.0, 600.0),
+    help="Seconds of load.",
+)
+def demo(json_file: Path | None, duration: float) -> None:
+    """Show how three routers share emulated endpoints while one organisation floods."""
+    result = run_loop(_run(duration))
+    _show_end(result)
+    if json_file is not None and str(json_file) == "-":
+        click.echo(result.json())
+    elif json_file is not None:
+        json_file.write_bytes(result.json())
+    measures = result.measures
+    if measures.wrong or measures.doubled or measures.incomplete:
+        sys.exit(1)
+
+
+def _flows(topology: Topology) -> list[Flow]:
+    flows = []
+    for name in topology.shares:
+        flows.append(Flow(name, topology.model, topology.engine_pool, rate=1.0))
+        for service, keyed in ((topology.protected, True), (topology.status, False)):
+            flows.append(
+                Flow(
+                    name,
+                    service,
+                    topology.plain_pool,
+                    engine=False,
+                    rate=1.0,
+                    mean=50.0,
+                    largest=500.0,
+                    keyed=keyed,
+                )
+            )
+    slots = topology.slots(topology.engine_pool)
+    for name, workers in (("org-0", slots), ("org-1", slots), (FLOODER, 4 * slots)):
+        flows.append(Flow(name, topology.model, topology.engine_pool, workers=workers))
+    return flows
+
+
+async def _run(duration: float) -> Result:
+    async with AsyncExitStack() as stack:
+        store = EmulatedStore()
+        await store.start()
+        stack.push_async_callback(store.stop)
+        endpoints = DEMO.endpoints()
+        for endpoint in endpoints:
+            await endpoint.start()
+            stack.push_async_callback(endpoint.stop)
+        settings = router_settings(DEMO, ROUTERS, store.url)
+        routers = [Router(one) for one in settings]
+        for router in routers:
+            await router.start()
+            stack.push_async_callback(router.stop)
+        _say(f"{ROUTERS} routers in {len(DEMO.domains)} failure domains started")
+        await _apply_ticket(settings[0], DEMO.ticket(endpoints))
+        return await _load(settings, endpoints, duration)
+
+
+async def _apply_ticket(settings: Settings, ticket: Ticket) -> None:
+    store = EtcdStore(settings.store, Metrics())
+    try:
+        await apply_ticket(store, CATALOG_PREFIX, ticket)
+    finally:
+        await store.close()
+
+
+async def _load(
+    settings: list[Settings], endpoints: list[AnyEndpoint], duration: float
+) -> Result:
+    urls = [_url(one) for one in settings]
+    generator = LoadGenerator(Trace(_flows(DEMO), SEED, duration), Balancer(urls))
+    async with aiohttp.ClientSession() as session:
+        for url in urls:
+            await wait_ready(session, url, READY_LIMIT_S)
+        await asyncio.sleep(SETTLE_S)
+        _say(
+            f"ticket 1 in effect: {len(DEMO.shares)} organisations, "
+            f"{len(endpoints)} endpoints; {FLOODER} floods for {duration:g} s"
+        )
+        before = await _control_bytes(session, urls)
+        progress = asyncio.create_task(_show_progress(generator, endpoints))
+        try:
+            load = await generator.run()
+        finally:
+            progress.cancel()
+            with suppress(asyncio.CancelledError):
+                await progress
+        span = time.monotonic() - load.began
+        control = (await _control_bytes(session, urls) - before) / span / len(urls)
+    recordings = [endpoint.recording for endpoint in endpoints]
+    measures = analyse(recordings, load.calls, DEMO.shares, load.until)
+    result = Result("demo", DEMO.name, SEED, ROUTERS, duration, measures)
+    result.control_bytes_per_second = control
+    return result
+
+
+async def _control_bytes(session: aiohttp.ClientSession, urls: list[str]) -> float:
+    found = [control_bytes(await read_metrics(session, url)) for url in urls]
+    return sum(value for value in found if value is not None)
+
+
+async def _show_progress(
+    generator: LoadGenerator, endpoints: list[AnyEndpoint]
+) -> None:
+    began = time.monotonic()
+    while True:
+        await asyncio.sleep(1.0)
+        calls = generator.result.calls
+        answered = sum(1 for call in calls if call.verdict is Verdict.ANSWERED)
+        running = sum(endpoint.running for endpoint in endpoints)
+        _say(
+            f"{time.monotonic() - began:5.1f} s  answered {answered}, "
+            f"running {running}, open {sum(1 for call in calls if not call.end)}"
+        )
+
+
+def _show_end(result: Result) -> None:
+    measures = result.measures
+    _say("")
+    for line in organisation_lines(measures, None, DEMO.shares):
+        _say(line)
+    _say("")
+    for pool in sorted(measures.fairness_gap):
+        gap = measures.gap_detail[pool]
+        between = f" between {gap.first} and {gap.second}" if gap.first else ""
+        _say(
+            f"{pool}: fairness gap {gap.units:.4g} units per share{between}, "
+            f"utilisation {measures.utilisation[pool]:.3f} while requests waited"
+        )
+    _say(
+        f"control traffic {result.control_bytes_per_second:.0f} bytes/s per router; "
+        f"{measures.answers} right answers, {measures.wrong} wrong, "
+        f"{measures.incomplete} incomplete, {measures.doubled} doubled"
+    )
+
+
+def _url(settings: Settings) -> str:
+    host, port = settings.listen.pair
+    return f"http://{host}:{port}"
+
+
+def _say(text: str) -> None:
+    click.echo(text, err=True)
--- a/borageworks_emulator/report.py
+++ b/borageworks_emulator/report.py
@@ -156,21 +156,24 @@
     pools = sorted(measures.service)
     head = f"{'organisation':14}{'share':>7}"
     head += "".join(f"{pool + ' units':>16}" for pool in pools)
-    lines = [f"{head}{'wait ms':>10}{'p95':>8}{'central':>10}"]
+    head += f"{'wait ms':>10}{'p95':>8}"
+    lines = [head + (f"{'central':>10}" if central else "")]
     for name, share in shares.items():
         line = f"{name:14}{share:>7g}"
         for pool in pools:
             line += f"{measures.service[pool].get(name, 0.0):>16.1f}"
-        waits = (
-            measures.wait.get(name),
-            measures.wait_p95.get(name),
-            central.wait.get(name) if central else None,
-        )
-        texts = ["-" if wait is None else f"{1000 * wait:.0f}" for wait in waits]
-        lines.append(f"{line}{texts[0]:>10}{texts[1]:>8}{texts[2]:>10}")
+        line += f"{_milliseconds(measures.wait.get(name)):>10}"
+        line += f"{_milliseconds(measures.wait_p95.get(name)):>8}"
+        if central:
+            line += f"{_milliseconds(central.wait.get(name)):>10}"
+        lines.append(line)
     return lines
 
 
+def _milliseconds(seconds: float | None) -> str:
+    return "-" if seconds is None else f"{1000 * seconds:.0f}"
+
+
 def _counts(title: str, counts: dict[str, int]) -> list[str]:
     return [f"{title}: " + (", ".join(f"{k} {v}" for k, v in counts.items()) or "none")]
 
--- /dev/null
+++ b/borageworks_emulator/tests/test_demo.py
@@ -0,0 +1,19 @@
+"""Test of the demo with real routers in this process."""
+
+import orjson
+import testtools
+from click.testing import CliRunner
+
+from borageworks.commands.demo import DEMO, demo
+
+
+class DemoTest(testtools.TestCase):
+    def test_demo_answers_every_organisation(self):
+        """Guards against a demo that stops working as the parts change."""
+        outcome = CliRunner().invoke(demo, ["--duration", "2", "--json", "-"])
+        self.assertEqual(0, outcome.exit_code, outcome.output)
+        document = orjson.loads(outcome.stdout)
+        self.assertTrue(document["answers"] > 0)
+        self.assertEqual((0, 0), (document["wrong"], document["doubled"]))
+        self.assertEqual(set(DEMO.shares), set(document["service"]["models"]))
+        self.assertIn("fairness gap", outcome.stderr)
