--- a/borageworks/commands/measure.py
+++ b/borageworks/commands/measure.py
@@ -8,10 +8,11 @@
 from pathlib import Path
 
 import click
+import orjson
 
 from borageworks.commands.loop import run_loop
 from borageworks_emulator.report import Result
-from borageworks_emulator.scenario import Options, run_scenario
+from borageworks_emulator.scenario import Options, median_checks, run_scenario
 from borageworks_emulator.scenarios import SCENARIOS
 from borageworks_emulator.topology import PATITSA, TOPOLOGIES
 
@@ -22,6 +23,13 @@
 @click.argument("name", required=False, type=click.Choice(sorted(SCENARIOS)))
 @click.option("--list", "list_names", is_flag=True, help="List the scenarios.")
 @click.option("--seed", default=1, show_default=True, help="Seed of the load.")
+@click.option(
+    "--repeat",
+    default=1,
+    show_default=True,
+    type=click.IntRange(1, 100),
+    help="Run so many seeds, and hold the median gap against the baseline too.",
+)
 @click.option("--routers", default=9, show_default=True, type=click.IntRange(1, 100))
 @click.option(
     "--duration",
@@ -51,6 +59,7 @@
     name: str | None,
     list_names: bool,
     seed: int,
+    repeat: int,
     routers: int,
     duration: float,
     topology: str,
@@ -64,18 +73,23 @@
         return
     if name is None:
         raise click.UsageError("name a scenario or use --list")
-    options = Options(TOPOLOGIES[topology], seed, routers, duration, directory)
-    result = run_loop(_run(name, options))
-    table = result.table(options.topology.shares)
-    if json_file is None:
-        click.echo(table)
-    elif str(json_file) == "-":
-        click.echo(table, err=True)
-        click.echo(result.json())
-    else:
-        click.echo(table)
-        json_file.write_bytes(result.json())
-    if not result.passed:
+    found = []
+    for number in range(seed, seed + repeat):
+        options = Options(TOPOLOGIES[topology], number, routers, duration, directory)
+        found.append(run_loop(_run(name, options)))
+        click.echo(found[-1].table(options.topology.shares) + "\n", err=bool(json_file))
+    checks = median_checks(SCENARIOS[name], found) if repeat > 1 else []
+    for check in checks:
+        click.echo(check.line(), err=bool(json_file))
+    documents = [result.document() for result in found]
+    encoded = orjson.dumps(
+        documents if repeat > 1 else documents[0], option=orjson.OPT_INDENT_2
+    )
+    if json_file is not None and str(json_file) == "-":
+        click.echo(encoded)
+    elif json_file is not None:
+        json_file.write_bytes(encoded)
+    if not all([*(one.passed for one in found), *(one.passed for one in checks)]):
         sys.exit(EXIT_MISSED)
 
 
