Test bounds of memory, missed exchanges and sudden debt

Change: focused tests for the heap's size, retired and folded owners, levels that other aggregators raise, changes over several exchanges, and debt that appears at once. Conclusion: each of these rules now has a test that states its failure.

--- a/borageworks/fair/tests/test_correction.py
+++ b/borageworks/fair/tests/test_correction.py
@@ -56,6 +56,25 @@
             correction.end_exchange()
             self.assertEqual(0, len(correction))
 
+    def test_change_is_counted_per_exchange(self):
+        """Guards against a trend of several intervals that is taken for one."""
+        for kind, expected in ((Correction, 0.5 * 10), (DriftCorrection, 0.5 * 10)):
+            correction = kind(self.settings)
+            correction.update("a", 0.0, 1, 1e9)
+            for _ in range(2):
+                correction.end_exchange()
+            self.assertEqual(0.3 * 20 + expected, correction.update("a", 20.0, 1, 1e9))
+
+    def test_sudden_debt_is_not_taken_for_drift(self):
+        """Guards against an organisation that is cut off when a partition ends."""
+        correction = DriftCorrection(self.settings)
+        deltas = []
+        for error in (0.0, 1e6, 2e6, 3e6, 4e6, 5e6):
+            deltas.append(correction.update("a", error, 1, 40.0))
+            correction.end_exchange()
+        self.assertEqual([0.0, 30.0], deltas[:2])
+        self.assertEqual(40.0, max(deltas))
+
     def test_stability_limits_of_the_design_page(self):
         """Guards against gains for which the error grows from exchange to exchange."""
         for kind, trend, stable, unstable in (
--- a/borageworks/fair/tests/test_ledger.py
+++ b/borageworks/fair/tests/test_ledger.py
@@ -140,6 +140,25 @@
         self.assertEqual(ledger_module.RETIRED_OWNERS + 10.0, ledger.totals()["a"])
         last = f"x{ledger_module.RETIRED_OWNERS + 9}"
         self.assertFalse(ledger.merge(ServiceCounter(last, 1, "a", 1.0)))
+        self.assertIn(last, ledger.snapshot().retired)
+
+    def test_owner_retired_elsewhere_is_dropped(self):
+        """Guards against counters that only the aggregator that retires drops."""
+        one, two = ServiceLedger(), ServiceLedger()
+        for ledger in (one, two):
+            ledger.add("x", 1, "a", 5.0)
+        one.retire("x")
+        two.merge_snapshot(one.snapshot())
+        self.assertEqual(0, len(two))
+        self.assertEqual({"a": 5.0}, two.totals())
+
+    def test_old_incarnations_are_folded(self):
+        """Guards against memory that grows with each restart."""
+        ledger = ServiceLedger()
+        for incarnation in range(50):
+            ledger.add("x", incarnation, "a", 1.0)
+        self.assertEqual(3, len(ledger))
+        self.assertEqual(50.0, ledger.totals()["a"])
 
     def test_errors_are_normalised_and_sum_to_zero(self):
         """Guards against errors that inflate virtual times or ignore shares."""
@@ -173,6 +192,27 @@
         levels.update(totals, {}, {"a", "b", "c"})
         self.assertEqual(0.0, levels.errors(levels.mean)["c"])
 
+    def test_debt_that_the_mean_has_just_passed_is_not_credit(self):
+        """Guards against entering below the mean with a level that was still held."""
+        levels, totals = ServiceLevels(), {"a": 0.0, "c": 0.0}
+        levels.update(totals, {}, {"a", "c"})
+        levels.update({"a": 0.0, "c": 60.0}, {}, {"a"})
+        levels.update({"a": 500.0, "c": 60.0}, {}, {"a", "c"})
+        self.assertEqual({"a": 0.0, "c": 0.0}, levels.errors(levels.mean))
+
+    def test_aggregators_agree_when_one_missed_an_idle_time(self):
+        """Guards against levels that differ between domains for good."""
+        one, two = ServiceLevels(), ServiceLevels()
+        for levels in (one, two):
+            levels.update({}, {}, {"a", "b"})
+        totals = {"a": 100.0}
+        two.update(totals, {}, {"a"})
+        for levels in (one, two):
+            levels.update(totals, {}, {"a", "b"})
+        one.merge(list(two.levels()), totals)
+        one.update(totals, {}, {"a", "b"})
+        self.assertEqual({"a": 0.0, "b": 0.0}, one.errors(one.mean))
+
     def test_new_aggregator_starts_without_errors(self):
         """Guards against a jump of all virtual times after a change of aggregator."""
         levels, generator = ServiceLevels(), random.Random(1)
--- a/borageworks/fair/tests/test_queue.py
+++ b/borageworks/fair/tests/test_queue.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from borageworks.fair.cost import CostEstimator
+from borageworks.fair.heap import IndexedHeap
 from borageworks.fair.queue import IDLE_RETENTION_S, FairQueue
 from borageworks.fair.tests.naive_queue import NaiveQueue
 
@@ -195,6 +196,14 @@
         queue.set_demand(1.0, "early", "a", 2)
         self.assertEqual("early", take(queue).entry)
 
+    def test_charges_do_not_grow_the_heap(self):
+        """Guards against stale priorities that pile up under streamed charges."""
+        heap = IndexedHeap()
+        for number in range(10_000):
+            heap.set(f"o{number % 10}", (float(number),))
+        self.assertLess(len(heap._heap), 200)
+        self.assertEqual("o0", heap.least())
+
     def test_share_must_be_positive(self):
         """Guards against a division by zero on the next charge."""
         self.assertRaises(ValueError, FairQueue().set_share, "a", 0.0)
