Claim non-idempotent requests before they run and answer resends

Cause: keys did not protect anything; a resend ran again. Change: claim before the request waits, run in a task that outlasts the caller, keep the answer, ask the holder on a resend; a full queue refuses before the claim. Conclusion: a key whose request was refused stays used, since a late state change of the first claim could otherwise end the second.

--- a/borageworks/exceptions.py
+++ b/borageworks/exceptions.py
@@ -356,6 +356,14 @@
     title = "The Idempotency-Key was used with another request"
 
 
+class IdempotencyKeyReleasedError(RefusalError):
+    """The first request with this Idempotency-Key did not run, and the key is used."""
+
+    code = "idempotency_key_released"
+    status = 409
+    title = "The first request with this Idempotency-Key did not run"
+
+
 class RequestInProgressError(RefusalError):
     """The first request with this Idempotency-Key still waits or runs."""
 
--- a/borageworks/router/entry.py
+++ b/borageworks/router/entry.py
@@ -173,6 +173,10 @@
         self._metrics.observe("queue_wait", now - request.queued_at)
         self._granted.pop(request.request_id).set_result(held)
 
+    def check_admission(self, call: Call) -> None:
+        """Refuse a call that would find the queue full, before it is claimed."""
+        self._queue.check_bounds(self._timers.now(), call.organisation)
+
     def receive_alone_grant(self, sender: str, message: AloneGrant) -> None:
         """Give the whole endpoint to the request that waits for it, or return it."""
         waiting = self._alone.pop(message.request_id, None)
--- /dev/null
+++ b/borageworks/router/protected.py
@@ -0,0 +1,236 @@
+"""Non-idempotent requests: at most one run for each idempotency key."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+from borageworks.claims.answers import HeldAnswers
+from borageworks.claims.key import IdempotencyKey, body_hash
+from borageworks.claims.retained import RetainedAnswer
+from borageworks.claims.service import ClaimService
+from borageworks.config.settings import ClaimSettings
+from borageworks.endpoints.call import Call
+from borageworks.endpoints.sink import Sink
+from borageworks.exceptions import (
+    AnswerNotHeldError,
+    ClaimUnavailableError,
+    IdempotencyKeyExpiredError,
+    IdempotencyKeyMissingError,
+    IdempotencyKeyReleasedError,
+    IdempotencyKeyReusedError,
+    OutcomeUnknownError,
+    Ran,
+    RefusalError,
+    RequestInProgressError,
+)
+from borageworks.metrics import Metrics
+from borageworks.router.entry import Entry
+from borageworks.router.tee import TeeSink
+from borageworks.wire.messages import (
+    ClaimOutcome,
+    ClaimReply,
+    ClaimState,
+    HeldAnswer,
+    HeldAnswerQuery,
+    HeldAnswerReply,
+    Message,
+)
+
+Send = Callable[[str, Message], None]
+
+# The holder answers from memory; a longer wait means that it cannot be reached.
+QUERY_TIMEOUT_S = 2.0
+REPLAYED_HEADER = "Idempotent-Replayed"
+# A frame between instances holds a megabyte.
+LARGEST_HELD_BYTES = 900_000
+
+
+class Protected:
+    """Runs claimed requests and answers resends.
+
+    Parameters
+    ----------
+    settings
+        Memory for retained answers.
+    entry
+        Runs requests on granted slots.
+    claims
+        Records which requests run.
+    metrics
+        Counters of the process.
+    send
+        Sends a message to an instance, also to this one.
+    """
+
+    def __init__(
+        self,
+        settings: ClaimSettings,
+        entry: Entry,
+        claims: ClaimService,
+        metrics: Metrics,
+        send: Send,
+    ) -> None:
+        self._entry = entry
+        self._claims = claims
+        self._metrics = metrics
+        self._send = send
+        self._answers = HeldAnswers(settings.held_answer_bytes)
+        self._sequence = itertools.count(1)
+        self._queries: dict[int, asyncio.Future[HeldAnswerReply]] = {}
+        self._runs: set[asyncio.Task[None]] = set()
+
+    async def run(self, call: Call, sink: Sink) -> None:
+        """Run a call once, or write the answer of its first run.
+
+        Raises
+        ------
+        RefusalError
+            If it was not run, or its outcome or answer is not known here.
+        """
+        if call.idempotency_key is None:
+            raise IdempotencyKeyMissingError(
+                f"service {call.service.id!r} needs an Idempotency-Key"
+            )
+        key = IdempotencyKey.parse(call.idempotency_key)
+        self._entry.check_admission(call)
+        reply = await self._claims.claim(
+            call.organisation, key, body_hash(_identity(call))
+        )
+        match reply.outcome:
+            case ClaimOutcome.CLAIMED:
+                await self._run_claimed(call, sink, key)
+            case ClaimOutcome.DUPLICATE:
+                await self._answer_resend(call, sink, key, reply)
+            case ClaimOutcome.BODY_MISMATCH:
+                raise IdempotencyKeyReusedError(
+                    "the key was used with another method, path or body"
+                )
+            case ClaimOutcome.EXPIRED:
+                raise IdempotencyKeyExpiredError(
+                    "the key was issued too long ago or in the future"
+                )
+            case ClaimOutcome.UNAVAILABLE:
+                raise ClaimUnavailableError(
+                    "the platform store cannot record the request", retry_after=1.0
+                )
+
+    def receive(self, sender: str, message: HeldAnswerQuery | HeldAnswerReply) -> None:
+        """Handle a query for a retained answer, or the reply to one."""
+        match message:
+            case HeldAnswerQuery():
+                found, answer = self._answers.find(message.key_hash)
+                if answer is None:
+                    answer = RetainedAnswer(0, "", b"")
+                self._send(
+                    sender,
+                    HeldAnswerReply(
+                        message.request_id,
+                        found,
+                        answer.status,
+                        answer.content_type,
+                        answer.body,
+                    ),
+                )
+            case HeldAnswerReply():
+                future = self._queries.get(message.request_id)
+                if future is not None and not future.done():
+                    future.set_result(message)
+
+    async def _run_claimed(self, call: Call, sink: Sink, key: IdempotencyKey) -> None:
+        """Run in a task of its own, which ends even if the caller leaves."""
+        run = asyncio.get_running_loop().create_task(self._execute(call, sink, key))
+        self._runs.add(run)
+        run.add_done_callback(self._runs.discard)
+        # A refusal that no caller waits for any more was recorded all the same.
+        run.add_done_callback(lambda task: task.cancelled() or task.exception())
+        await asyncio.shield(run)
+
+    async def _execute(self, call: Call, sink: Sink, key: IdempotencyKey) -> None:
+        key_hash = key.hash(call.organisation)
+        self._answers.start(key_hash)
+        tee = TeeSink(sink, LARGEST_HELD_BYTES)
+        try:
+            await self._entry.run(call, tee)
+        except RefusalError as refusal:
+            if refusal.ran is Ran.NOT_RUN:
+                await self._claims.release(call.organisation, key)
+            else:
+                self._claims.finish(call.organisation, key, ClaimState.UNKNOWN)
+            self._answers.discard(key_hash)
+            raise
+        except BaseException:
+            self._claims.finish(call.organisation, key, ClaimState.UNKNOWN)
+            self._answers.discard(key_hash)
+            raise
+        self._claims.finish(call.organisation, key, ClaimState.DONE)
+        if tee.body is None:
+            self._answers.discard(key_hash)
+        else:
+            self._answers.hold(
+                key_hash, RetainedAnswer(tee.status, tee.content_type, tee.body)
+            )
+        if tee.caller_error is not None:
+            raise tee.caller_error
+
+    async def _answer_resend(
+        self, call: Call, sink: Sink, key: IdempotencyKey, reply: ClaimReply
+    ) -> None:
+        self._metrics.count("resends", reply.state.name.lower())
+        if reply.state is ClaimState.RELEASED:
+            raise IdempotencyKeyReleasedError(
+                "the first request with this key did not run; send it with a new key"
+            )
+        holder = self._claims.instance_of(reply)
+        if holder is not None:
+            held = await self._query(holder, key.hash(call.organisation))
+            match held.found:
+                case HeldAnswer.HELD:
+                    await _write(sink, held)
+                    return
+                case HeldAnswer.RUNNING:
+                    raise RequestInProgressError(
+                        "the first request with this key waits or runs",
+                        ran=Ran.UNKNOWN,
+                        retry_after=1.0,
+                    )
+                case HeldAnswer.GONE:
+                    pass
+        if reply.state is ClaimState.DONE:
+            raise AnswerNotHeldError(
+                "the first request with this key ran; its answer is no longer held",
+                ran=Ran.RAN,
+            )
+        raise OutcomeUnknownError(
+            "the first request with this key may have run; its instance was lost or "
+            "did not learn the outcome"
+        )
+
+    async def _query(self, holder: str, key_hash: bytes) -> HeldAnswerReply:
+        request_id = next(self._sequence)
+        future: asyncio.Future[HeldAnswerReply] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._queries[request_id] = future
+        self._send(holder, HeldAnswerQuery(request_id, key_hash))
+        try:
+            async with asyncio.timeout(QUERY_TIMEOUT_S):
+                return await future
+        except TimeoutError:
+            return HeldAnswerReply(request_id, HeldAnswer.GONE)
+        finally:
+            del self._queries[request_id]
+
+
+async def _write(sink: Sink, held: HeldAnswerReply) -> None:
+    headers = [(REPLAYED_HEADER, "true")]
+    if held.content_type:
+        headers.append(("Content-Type", held.content_type))
+    await sink.start(held.status, headers)
+    await sink.write(held.body)
+    await sink.finish()
+
+
+def _identity(call: Call) -> bytes:
+    return f"{call.service.id}\0{call.method}\0{call.path}\0".encode() + call.body
--- a/borageworks/router/router.py
+++ b/borageworks/router/router.py
@@ -14,6 +14,7 @@
 from borageworks.catalog.replica import Replica
 from borageworks.catalog.sync import CatalogSync
 from borageworks.catalog.versioned import Versioned
+from borageworks.claims.service import ClaimService
 from borageworks.config.settings import Settings
 from borageworks.endpoints.call import Call
 from borageworks.endpoints.client import EndpointClient
@@ -29,6 +30,7 @@
 from borageworks.router.grants import GrantTable
 from borageworks.router.owner import Owner
 from borageworks.router.ownership import Ownership, derive
+from borageworks.router.protected import Protected
 from borageworks.store.etcd import EtcdStore
 from borageworks.timers import Subscription, Timers
 from borageworks.wire.links import PeerLinks
@@ -39,8 +41,13 @@
     CatalogObjects,
     CatalogPull,
     Charge,
+    Claim,
+    ClaimFinish,
+    ClaimReply,
     Demand,
     Grant,
+    HeldAnswerQuery,
+    HeldAnswerReply,
     MemberState,
     Message,
     Release,
@@ -139,6 +146,7 @@
         self._entry.stop()
         self._owner.stop()
         self._exchange.stop()
+        await self._claims.close()
         await self._catalog.stop()
         await self._gossip.stop()
         await self._links.stop()
@@ -147,8 +155,11 @@
         emit(Event.INSTANCE_STOPPED, instance=self._settings.instance)
 
     async def run(self, call: Call, sink: ResponseSink) -> None:
-        """Run a caller's request; see `Entry.run`."""
-        await self._entry.run(call, sink)
+        """Run a caller's request; see `Entry.run` and `Protected.run`."""
+        if call.service.idempotent:
+            await self._entry.run(call, sink)
+        else:
+            await self._protected.run(call, sink)
 
     def lacking(self) -> list[str]:
         """Return why the instance is not ready; empty when it is."""
@@ -220,6 +231,17 @@
             self._send,
             self._live_members,
         )
+        self._claims = ClaimService(
+            settings,
+            self._store,
+            self._timers,
+            self._metrics,
+            self._send,
+            lambda: [member.id for member in self._live_members()],
+        )
+        self._protected = Protected(
+            settings.claims, self._entry, self._claims, self._metrics, self._send
+        )
         self._catalog = CatalogSync(
             settings,
             self._replica,
@@ -266,6 +288,10 @@
                 self._entry.receive_suspect(message)
             case Demand() | AloneDemand() | Release() | Charge() | Running():
                 self._owner.receive(sender, message)
+            case Claim() | ClaimReply() | ClaimFinish():
+                self._claims.receive(sender, message)
+            case HeldAnswerQuery() | HeldAnswerReply():
+                self._protected.receive(sender, message)
             case ServiceReport() | ServiceError():
                 self._exchange.receive(sender, message)
             case CatalogDigest() | CatalogPull() | CatalogObjects():
--- a/borageworks/routing/queue.py
+++ b/borageworks/routing/queue.py
@@ -36,8 +36,8 @@
         """Return the number of an organisation's requests that wait for a pool."""
         return len(self._queues.get((pool, organisation), ()))
 
-    def add(self, now: float, request: WaitingRequest) -> None:
-        """Append a request.
+    def check_bounds(self, now: float, organisation: str) -> None:
+        """Refuse a request that would exceed a bound.
 
         Raises
         ------
@@ -45,21 +45,27 @@
             If a bound is reached; `retry_after` is the time in which the queue drains
             to half at its recent rate.
         """
-        held = self._per_organisation.get(request.organisation, 0)
+        held = self._per_organisation.get(organisation, 0)
         if held >= self._settings.per_organisation:
             raise OrganisationQueueFullError(
-                f"{held} requests of organisation {request.organisation!r} wait",
-                retry_after=self._drain.time_for(now, request.organisation, held / 2),
+                f"{held} requests of organisation {organisation!r} wait",
+                retry_after=self._drain.time_for(now, organisation, held / 2),
             )
         if len(self._waiting) >= self._settings.total:
             raise InstanceQueueFullError(
                 f"{len(self._waiting)} requests wait",
                 retry_after=self._drain.time_for(now, None, len(self._waiting) / 2),
             )
+
+    def add(self, now: float, request: WaitingRequest) -> None:
+        """Append a request; raises as `check_bounds`."""
+        self.check_bounds(now, request.organisation)
         key = request.pool, request.organisation
         self._queues.setdefault(key, deque()).append(request)
         self._waiting[request.request_id] = request
-        self._per_organisation[request.organisation] = held + 1
+        self._per_organisation[request.organisation] = (
+            self._per_organisation.get(request.organisation, 0) + 1
+        )
 
     def add_first(self, request: WaitingRequest) -> None:
         """Put a retried request at the head; it was admitted before, so no bound."""
