Ask for member lists at doubling pauses and bound update sizes more tightly

Cause: when 300 members started at once, the last one had the full list after 30 intervals: its next list request was up to 30 intervals away. The size estimate of an update was a quarter too high, so packets were not filled. Change: the pause between list requests starts at one interval, doubles to 20 and starts again with each list that brought news. The estimate follows the packed layout; the test that compares it with encoded packets is unchanged.

--- a/borageworks/membership/membership.py
+++ b/borageworks/membership/membership.py
@@ -41,7 +41,9 @@
 SEED_INTERVALS = 10
 SEEDS_AT_ONCE = 3
 SYNC_INTERVALS = 20
-JOIN_SYNCS = 3  # in the first intervals, since datagrams of the list may be lost
+# After a start and after a list that brought news; the pause then doubles with each
+# request, since a list of 800 members takes 50 KB and often brings nothing.
+SYNC_SOON = 1
 LIST_PACKETS = 100  # sent per probe interval, over all requests
 LEAVE_PACKETS = 4
 CANDIDATES = 256
@@ -50,7 +52,6 @@
 LIST_SEQUENCE = 0
 SPREAD_SEQUENCE = 1
 FIRST_SEQUENCE = 2
-LEARNED_SYNC = 3  # intervals until the next list after one that brought news
 SEQUENCES = 1 << 32
 
 
@@ -160,7 +161,7 @@
         self._next_spread = 0.0
         self._last_tick = 0.0
         self._sync_in = 1
-        self._join_syncs = JOIN_SYNCS
+        self._sync_pause = SYNC_SOON
         self._list_packets = LIST_PACKETS
         self._acknowledged = False
         self._unconfirmed_since = 0.0
@@ -252,7 +253,7 @@
                 self._acknowledged_by(now, message, actions)
                 if self._own.incarnation != incarnation and not listed:
                     self._send(
-                        _address(sender), self._ack(LIST_SEQUENCE, sender), actions
+                        _address(sender), self._ack(SPREAD_SEQUENCE, sender), actions
                     )
             case _:
                 pass
@@ -282,7 +283,7 @@
         self._last_tick = now
         self._next_interval = now
         self._sync_in = 1
-        self._join_syncs = JOIN_SYNCS
+        self._sync_pause = SYNC_SOON
         return [MemberChanged(self._members[self._own.instance])]
 
     @property
@@ -386,9 +387,10 @@
             return
         bridge = self._bridges.get(sender.domain)
         if listed:
-            self._sync_in = min(self._sync_in, LEARNED_SYNC)
+            self._sync_pause = SYNC_SOON
+            self._sync_in = min(self._sync_in, SYNC_SOON)
             if bridge is not None:
-                bridge.sync_in = min(bridge.sync_in, LEARNED_SYNC)
+                bridge.sync_in = min(bridge.sync_in, SYNC_SOON)
         # A list tells a new member of many that its whole domain already knows.
         spread = known is not None or bridge is not None or not listed
         self._store(now, update, actions, spread)
@@ -577,7 +579,7 @@
         }
         unknown = [seed for seed in self._seeds if seed not in known]
         for seed in self._rng.sample(unknown, min(count, len(unknown))):
-            self._send(seed, self._make_ping(0, None), actions)
+            self._send(seed, self._make_ping(SPREAD_SEQUENCE, None), actions)
 
     def _probe_domain(
         self, now: float, domain: str, bridge: _Bridge, actions: list[Action]
@@ -591,7 +593,7 @@
         self._ping(now, self._updates[target], actions)
         bridge.sync_in -= 1
         if bridge.sync_in <= 0 and domain not in self._view.unreachable:
-            bridge.sync_in = self._sync_pause()
+            bridge.sync_in = self._jittered(SYNC_INTERVALS)
             self._request_list(self._updates[target], actions)
 
     def _check_probes(self, now: float, actions: list[Action]) -> None:
@@ -751,12 +753,12 @@
 
     # Lists
 
-    def _sync_pause(self) -> int:
-        return round(SYNC_INTERVALS * self._rng.uniform(0.5, 1.5))
+    def _jittered(self, intervals: int) -> int:
+        return round(intervals * self._rng.uniform(0.5, 1.5))
 
     def _synchronise(self, actions: list[Action]) -> None:
-        self._join_syncs -= 1
-        self._sync_in = 1 if self._join_syncs > 0 else self._sync_pause()
+        self._sync_in = self._jittered(self._sync_pause)
+        self._sync_pause = min(2 * self._sync_pause, SYNC_INTERVALS)
         live = self._own_live() or {
             instance: None for live in self._live.values() for instance in live
         }
@@ -799,9 +801,8 @@
     ) -> None:
         if self._list_packets > 0 and packet:
             self._list_packets -= 1
-            revision, content_hash = self._catalog_version()
             message = Ack(
-                LIST_SEQUENCE, self._own, tuple(packet), revision, content_hash
+                LIST_SEQUENCE, self._own, tuple(packet), *self._catalog_version()
             )
             self._send(_address(receiver), message, actions)
 
--- a/borageworks/membership/update_queue.py
+++ b/borageworks/membership/update_queue.py
@@ -9,10 +9,11 @@
 
 def packed_size(update: MemberUpdate) -> int:
     """Return an upper bound of an update's bytes in a packed frame."""
-    # Numbers and pointers take up to 36 bytes. Packing adds up to two bytes per eight
-    # bytes of text.
+    # Ports and state take 6 bytes and three pointers 15. Packing adds a byte to each
+    # word of eight bytes, and a second one to a word without zeros or of zeros only.
+    number = (update.incarnation.bit_length() + 7) // 8 + 2
     texts = (len(update.instance), len(update.domain), len(update.host))
-    return 36 + sum(length + 2 * (length // 8) + 2 for length in texts)
+    return 21 + number + sum(length + 2 * (length // 8) + 2 for length in texts)
 
 
 class UpdateQueue:
