Follow the head by ticket counts alone, and restart a failed reply

Cause: a watcher took a head whose revision was not above its replica's for one that it had read. A wrong revision from a peer would have kept it from reading tickets for good. A reply that failed in `send` stopped all later replies. Change: only a watcher that never read the store, and has its configuration from peers, skips buckets by revision. Replies start again after a failure. The tests share the simulated loop, the settings example and the setup of a fleet.

--- a/borageworks/catalog/follower.py
+++ b/borageworks/catalog/follower.py
@@ -78,7 +78,12 @@
         head = await self._store.get(self._keys.head)
         if head is None:
             return await self.load()
-        await self._read_changed(Head.decode(head.value), head.mod_revision)
+        stored = Head.decode(head.value)
+        if not any(self._read_counts) and head.mod_revision <= self._replica.revision:
+            # The configuration came from peers and is complete up to this head.
+            self._read_counts = list(stored.buckets)
+        else:
+            await self._read_changed(stored, head.mod_revision)
         return head.mod_revision
 
     async def load(self) -> int:
@@ -90,16 +95,13 @@
             changed += self._merge(bucket.objects)
             # Merging all of 28,000 organisations at once holds the loop for 0.15 s.
             await asyncio.sleep(0)
-        self._read_counts = list(map(max, self._read_counts, state.head.buckets))
+        self._read_counts = list(state.head.buckets)
         self._replica.note_revision(state.head_revision or EMPTY_REVISION)
         if complete:
             self._push(changed)
         return state.read_revision
 
     async def _read_changed(self, head: Head, revision: int) -> None:
-        if revision <= self._replica.revision:
-            self._read_counts = list(map(max, self._read_counts, head.buckets))
-            return
         changed = [
             index
             for index, count in enumerate(head.buckets)
--- a/borageworks/catalog/sync.py
+++ b/borageworks/catalog/sync.py
@@ -275,7 +275,8 @@
             self._metrics.count("catalog_malformed", "CatalogPull")
         for index in indexes:
             self._replies[sender, index] = None
-        if self._replies and self._reply_task is None and self._subscriptions:
+        replying = self._reply_task is not None and not self._reply_task.done()
+        if self._replies and not replying and self._subscriptions:
             self._reply_task = self._spawn(self._reply())
 
     def _merge(self, objects: Iterable[Versioned]) -> list[Versioned]:
@@ -332,7 +333,6 @@
                 for message in _split([item.encode() for item in part]):
                     self._send_objects(peer, message)
                 await asyncio.sleep(REPLY_INTERVAL_S)
-        self._reply_task = None
 
     def _send_digest(self, peer: str) -> None:
         now = self._timers.now()
--- a/borageworks/catalog/tests/fleet.py
+++ b/borageworks/catalog/tests/fleet.py
@@ -1,17 +1,23 @@
-"""A fleet of synchronisers over a network that loses, repeats and delays messages."""
+"""A fleet on simulated time, whose network loses, repeats and delays messages."""
 
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
+import selectors
+from collections.abc import Coroutine
 from dataclasses import dataclass
+from typing import Any
 
 import orjson
 
 from borageworks.catalog.replica import Replica
 from borageworks.catalog.sync import CatalogSync
+from borageworks.catalog.tests.fakes import FakeStore
 from borageworks.catalog.versioned import Versioned
 from borageworks.config.loader import parse_settings
+from borageworks.config.tests.examples import VALID
 from borageworks.metrics import Metrics
 from borageworks.store.store import Store
 from borageworks.timers import Timers
@@ -33,23 +39,15 @@
     """One synchroniser with its replica and what took effect, in order."""
 
     def __init__(self, fleet: Fleet, member: FakeMember, store: Store) -> None:
-        address = {"host": "127.0.0.1", "port": 0}
-        settings = {
-            "instance": member.id,
-            "domain": member.domain,
-            "listen": address,
-            "gossip": address,
-            "peer": address,
-            "store": {"url": "http://127.0.0.1:1"},
-            "membership": {"keys": ["0" * 32]},
-        }
         self.member = member
         self.store = store
         self.replica = Replica()
         self.changes: list[Versioned] = []
         self.metrics = Metrics()
         self.sync = CatalogSync(
-            parse_settings(orjson.dumps(settings)),
+            parse_settings(
+                orjson.dumps({**VALID, "instance": member.id, "domain": member.domain})
+            ),
             self.replica,
             store,
             fleet.timers,
@@ -149,3 +147,47 @@
                 if len(versions) == 1 and min(versions)[0] >= revision:
                     return
                 await asyncio.sleep(0.1)
+
+
+class _Selector(selectors.DefaultSelector):
+    """Advances the clock instead of waiting."""
+
+    elapsed = 0.0
+
+    def select(self, timeout: float | None = None) -> Any:
+        if timeout is None:
+            raise RuntimeError("every task waits and no timer is set")
+        self.elapsed += max(timeout, 0.0)
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Loop with simulated time, starting at 1,000 s."""
+
+    def __init__(self) -> None:
+        self._virtual_selector = _Selector()
+        super().__init__(self._virtual_selector)
+
+    def time(self) -> float:
+        return 1000.0 + self._virtual_selector.elapsed
+
+
+def run(main: Coroutine[Any, Any, None]) -> None:
+    """Run a coroutine on a loop with simulated time."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        runner.run(main)
+
+
+def simulated(test):
+    """Run a test coroutine on simulated time, with an empty store and fleet."""
+
+    @functools.wraps(test)
+    def run_test(case):
+        async def main() -> None:
+            fleet = Fleet()
+            await test(case, FakeStore(), fleet)
+            await fleet.stop()
+
+        run(main())
+
+    return run_test
--- a/borageworks/catalog/tests/test_sync.py
+++ b/borageworks/catalog/tests/test_sync.py
@@ -13,8 +13,7 @@
 from borageworks.catalog.keys import CATALOG_PREFIX
 from borageworks.catalog.tests.builders import organisation, ticket
 from borageworks.catalog.tests.fakes import FakeStore
-from borageworks.catalog.tests.fleet import FRAME_LIMIT_BYTES, Fleet
-from borageworks.catalog.tests.virtual_loop import run
+from borageworks.catalog.tests.fleet import FRAME_LIMIT_BYTES, Fleet, run, simulated
 from borageworks.catalog.tickets import apply_ticket
 from borageworks.catalog.versioned import Versioned
 from borageworks.catalog.watchers import WATCHERS_PER_DOMAIN
@@ -77,181 +76,143 @@
         run(scenario(30))
         self.assertEqual(calls[0], calls[1])
 
-    def test_empty_store_is_a_complete_configuration(self):
+    @simulated
+    async def test_empty_store_is_a_complete_configuration(self, store, fleet):
         """Guards against a new fleet that is never ready for its first ticket."""
-
-        async def scenario():
-            store, fleet = FakeStore(), Fleet()
-            await start(fleet, store, 5)
-            await fleet.settled()
-            self.assertEqual((), fleet.instances["i0"].sync.lacking)
-            await fleet.settled(await apply(store, 1, organisation("a")))
-            self.assertIn("a", fleet.instances["i4"].replica.organisations)
-            await fleet.stop()
-
-        run(scenario())
-
-    def test_store_down_at_start_loads_from_peers(self):
+        await start(fleet, store, 5)
+        await fleet.settled()
+        self.assertEqual((), fleet.instances["i0"].sync.lacking)
+        await fleet.settled(await apply(store, 1, organisation("a")))
+        self.assertIn("a", fleet.instances["i4"].replica.organisations)
+
+    @simulated
+    async def test_store_down_at_start_loads_from_peers(self, store, fleet):
         """Guards against a restart during a store outage that never gets ready."""
-
-        async def scenario():
-            store, fleet = FakeStore(), Fleet()
-            many = [organisation(f"o{n:03d}", n) for n in range(300)]
-            await apply(store, 1, *many)
-            await start(fleet, store, 4)
-            await fleet.settled()
-            store.down = True
-            store.wake()
-            late = await fleet.add("late", "d1", store)
-            await asyncio.sleep(0.1)
-            self.assertNotEqual((), late.sync.lacking)
-            await fleet.settled()
-            self.assertEqual((), late.sync.lacking)
-            self.assertEqual(300, len(late.replica.organisations))
-            sent = late.metrics.value("catalog_objects_sent")
-            self.assertEqual(0, sent, "a first load is not passed on")
-            await fleet.stop()
-
-        run(scenario())
-
-    def test_first_load_is_not_doubled(self):
+        many = [organisation(f"o{n:03d}", n) for n in range(300)]
+        await apply(store, 1, *many)
+        await start(fleet, store, 4)
+        await fleet.settled()
+        store.down = True
+        store.wake()
+        late = await fleet.add("late", "d1", store)
+        await asyncio.sleep(0.1)
+        self.assertNotEqual((), late.sync.lacking)
+        await fleet.settled()
+        self.assertEqual((), late.sync.lacking)
+        self.assertEqual(300, len(late.replica.organisations))
+        sent = late.metrics.value("catalog_objects_sent")
+        self.assertEqual(0, sent, "a first load is not passed on")
+
+    @simulated
+    async def test_first_load_is_not_doubled(self, store, fleet):
         """Guards against a starting instance that also pulls what it is reading."""
-
-        async def scenario():
-            store, fleet = FakeStore(), Fleet()
-            await apply(store, 1, organisation("a"))
-            await start(fleet, store, 4)
-            await fleet.settled()
-            store.range_delay_s = 5.0
-            late = await fleet.add("late", "d1", store)
-            await fleet.settled()
-            self.assertEqual(0, late.metrics.value("catalog_pulls"))
-            await fleet.stop()
-
-        run(scenario())
-
-    def test_digests_are_answered_and_buckets_pulled_once(self):
+        await apply(store, 1, organisation("a"))
+        await start(fleet, store, 4)
+        await fleet.settled()
+        store.range_delay_s = 5.0
+        late = await fleet.add("late", "d1", store)
+        await fleet.settled()
+        self.assertEqual(0, late.metrics.value("catalog_pulls"))
+
+    @simulated
+    async def test_digests_are_answered_and_buckets_pulled_once(self, store, fleet):
         """Guards against a peer that stays behind, and against doubled replies."""
+        await apply(store, 1, organisation("a"))
+        lone = await fleet.add("lone", "d1", store)
+        await fleet.settled()
+        ours = lone.replica.digest()
+        empty = CatalogDigest(0, (0,) * len(ours.hashes))
+        newer = CatalogDigest(ours.revision + 1, (7, *ours.hashes[1:]))
+        self.assertNotEqual(0, bucket_of("organisation", "a"))
+        for _ in range(2):
+            lone.sync.receive("behind", empty)
+            lone.sync.receive("ahead", newer)
+            lone.sync.receive("also-ahead", newer)
+        answer = CatalogDigest(ours.revision, ours.hashes)
+        recent = Versioned("organisation", "a", 1, organisation("a"))
+        objects = CatalogObjects((recent.encode(),))
+        self.assertEqual(
+            [
+                ("behind", objects),
+                ("behind", answer),
+                ("ahead", answer),
+                ("also-ahead", answer),
+                ("behind", objects),
+                ("ahead", CatalogPull((0,))),
+            ],
+            [(receiver, message) for _, receiver, message in fleet.sent],
+        )
 
-        async def scenario():
-            store, fleet = FakeStore(), Fleet()
-            await apply(store, 1, organisation("a"))
-            lone = await fleet.add("lone", "d1", store)
-            await fleet.settled()
-            ours = lone.replica.digest()
-            empty = CatalogDigest(0, (0,) * len(ours.hashes))
-            newer = CatalogDigest(ours.revision + 1, (7, *ours.hashes[1:]))
-            self.assertNotEqual(0, bucket_of("organisation", "a"))
-            for _ in range(2):
-                lone.sync.receive("behind", empty)
-                lone.sync.receive("ahead", newer)
-                lone.sync.receive("also-ahead", newer)
-            answer = CatalogDigest(ours.revision, ours.hashes)
-            recent = Versioned("organisation", "a", 1, organisation("a"))
-            objects = CatalogObjects((recent.encode(),))
-            self.assertEqual(
-                [
-                    ("behind", objects),
-                    ("behind", answer),
-                    ("ahead", answer),
-                    ("also-ahead", answer),
-                    ("behind", objects),
-                    ("ahead", CatalogPull((0,))),
-                ],
-                [(receiver, message) for _, receiver, message in fleet.sent],
-            )
-            await fleet.stop()
-
-        run(scenario())
-
-    def test_new_objects_are_passed_on_once(self):
+    @simulated
+    async def test_new_objects_are_passed_on_once(self, store, fleet):
         """Guards against changes that wait for a heartbeat, and against echoes."""
-
-        async def scenario():
-            store, fleet = FakeStore(), Fleet()
-            await start(fleet, store, 4)
-            await fleet.settled()
-            await asyncio.sleep(5)
-            item = Versioned("organisation", "a", 9, organisation("a"))
-            message = CatalogObjects((item.encode(),))
-            fleet.sent.clear()
-            for _ in range(2):
-                fleet.instances["i0"].sync.receive("i1", message)
-            self.assertEqual(
-                {("i0", "i2", message), ("i0", "i3", message)}, set(fleet.sent)
-            )
-            self.assertEqual(2, len(fleet.sent))
-            fleet.sent.clear()
-            await apply(store, 1, organisation("b"))
-            await asyncio.sleep(0.01)
-            pushed = Versioned("organisation", "b", 1, organisation("b"))
-            expected = CatalogObjects((pushed.encode(),))
-            self.assertIn(expected, [message for _, _, message in fleet.sent])
-            await fleet.stop()
-
-        run(scenario())
-
-    def test_lone_instance_waits_for_the_store(self):
+        await start(fleet, store, 4)
+        await fleet.settled()
+        await asyncio.sleep(5)
+        item = Versioned("organisation", "a", 9, organisation("a"))
+        message = CatalogObjects((item.encode(),))
+        fleet.sent.clear()
+        for _ in range(2):
+            fleet.instances["i0"].sync.receive("i1", message)
+        self.assertEqual(
+            {("i0", "i2", message), ("i0", "i3", message)}, set(fleet.sent)
+        )
+        self.assertEqual(2, len(fleet.sent))
+        fleet.sent.clear()
+        await apply(store, 1, organisation("b"))
+        await asyncio.sleep(0.01)
+        pushed = Versioned("organisation", "b", 1, organisation("b"))
+        expected = CatalogObjects((pushed.encode(),))
+        self.assertIn(expected, [message for _, _, message in fleet.sent])
+
+    @simulated
+    async def test_lone_instance_waits_for_the_store(self, store, fleet):
         """Guards against readiness without a configuration, and a stuck first load."""
-
-        async def scenario():
-            store, fleet = FakeStore(), Fleet()
-            await apply(store, 1, organisation("a"))
-            store.down = True
-            lone = await fleet.add("lone", "d1", store)
-            await asyncio.sleep(600)
-            self.assertIn("does not answer", lone.sync.lacking[0])
-            self.assertLess(sum(store.calls.values()), 60, "retries are paced")
-            store.down = False
-            await fleet.settled()
-            self.assertIn("a", lone.replica.organisations)
-            await fleet.stop()
-
-        run(scenario())
-
-    def test_object_that_only_an_incomplete_instance_has_spreads(self):
+        await apply(store, 1, organisation("a"))
+        store.down = True
+        lone = await fleet.add("lone", "d1", store)
+        await asyncio.sleep(600)
+        self.assertIn("does not answer", lone.sync.lacking[0])
+        self.assertLess(sum(store.calls.values()), 60, "retries are paced")
+        store.down = False
+        await fleet.settled()
+        self.assertIn("a", lone.replica.organisations)
+
+    @simulated
+    async def test_object_that_only_an_incomplete_instance_has_spreads(
+        self, store, fleet
+    ):
         """Guards against an instance that never gets ready since it knows more."""
-
-        async def scenario():
-            store, fleet = FakeStore(), Fleet()
-            await apply(store, 1, organisation("a"))
-            await start(fleet, store, 4)
-            await fleet.settled()
-            store.down = True
-            store.wake()
-            late = await fleet.add("late", "d1", store)
-            newer = Versioned("organisation", "b", 9, organisation("b"))
-            late.sync.receive("gone", CatalogObjects((newer.encode(),)))
-            await fleet.settled()
-            self.assertEqual((), late.sync.lacking)
-            self.assertIn("b", fleet.instances["i0"].replica.organisations)
-            await fleet.stop()
-
-        run(scenario())
-
-    def test_compacted_watch_reloads(self):
+        await apply(store, 1, organisation("a"))
+        await start(fleet, store, 4)
+        await fleet.settled()
+        store.down = True
+        store.wake()
+        late = await fleet.add("late", "d1", store)
+        newer = Versioned("organisation", "b", 9, organisation("b"))
+        late.sync.receive("gone", CatalogObjects((newer.encode(),)))
+        await fleet.settled()
+        self.assertEqual((), late.sync.lacking)
+        self.assertIn("b", fleet.instances["i0"].replica.organisations)
+
+    @simulated
+    async def test_compacted_watch_reloads(self, store, fleet):
         """Guards against a watcher that misses changes after a compaction."""
-
-        async def scenario():
-            store, fleet = FakeStore(), Fleet()
-            lone = await fleet.add("lone", "d1", store)
-            await asyncio.sleep(5)
-            store.silent = True
-            for number in range(1, 15):
-                await apply(store, number, organisation(f"o{number}"))
-            store.compacted = store.revision
-            store.history.clear()
-            store.silent = False
-            store.wake()
-            await fleet.settled(store.revision)
-            self.assertEqual(14, len(lone.replica.organisations))
-            failures = lone.metrics.value("catalog_store_failures", "store_compacted")
-            self.assertEqual(1, failures)
-            await fleet.settled(await apply(store, 15, organisation("next")))
-            self.assertIn("next", lone.replica.organisations)
-            await fleet.stop()
-
-        run(scenario())
+        lone = await fleet.add("lone", "d1", store)
+        await asyncio.sleep(5)
+        store.silent = True
+        for number in range(1, 15):
+            await apply(store, number, organisation(f"o{number}"))
+        store.compacted = store.revision
+        store.history.clear()
+        store.silent = False
+        store.wake()
+        await fleet.settled(store.revision)
+        self.assertEqual(14, len(lone.replica.organisations))
+        failures = lone.metrics.value("catalog_store_failures", "store_compacted")
+        self.assertEqual(1, failures)
+        await fleet.settled(await apply(store, 15, organisation("next")))
+        self.assertIn("next", lone.replica.organisations)
 
     def test_bucket_older_than_the_head_is_read_again(self):
         """Guards against a revision that is reported without its objects."""
@@ -275,67 +236,52 @@
 
         run(scenario())
 
-    def test_another_instance_takes_over_from_a_watcher(self):
+    @simulated
+    async def test_another_instance_takes_over_from_a_watcher(self, store, fleet):
         """Guards against a domain that stops following the store."""
+        await start(fleet, store, 8)
+        await asyncio.sleep(5)
+        watching = [n for n, i in fleet.instances.items() if i.sync.watching]
+        for name in watching:
+            await fleet.remove(name)
+        await fleet.settled(await apply(store, 1, organisation("a")))
+        for instance in fleet.instances.values():
+            self.assertIn("a", instance.replica.organisations)
 
-        async def scenario():
-            store, fleet = FakeStore(), Fleet()
-            await start(fleet, store, 8)
-            await asyncio.sleep(5)
-            watching = [n for n, i in fleet.instances.items() if i.sync.watching]
-            for name in watching:
-                await fleet.remove(name)
-            await fleet.settled(await apply(store, 1, organisation("a")))
-            for instance in fleet.instances.values():
-                self.assertIn("a", instance.replica.organisations)
-            await fleet.stop()
-
-        run(scenario())
-
-    def test_store_reads_are_paced_under_many_tickets(self):
+    @simulated
+    async def test_store_reads_are_paced_under_many_tickets(self, store, fleet):
         """Guards against watchers that read the store as fast as tickets arrive."""
-
-        async def scenario():
-            store, fleet = FakeStore(), Fleet()
-            lone = await fleet.add("lone", "d1", store)
-            await asyncio.sleep(5)
-            started = fleet.timers.now()
-            for number in range(1, 301):
-                changed = organisation(f"o{number}")
-                revision = await apply(store, number, changed)
-                await asyncio.sleep(0.001)
-            await fleet.settled(revision)
-            self.assertEqual(300, len(lone.replica.organisations))
-            elapsed = fleet.timers.now() - started
-            reads = sum(n for key, n in store.keys_read.items() if "bucket" in key)
-            self.assertLessEqual(reads, 2 + elapsed / follower.READ_INTERVAL_S)
-            await fleet.stop()
-
-        run(scenario())
-
-    def test_large_replies_fit_a_frame(self):
+        lone = await fleet.add("lone", "d1", store)
+        await asyncio.sleep(5)
+        started = fleet.timers.now()
+        for number in range(1, 301):
+            changed = organisation(f"o{number}")
+            revision = await apply(store, number, changed)
+            await asyncio.sleep(0.001)
+        await fleet.settled(revision)
+        self.assertEqual(300, len(lone.replica.organisations))
+        elapsed = fleet.timers.now() - started
+        reads = sum(n for key, n in store.keys_read.items() if "bucket" in key)
+        self.assertLessEqual(reads, 2 + elapsed / follower.READ_INTERVAL_S)
+
+    @simulated
+    async def test_large_replies_fit_a_frame(self, store, fleet):
         """Guards against a reply that no link can carry."""
-
-        async def scenario():
-            store, fleet = FakeStore(), Fleet()
-            names = tuple(f"organisation-with-a-long-name-{n:05d}" for n in range(3000))
-            await apply(store, 1, *(organisation(name) for name in names))
-            await start(fleet, store, 2)
-            await fleet.settled()
-            store.down = True
-            store.wake()
-            late = await fleet.add("late", "d1", store)
-            sent = [i.metrics for i in fleet.instances.values()]
-            await fleet.settled()
-            self.assertEqual(3000, len(late.replica.organisations))
-            total = sum(metrics.value("catalog_bytes_sent") for metrics in sent)
-            self.assertGreater(total, fleet.largest_frame * 20)
-            self.assertLess(fleet.largest_frame, FRAME_LIMIT_BYTES)
-            messages = list(sync_module._split([b"x" * 100_000] * 30))
-            self.assertEqual(30, len(messages))
-            await fleet.stop()
-
-        run(scenario())
+        names = tuple(f"organisation-with-a-long-name-{n:05d}" for n in range(3000))
+        await apply(store, 1, *(organisation(name) for name in names))
+        await start(fleet, store, 2)
+        await fleet.settled()
+        store.down = True
+        store.wake()
+        late = await fleet.add("late", "d1", store)
+        sent = [i.metrics for i in fleet.instances.values()]
+        await fleet.settled()
+        self.assertEqual(3000, len(late.replica.organisations))
+        total = sum(metrics.value("catalog_bytes_sent") for metrics in sent)
+        self.assertGreater(total, fleet.largest_frame * 20)
+        self.assertLess(fleet.largest_frame, FRAME_LIMIT_BYTES)
+        messages = list(sync_module._split([b"x" * 100_000] * 30))
+        self.assertEqual(30, len(messages))
 
     @settings(derandomize=True, deadline=None, max_examples=25)
     @given(
--- a/borageworks/commands/tests/test_commands.py
+++ b/borageworks/commands/tests/test_commands.py
@@ -14,17 +14,8 @@
 from borageworks.catalog.tests.fakes import FakeStore
 from borageworks.commands import ticket as ticket_module
 from borageworks.commands.exits import Exit
+from borageworks.config.tests.examples import VALID
 
-ADDRESS = {"host": "127.0.0.1", "port": 0}
-SETTINGS = {
-    "instance": "i1",
-    "domain": "d1",
-    "listen": ADDRESS,
-    "gossip": ADDRESS,
-    "peer": ADDRESS,
-    "store": {"url": "http://127.0.0.1:1"},
-    "membership": {"keys": ["0" * 32]},
-}
 TICKET = {
     "number": 3,
     "put": [
@@ -47,7 +38,7 @@
         directory = TemporaryDirectory()
         self.addCleanup(directory.cleanup)
         self.directory = Path(directory.name)
-        self.settings = self.write("settings.json", SETTINGS)
+        self.settings = self.write("settings.json", VALID)
         self.store = ClosableStore()
         self.patch(ticket_module, "EtcdStore", lambda settings, metrics: self.store)
 
@@ -64,7 +55,7 @@
     def test_check(self):
         """Guards against scripts that take broken settings for correct ones."""
         self.run_cli("check", self.settings)
-        broken = self.write("broken.json", {**SETTINGS, "domian": 1, "peer": 1})
+        broken = self.write("broken.json", {**VALID, "domian": 1, "peer": 1})
         result = self.run_cli("check", broken, code=2)
         self.assertEqual("", result.stdout)
         lines = result.stderr.splitlines()
--- a/borageworks/config/tests/test_loader.py
+++ b/borageworks/config/tests/test_loader.py
@@ -13,19 +13,9 @@
 
 from borageworks.config.loader import load_settings, load_ticket, parse_settings
 from borageworks.config.schema import render_schema
+from borageworks.config.tests.examples import VALID
 from borageworks.exceptions import SettingsInvalidError, TicketInvalidError
 
-ADDRESS = {"host": "127.0.0.1", "port": 0}
-VALID: dict[str, Any] = {
-    "instance": "i1",
-    "domain": "d1",
-    "listen": ADDRESS,
-    "gossip": ADDRESS,
-    "peer": ADDRESS,
-    "store": {"url": "http://127.0.0.1:2379"},
-    "membership": {"seeds": [ADDRESS], "keys": ["0" * 32]},
-}
-
 
 def reasons(document):
     """Return the reasons against settings, () if they are valid."""
