Admit requests to the emulated engine's batch on arrival

Cause: a request that arrived during a step was counted as waiting until the step ended, although its place was free. Routers took that as overload and shrank the window by a tenth again and again. Change: a request takes a free place on arrival and joins the next step; only requests without a place are reported as waiting. A test fixes that.

--- a/borageworks_emulator/engine.py
+++ b/borageworks_emulator/engine.py
@@ -181,6 +181,7 @@
         self._running: list[_Job] = []
         self._waiting: deque[_Job] = deque()
         self._arrival = asyncio.Event()
+        self._prompt_tokens = 0
         self._interval_s = self._token_interval_s()
 
     @property
@@ -223,48 +224,58 @@
         milliseconds = profile.base_ms + profile.per_slot_ms * len(self._running)
         return milliseconds * profile.time_scale * self.faults.slowdown / 1000.0
 
-    def _admit(self) -> float:
-        """Move waiting requests into the batch and return the prompt cost in seconds.
+    def _admit(self) -> None:
+        """Move waiting requests into the free places of the batch.
 
-        The prompt's service units are recorded at admission.
+        The prompt's service units are recorded at admission; its cost falls into the
+        next step.
         """
-        computed = 0
         now = time.monotonic()
         while self._waiting and len(self._running) < self.profile.batch_limit:
             job = self._waiting.popleft()
             job.run.started = now
             job.cached = self._cache.lookup(job.words)
             tokens = len(job.words) - job.cached + job.first_token
-            computed += tokens
+            self._prompt_tokens += tokens
             self.recording.serve(job.run, now, tokens * PROMPT_TOKEN_UNITS)
             self._running.append(job)
+            self._arrival.set()
+
+    def _prompt_s(self) -> float:
+        """Return the seconds that newly admitted prompts take, and forget them."""
+        tokens, self._prompt_tokens = self._prompt_tokens, 0
         scale = self.profile.time_scale * self.faults.slowdown / 1000.0
-        return computed * self.profile.prompt_token_ms * scale
+        return tokens * self.profile.prompt_token_ms * scale
 
     async def _schedule(self) -> None:
         due = time.monotonic()
         while True:
-            if not self._running and not self._waiting:
+            if not self._running:
                 self._arrival.clear()
                 await self._arrival.wait()
                 due = time.monotonic()
-            prompt_s = self._admit()
+            # Requests admitted during a step join the next one.
+            batch = list(self._running)
             self._interval_s = self._token_interval_s()
-            due += self._interval_s + prompt_s
+            due += self._interval_s + self._prompt_s()
             await asyncio.sleep(max(0.0, due - time.monotonic()))
             now = time.monotonic()
             due = max(due, now - MAX_LATENESS_S)
-            for job in self._running:
+            for job in batch:
+                if job.run.outcome is not RunOutcome.OPEN:
+                    continue
                 job.produced += 1
                 self.recording.serve(job.run, now, GENERATED_TOKEN_UNITS)
                 if job.finished:
                     self.recording.finish(job.run, RunOutcome.COMPLETE)
                 job.changed.set()
             self._running = [job for job in self._running if not job.finished]
+            self._admit()
 
     def _cancel(self, job: _Job) -> None:
         if job in self._running:
             self._running.remove(job)
+            self._admit()
         elif job in self._waiting:
             self._waiting.remove(job)
         self.recording.finish(job.run, RunOutcome.CANCELLED)
@@ -302,7 +313,7 @@
         job = _Job(run, words, tokens, first, head, len(tokens) == limit)
         if not job.finished:
             self._waiting.append(job)
-            self._arrival.set()
+            self._admit()
         else:
             self.recording.finish(run, RunOutcome.COMPLETE)
         answered = job
--- a/borageworks_emulator/tests/test_engine.py
+++ b/borageworks_emulator/tests/test_engine.py
@@ -138,6 +138,22 @@
         starts = [run.started for run in runs]
         self.assertEqual(sorted(starts), starts)
 
+    def test_request_with_a_free_place_is_not_waiting(self):
+        """Guards against load reports that make routers shrink a window in vain."""
+
+        async def case(engine, session):
+            calls = [
+                asyncio.create_task(_post(session, _chat(f"{i} answer_tokens=2")))
+                for i in range(3)
+            ]
+            await until(lambda: len(engine.recording.runs) == 3)
+            seen = (engine.running, engine.waiting)
+            await asyncio.gather(*calls)
+            return seen
+
+        slow = EngineProfile(base_ms=200.0, batch_limit=2)
+        self.assertEqual((2, 1), _run_with_engine(case, slow))
+
     def test_disconnect_cancels_the_run(self):
         """Guards against units charged for answers that nobody reads."""
 
