Retain fair queue state that was made before the first known time

Cause: the differential test found a correction that was lost; its account had no time of last use and was dropped at the first event with a time. Change: such accounts count as used at the first known time. Measured: the failing example passes; 60 tests of fair and config pass.

--- a/borageworks/fair/queue.py
+++ b/borageworks/fair/queue.py
@@ -194,6 +194,10 @@
         self._idle[organisation] = None
 
     def _advance(self, now: float) -> None:
+        if self._now == -math.inf:
+            # State made before the first known time is retained from then on.
+            for account in self._accounts.values():
+                account.touched = now
         self._now = max(self._now, now)
         oldest = self._now - IDLE_RETENTION_S
         while self._idle:
