Measure divided shares and 60 owners

Cause: an organisation with demand at many owners receives more before any correction, which the correction alone has to take back.

--- a/borageworks/fair/tests/fleet_model.py
+++ b/borageworks/fair/tests/fleet_model.py
@@ -44,8 +44,6 @@
         Time and number of an owner that restarts with an empty queue.
     skew
         Organisation i has 1 + i % skew entries.
-    divided
-        Whether each owner divides a share by the owners that hold the demand.
     """
 
     owners: int = 8
@@ -59,17 +57,20 @@
     restart: tuple[float, int] | None = None
     skew: int = 8
     mean_cost: float = 200.0
-    divided: bool = False
 
 
 @dataclass(frozen=True)
 class Rule:
-    """Correction rule and its settings."""
+    """Correction rule and its settings.
+
+    With `divided` each owner divides a share by the owners that hold the demand.
+    """
 
     gain: float
     trend: float
     limit: float = 0.25
     kind: type[Correction] | type[DriftCorrection] = Correction
+    divided: bool = False
 
     @property
     def settings(self):
@@ -284,7 +285,7 @@
         interval = self.rule.settings.exchange_interval_s
         for owner in half:
             backlogged = sorted(owner.queue.backlogged())
-            if self.scenario.divided:
+            if self.rule.divided:
                 for name, count in holders.items():
                     owner.shares[name] = self.shares[name] / max(1, count)
                     owner.queue.set_share(name, owner.shares[name])
@@ -296,7 +297,7 @@
                 delta = owner.correction.update(
                     name,
                     errors[name],
-                    1 if self.scenario.divided else holders[name],
+                    1 if self.rule.divided else holders[name],
                     expected,
                 )
                 self.largest_delta_ratio = max(
--- a/borageworks/fair/tests/measure_correction.py
+++ b/borageworks/fair/tests/measure_correction.py
@@ -19,6 +19,7 @@
     "8, reach 6": Scenario(reach=6),
     "8, reach 3, redraw 30 s": Scenario(redraw_s=30.0),
     "24, reach 8": Scenario(owners=24, reach=8, organisations=32),
+    "60, reach 16": Scenario(owners=60, reach=16),
     "8, reach 3, mean 0.2 s": Scenario(mean_cost=20.0, seconds=120),
     "8, reach 3, lag 3.9 s": Scenario(lag_s=3.9),
 }
@@ -35,6 +36,8 @@
     "1.0 only, limit 1": Rule(1.0, 0.0, 1.0),
     "drift 0.5, limit 0.25": Rule(0.3, 0.5, 0.25, DriftCorrection),
     "drift 0.8, limit 0.25": Rule(0.3, 0.8, 0.25, DriftCorrection),
+    "trend 0.5, limit 0.25, divided": Rule(0.3, 0.5, divided=True),
+    "drift 0.8, limit 0.25, divided": Rule(0.3, 0.8, 0.25, DriftCorrection, True),
 }
 
 
