Let entry instances keep slots while capacity is free

Change: a slot granted while a quarter of the window is free may be kept and reused; the use is reported each second; the owner recalls such slots when requests wait, when the endpoint fails, leaves or is needed alone. Control traffic is the larger direction.

--- a/borageworks/router/entry.py
+++ b/borageworks/router/entry.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from borageworks.catalog.objects import Endpoint, PoolKind
+from borageworks.catalog.objects import Endpoint, EndpointState, PoolKind
 from borageworks.catalog.replica import Replica
 from borageworks.config.settings import Settings
 from borageworks.endpoints.call import Call
@@ -33,6 +33,8 @@
 )
 from borageworks.metrics import Metrics
 from borageworks.router.held import HeldGrant
+from borageworks.router.standing import StandingSlots
+from borageworks.router.usage import Usage
 from borageworks.routing.budget import RetryBudget
 from borageworks.routing.demand import DemandPlan, TellOwner
 from borageworks.routing.queue import EntryQueue
@@ -46,6 +48,7 @@
     Grant,
     Message,
     Outcome,
+    Recall,
     Release,
     Running,
     Suspect,
@@ -99,6 +102,9 @@
         self._alone: dict[int, tuple[WaitingRequest, asyncio.Future[HeldGrant]]] = {}
         self._granted: dict[int, asyncio.Future[HeldGrant]] = {}
         self._held: dict[int, HeldGrant] = {}
+        self._standing = StandingSlots()
+        self._usage = Usage()
+        self._stopping = False
         self._sequence = itertools.count(1)
         self._flush_pending = False
         self._calls = 0
@@ -114,6 +120,11 @@
         """Number of calls that wait for a slot."""
         return len(self._queue)
 
+    @property
+    def standing(self) -> int:
+        """Number of idle standing slots."""
+        return len(self._standing)
+
     def start(self) -> None:
         """Subscribe to the timers."""
         self._subscriptions = [
@@ -121,6 +132,13 @@
             self._timers.every(CHARGE_INTERVAL_S, self._refresh),
         ]
 
+    def drain(self) -> None:
+        """Return all idle standing slots and keep none from now on."""
+        self._stopping = True
+        for held in self._standing.all():
+            self._standing.recall(held.owner, held.grant.pool, held.grant.endpoint)
+            self._return(held)
+
     def stop(self) -> None:
         """Cancel the timers."""
         for subscription in self._subscriptions:
@@ -140,10 +158,15 @@
         """
         self._owners = by_pool
         self._demand.set_owners(by_pool)
+        for held in self._standing.all():
+            if owners.get(held.grant.endpoint) != held.owner:
+                self._standing.recall(held.owner, held.grant.pool, held.grant.endpoint)
+                self._return(held)
         for held in self._held.values():
             owner = owners.get(held.grant.endpoint)
             if owner is not None and owner != held.owner:
                 held.owner = owner
+                held.standing = False
                 self._tell_running(held)
         self._schedule_flush()
 
@@ -156,6 +179,8 @@
     def link_lost(self, instance: str) -> None:
         """Advertise demand again, after the link to an owner was lost."""
         self._demand.forget_owner(instance)
+        # The owner has freed them too.
+        self._standing.drop_owner(instance)
         self._schedule_flush()
 
     def receive_grant(self, sender: str, grant: Grant) -> None:
@@ -168,11 +193,26 @@
             self._send(sender, Release(grant.grant_id, Outcome.UNUSED, 0.0))
             return
         self._note_waiting(now, grant.pool, grant.organisation)
-        held = HeldGrant(grant, sender, Progress())
+        held = HeldGrant(
+            grant,
+            sender,
+            Progress(),
+            organisation=grant.organisation,
+            standing=grant.standing,
+        )
         self._held[grant.grant_id] = held
         self._metrics.observe("queue_wait", now - request.queued_at)
         self._granted.pop(request.request_id).set_result(held)
 
+    def receive_recall(self, sender: str, recall: Recall) -> None:
+        """Return idle standing slots, and busy ones once their requests end."""
+        for held in self._standing.recall(sender, recall.pool, recall.endpoint):
+            self._return(held)
+        for held in self._held.values():
+            wanted = recall.endpoint in ("", held.grant.endpoint)
+            if wanted and held.owner == sender and held.grant.pool == recall.pool:
+                held.standing = False
+
     def check_admission(self, call: Call) -> None:
         """Refuse a call that would find the queue full, before it is claimed."""
         self._queue.check_bounds(self._timers.now(), call.organisation)
@@ -292,7 +332,12 @@
             queued_at=now,
             deadline=deadline,
         )
-        match self._suspects.verdict(now, fingerprint):
+        verdict = self._suspects.verdict(now, fingerprint)
+        if verdict is Verdict.CLEAR and not again:
+            kept = self._take_standing(call)
+            if kept is not None:
+                return kept
+        match verdict:
             case Verdict.REFUSED:
                 raise RequestSuspectedError(
                     "endpoints crashed while they ran this request", ran=ran
@@ -316,6 +361,32 @@
             self._give_up(request, future)
             raise
 
+    def _take_standing(self, call: Call) -> HeldGrant | None:
+        """Return a kept slot, unless requests wait for the pool already."""
+        pool = call.service.pool
+        if self._queue.waiting_for(pool):
+            return None
+        while (held := self._standing.take(pool)) is not None:
+            endpoint = self._replica.endpoints.get(held.grant.endpoint)
+            if endpoint is not None and endpoint.state is EndpointState.ACTIVE:
+                held.organisation = call.organisation
+                held.reused = True
+                held.reported = 0.0
+                self._held[held.grant.grant_id] = held
+                self._metrics.count("slots_reused")
+                return held
+            self._return(held)
+        return None
+
+    def _keep(self, held: HeldGrant) -> bool:
+        """Return whether a slot whose request was answered is kept."""
+        if not held.standing or self._stopping:
+            return False
+        return not self._queue.waiting_for(held.grant.pool)
+
+    def _return(self, held: HeldGrant) -> None:
+        self._send(held.owner, Release(held.grant.grant_id, Outcome.UNUSED, 0.0))
+
     def _queue_shared(
         self, now: float, request: WaitingRequest, again: bool
     ) -> asyncio.Future[HeldGrant]:
@@ -392,20 +463,37 @@
         exchange: Exchange | None = None,
         fingerprint: bytes = b"",
     ) -> None:
-        del self._held[held.grant.grant_id]
+        grant = held.grant
+        del self._held[grant.grant_id]
         if exchange is None:
             exchange = Exchange(
                 units=0.0 if outcome is Outcome.UNUSED else held.progress.units
             )
+        keep = outcome is Outcome.COMPLETED and self._keep(held)
+        units = exchange.units
+        if held.reused:
+            self._usage.add(
+                held.owner,
+                grant.pool,
+                held.organisation,
+                max(0.0, units - held.reported),
+                1,
+            )
+            units = 0.0
+        if keep:
+            self._standing.add(self._timers.now(), held)
+        if keep and held.reused:
+            return
         self._send(
             held.owner,
             Release(
-                held.grant.grant_id,
+                grant.grant_id,
                 outcome,
-                exchange.units,
+                units,
                 exchange.first_token,
                 exchange.token_interval,
                 fingerprint if outcome is Outcome.CRASHED else b"",
+                keep,
             ),
         )
 
@@ -435,6 +523,17 @@
                 held.reported = held.progress.units
                 self._send(held.owner, Charge(held.grant.grant_id, held.progress.units))
 
+    def _report_progress(self, held: HeldGrant) -> None:
+        grown = held.progress.units - held.reported
+        if grown <= 0:
+            return
+        held.reported = held.progress.units
+        grant = held.grant
+        if held.reused:
+            self._usage.add(held.owner, grant.pool, held.organisation, grown, 0)
+        else:
+            self._send(held.owner, Charge(grant.grant_id, held.progress.units))
+
     def _tell(self, actions: list[TellOwner]) -> None:
         for action in actions:
             self._send(action.owner, action.demand)
@@ -447,7 +546,7 @@
                 grant.grant_id,
                 grant.endpoint,
                 grant.pool,
-                grant.organisation,
+                held.organisation,
                 held.progress.units,
             ),
         )
--- a/borageworks/router/grants.py
+++ b/borageworks/router/grants.py
@@ -31,6 +31,8 @@
         owner counted is not counted again.
     alone
         Whether the request runs with no other beside it.
+    standing
+        Whether the entry may keep the slot until it is recalled.
     """
 
     grant_id: int
@@ -42,6 +44,7 @@
     received: float = 0.0
     counted: float = 0.0
     alone: bool = False
+    standing: bool = False
 
 
 class GrantTable:
@@ -56,6 +59,7 @@
         self._prefix = prefix << COUNTER_BITS
         self._counter = itertools.count(1)
         self._grants: dict[int, GivenGrant] = {}
+        self._standing: dict[int, GivenGrant] = {}
 
     def __len__(self) -> int:
         """Return the number of grants in use."""
@@ -68,6 +72,8 @@
     def add(self, grant: GivenGrant) -> None:
         """Record a grant."""
         self._grants[grant.grant_id] = grant
+        if grant.standing:
+            self._standing[grant.grant_id] = grant
 
     def get(self, grant_id: int) -> GivenGrant | None:
         """Return a grant, None if it is not known."""
@@ -75,8 +81,26 @@
 
     def pop(self, grant_id: int) -> GivenGrant | None:
         """Remove and return a grant, None if it is not known."""
+        self._standing.pop(grant_id, None)
         return self._grants.pop(grant_id, None)
 
+    def take_standing(self, pool: str, endpoint: str) -> list[GivenGrant]:
+        """Return the grants whose slots may be kept, which then no longer may.
+
+        An empty `endpoint` stands for all of the pool.
+        """
+        if not self._standing:
+            return []
+        taken = [
+            grant
+            for grant in self._standing.values()
+            if grant.pool == pool and endpoint in ("", grant.endpoint)
+        ]
+        for grant in taken:
+            grant.standing = False
+            del self._standing[grant.grant_id]
+        return taken
+
     def of_entry(self, entry: str) -> list[GivenGrant]:
         """Return the grants that an entry instance uses."""
         return [grant for grant in self._grants.values() if grant.entry == entry]
--- a/borageworks/router/held.py
+++ b/borageworks/router/held.py
@@ -21,7 +21,13 @@
     progress
         Progress of the call that uses it.
     reported
-        Service units that the owner was told.
+        Service units of the running request that the owner was told.
+    organisation
+        Whose request uses the slot.
+    standing
+        Whether the slot may be kept after the request.
+    reused
+        Whether the slot was kept and is used again.
     alone
         Whether the request runs with no other beside it.
     """
@@ -30,4 +36,7 @@
     owner: str
     progress: Progress
     reported: float = 0.0
+    organisation: str = ""
+    standing: bool = False
+    reused: bool = False
     alone: bool = False
--- a/borageworks/router/owner.py
+++ b/borageworks/router/owner.py
@@ -27,15 +27,20 @@
     Grant,
     Message,
     Outcome,
+    Recall,
     Release,
     Running,
     Suspect,
+    Used,
 )
 
 Send = Callable[[str, Message], None]
+OwnerMessage = Demand | AloneDemand | Release | Charge | Used | Running
 
 # Entry instances report slots in use within one heartbeat of an ownership change.
 TAKEOVER_GRACE_S = 0.3
+# Part of a window that is kept for entry instances without a standing slot.
+STANDING_RESERVE = 0.25
 # One lost report can be a busy endpoint; requests that fail suspend it at once.
 MISSED_REPORTS_DOWN = 3
 MILLISECONDS_PER_SECOND = 1000.0
@@ -120,6 +125,7 @@
         """Take over the endpoints to own; give up all others."""
         now = self._timers.now()
         for endpoint_id in [name for name in self._owned if name not in endpoints]:
+            self._recall(self._owned[endpoint_id].endpoint.pool, endpoint_id)
             del self._owned[endpoint_id]
             emit(Event.ENDPOINT_DISOWNED, endpoint=endpoint_id)
         for endpoint in endpoints.values():
@@ -143,9 +149,7 @@
         for pool in [name for name in self._pools if name not in live]:
             del self._pools[pool]
 
-    def receive(
-        self, sender: str, message: Demand | AloneDemand | Release | Charge | Running
-    ) -> None:
+    def receive(self, sender: str, message: OwnerMessage) -> None:
         """Handle a message of an entry instance."""
         match message:
             case Demand():
@@ -157,6 +161,8 @@
                 self._release(message)
             case Charge():
                 self._charge(message)
+            case Used():
+                self._use(message)
             case Running():
                 self._adopt(sender, message)
 
@@ -211,6 +217,8 @@
                 return
             grant = self._give(owned, pick.entry, pick.organisation, now)
             self._send(pick.entry, grant)
+        if pool.queue.backlogged():
+            self._recall(name)
 
     def _grant_alone(self, name: str, now: float) -> None:
         """Reserve an endpoint for a request that runs alone; grant it once empty."""
@@ -227,6 +235,7 @@
             candidates, key=lambda each: (not each.reserved, each.window.in_use)
         )
         owned.reserved = True
+        self._recall(name, owned.endpoint.id)
         if owned.window.in_use:
             return
         waiting = self._isolation.pop(now, name)
@@ -257,10 +266,21 @@
             organisation,
             estimate,
             alone=alone,
+            standing=not alone and self._has_reserve(owned, now),
         )
         self._grants.add(grant)
         self._metrics.count("grants", "alone" if alone else "shared")
-        return Grant(grant.grant_id, grant.endpoint, name, organisation)
+        return Grant(grant.grant_id, grant.endpoint, name, organisation, grant.standing)
+
+    def _has_reserve(self, owned: OwnedEndpoint, now: float) -> bool:
+        return owned.free(now) >= STANDING_RESERVE * owned.window.limit
+
+    def _recall(self, pool: str, endpoint: str = "") -> None:
+        """Ask for standing slots back, each entry instance once."""
+        taken = self._grants.take_standing(pool, endpoint)
+        for entry in sorted({grant.entry for grant in taken}):
+            self._metrics.count("recalls")
+            self._send(entry, Recall(pool, endpoint))
 
     def _grant_all(self) -> None:
         for name in list(self._pools):
@@ -279,10 +299,13 @@
         )
 
     def _release(self, release: Release) -> None:
-        grant = self._grants.pop(release.grant_id)
+        grant = self._grants.get(release.grant_id)
         if grant is None:
             self._metrics.count("releases_ignored")
             return
+        # A recall that crossed this message has the entry return the slot.
+        if not release.keep:
+            self._grants.pop(release.grant_id)
         owned = self._owned.get(grant.endpoint)
         match release.outcome:
             case Outcome.COMPLETED:
@@ -303,7 +326,12 @@
             case _:
                 pass
         self._metrics.count("releases", release.outcome.name.lower())
-        self._settle(grant, release.units)
+        if release.keep:
+            self._charge_end(grant, release.units)
+            grant.charged = grant.received = grant.counted = 0.0
+            grant.organisation = ""
+        else:
+            self._settle(grant, release.units)
         self._grant(grant.pool)
 
     def _settle(self, grant: GivenGrant, units: float) -> None:
@@ -313,10 +341,22 @@
             owned.window.release(self._timers.now())
             if grant.alone:
                 owned.reserved = False
+        self._charge_end(grant, units)
+
+    def _charge_end(self, grant: GivenGrant, units: float) -> None:
+        if not grant.organisation:
+            return
         pool = self._pool(grant.pool)
         pool.queue.charge(grant.organisation, units - grant.charged)
         pool.count_service(grant.organisation, units - grant.counted)
 
+    def _use(self, used: Used) -> None:
+        pool = self._pool(used.pool)
+        pool.queue.charge(used.organisation, used.units)
+        pool.count_service(used.organisation, used.units)
+        if used.requests:
+            self._metrics.count("slot_uses", amount=used.requests)
+
     def _charge(self, charge: Charge) -> None:
         grant = self._grants.get(charge.grant_id)
         if grant is None:
@@ -351,10 +391,12 @@
     def _suspend(self, owned: OwnedEndpoint) -> None:
         """Give no grants until the next load report tells the endpoint's state."""
         owned.up = False
+        self._recall(owned.endpoint.pool, owned.endpoint.id)
         self._poll(owned.endpoint)
 
     def _fail(self, owned: OwnedEndpoint) -> None:
         owned.up = False
+        self._recall(owned.endpoint.pool, owned.endpoint.id)
         owned.window.on_failure(self._timers.now())
         self._metrics.count("endpoints_down")
         emit(Event.ENDPOINT_DOWN, endpoint=owned.endpoint.id)
--- a/borageworks/router/router.py
+++ b/borageworks/router/router.py
@@ -50,11 +50,13 @@
     HeldAnswerReply,
     MemberState,
     Message,
+    Recall,
     Release,
     Running,
     ServiceError,
     ServiceReport,
     Suspect,
+    Used,
 )
 
 GAUGE_INTERVAL_S = 1.0
@@ -137,6 +139,7 @@
         emit(Event.INSTANCE_STOPPING, instance=self._settings.instance)
         await asyncio.sleep(self._settings.shutdown.balancer_lag_s)
         self._gossip.leave()
+        self._entry.drain()
         self._derive()
         await self._server.stop_accepting()
         await self._drain()
@@ -282,11 +285,13 @@
         match message:
             case Grant():
                 self._entry.receive_grant(sender, message)
+            case Recall():
+                self._entry.receive_recall(sender, message)
             case AloneGrant():
                 self._entry.receive_alone_grant(sender, message)
             case Suspect():
                 self._entry.receive_suspect(message)
-            case Demand() | AloneDemand() | Release() | Charge() | Running():
+            case Demand() | AloneDemand() | Release() | Charge() | Used() | Running():
                 self._owner.receive(sender, message)
             case Claim() | ClaimReply() | ClaimFinish():
                 self._claims.receive(sender, message)
@@ -388,13 +393,14 @@
         gauge = self._metrics.gauge
         sent = self._links.bytes_sent + self._gossip.bytes_sent
         received = self._links.bytes_received + self._gossip.bytes_received
-        gauge("control_bytes", sent + received)
+        gauge("control_bytes", max(sent, received))
         gauge("control_bytes_sent", sent)
         gauge("control_bytes_received", received)
         gauge("cpu_seconds", usage.ru_utime + usage.ru_stime)
         gauge("max_rss_kilobytes", usage.ru_maxrss)
         gauge("calls", self._entry.calls)
         gauge("waiting", self._entry.waiting)
+        gauge("slots_standing", self._entry.standing)
         gauge("slots_in_use", self._owner.grants_in_use)
         gauge("catalog_revision", self._replica.version()[0])
         gauge("uptime_seconds", now - self._started_at)
--- a/borageworks/router/tests/harness.py
+++ b/borageworks/router/tests/harness.py
@@ -32,12 +32,14 @@
     Charge,
     Demand,
     Grant,
+    Recall,
     Release,
     Running,
     Suspect,
+    Used,
 )
 
-OWNER_MESSAGES = (Demand, AloneDemand, Release, Charge, Running)
+OWNER_MESSAGES = (Demand, AloneDemand, Release, Charge, Used, Running)
 
 
 def settings_for(instance: str, **sections: Any) -> Settings:
@@ -186,6 +188,8 @@
         match message:
             case Grant():
                 self.entry.receive_grant(sender, message)
+            case Recall():
+                self.entry.receive_recall(sender, message)
             case AloneGrant():
                 self.entry.receive_alone_grant(sender, message)
             case Suspect():
--- a/borageworks/routing/queue.py
+++ b/borageworks/routing/queue.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 
 from borageworks.config.settings import QueueSettings
 from borageworks.exceptions import InstanceQueueFullError, OrganisationQueueFullError
@@ -25,7 +25,8 @@
         self._settings = settings
         self._queues: dict[QueueKey, deque[WaitingRequest]] = {}
         self._waiting: dict[int, WaitingRequest] = {}
-        self._per_organisation: dict[str, int] = {}
+        self._per_organisation: Counter[str] = Counter()
+        self._per_pool: Counter[str] = Counter()
         self._drain = DrainRate()
 
     def __len__(self) -> int:
@@ -36,6 +37,10 @@
         """Return the number of an organisation's requests that wait for a pool."""
         return len(self._queues.get((pool, organisation), ()))
 
+    def waiting_for(self, pool: str) -> bool:
+        """Return whether any request waits for a pool."""
+        return pool in self._per_pool
+
     def check_bounds(self, now: float, organisation: str) -> None:
         """Refuse a request that would exceed a bound.
 
@@ -45,7 +50,7 @@
             If a bound is reached; `retry_after` is the time in which the queue drains
             to half at its recent rate.
         """
-        held = self._per_organisation.get(organisation, 0)
+        held = self._per_organisation[organisation]
         if held >= self._settings.per_organisation:
             raise OrganisationQueueFullError(
                 f"{held} requests of organisation {organisation!r} wait",
@@ -60,20 +65,13 @@
     def add(self, now: float, request: WaitingRequest) -> None:
         """Append a request; raises as `check_bounds`."""
         self.check_bounds(now, request.organisation)
-        key = request.pool, request.organisation
-        self._queues.setdefault(key, deque()).append(request)
-        self._waiting[request.request_id] = request
-        self._per_organisation[request.organisation] = (
-            self._per_organisation.get(request.organisation, 0) + 1
-        )
+        self._queue_of(request).append(request)
+        self._count(request)
 
     def add_first(self, request: WaitingRequest) -> None:
         """Put a retried request at the head; it was admitted before, so no bound."""
-        key = request.pool, request.organisation
-        self._queues.setdefault(key, deque()).appendleft(request)
-        self._waiting[request.request_id] = request
-        held = self._per_organisation.get(request.organisation, 0)
-        self._per_organisation[request.organisation] = held + 1
+        self._queue_of(request).appendleft(request)
+        self._count(request)
 
     def pop(self, now: float, pool: str, organisation: str) -> WaitingRequest | None:
         """Remove and return the organisation's oldest request, None if none waits."""
@@ -95,13 +93,24 @@
         queue.remove(request)
         if not queue:
             del self._queues[key]
-        left = self._per_organisation[request.organisation] - 1
-        if left:
-            self._per_organisation[request.organisation] = left
-        else:
-            del self._per_organisation[request.organisation]
+        _decrement(self._per_organisation, request.organisation)
+        _decrement(self._per_pool, request.pool)
         return True
 
     def keys(self) -> list[QueueKey]:
         """Return each (pool, organisation) with waiting requests."""
         return list(self._queues)
+
+    def _queue_of(self, request: WaitingRequest) -> deque[WaitingRequest]:
+        return self._queues.setdefault((request.pool, request.organisation), deque())
+
+    def _count(self, request: WaitingRequest) -> None:
+        self._waiting[request.request_id] = request
+        self._per_organisation[request.organisation] += 1
+        self._per_pool[request.pool] += 1
+
+
+def _decrement(counts: Counter[str], name: str) -> None:
+    counts[name] -= 1
+    if not counts[name]:
+        del counts[name]
--- a/borageworks/wire/fleet.capnp
+++ b/borageworks/wire/fleet.capnp
@@ -4,8 +4,10 @@
 
 struct Hello { instance @0 :Text; incarnation @1 :UInt64; domain @2 :Text; nonce @3 :Data; }
 struct Demand { pool @0 :Text; organisation @1 :Text; waiting @2 :UInt32; }
-struct Grant { grantId @0 :UInt64; endpoint @1 :Text; pool @2 :Text; organisation @3 :Text; }
-struct Release { grantId @0 :UInt64; outcome @1 :UInt8; units @2 :Float64; firstToken @3 :Float32; tokenInterval @4 :Float32; fingerprint @5 :Data; }
+struct Grant { grantId @0 :UInt64; endpoint @1 :Text; pool @2 :Text; organisation @3 :Text; standing @4 :Bool; }
+struct Release { grantId @0 :UInt64; outcome @1 :UInt8; units @2 :Float64; firstToken @3 :Float32; tokenInterval @4 :Float32; fingerprint @5 :Data; keep @6 :Bool; }
+struct Recall { pool @0 :Text; endpoint @1 :Text; }
+struct Used { pool @0 :Text; organisation @1 :Text; units @2 :Float64; requests @3 :UInt32; }
 struct Charge { grantId @0 :UInt64; units @1 :Float64; }
 struct Running { grantId @0 :UInt64; endpoint @1 :Text; pool @2 :Text; organisation @3 :Text; units @4 :Float64; }
 struct ServiceReport { pool @0 :Text; organisation @1 :Text; owner @2 :Text; incarnation @3 :UInt64; units @4 :Float64; backlogged @5 :Bool; domain @6 :Text; owners @7 :UInt32; }
@@ -51,6 +53,8 @@
     ack @19 :Ack;
     aloneDemand @20 :AloneDemand;
     aloneGrant @21 :AloneGrant;
+    recall @22 :Recall;
+    used @23 :Used;
   }
 }
 
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -79,12 +79,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """A place at an endpoint for one request of one organisation."""
+    """A slot of an endpoint for one request of one organisation.
+
+    A standing slot may be kept after the request and used for others of the pool,
+    without a message for each, until it is recalled or stays idle.
+    """
 
     grant_id: int
     endpoint: str
     pool: str
     organisation: str
+    standing: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,7 +98,8 @@
 
     `units` are service units; `first_token` and `token_interval` are seconds, 0.0 when
     not measured. `fingerprint` identifies the request when the endpoint seems to have
-    crashed, else it is empty.
+    crashed, else it is empty. With `keep` the request ended and the standing slot is
+    kept.
     """
 
     grant_id: int
@@ -102,6 +108,28 @@
     first_token: float = 0.0
     token_interval: float = 0.0
     fingerprint: bytes = b""
+    keep: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Recall:
+    """Asks for the standing slots of a pool, or of one endpoint if it is given."""
+
+    pool: str
+    endpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class Used:
+    """Service units received on kept standing slots since the last such message.
+
+    `requests` counts the requests that ended.
+    """
+
+    pool: str
+    organisation: str
+    units: float
+    requests: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -319,4 +347,6 @@
     | Ack
     | AloneDemand
     | AloneGrant
+    | Recall
+    | Used
 )
--- a/borageworks/wire/tests/test_codec.py
+++ b/borageworks/wire/tests/test_codec.py
@@ -14,7 +14,7 @@
 SETTINGS = settings(derandomize=True, deadline=None, max_examples=60)
 
 TEXT = st.text(max_size=20)
-BITS = {"waiting": 32, "owners": 32, "sequence": 32}
+BITS = {"waiting": 32, "owners": 32, "sequence": 32, "requests": 32}
 BITS |= {"shard": 16, "status": 16, "port": 16, "peer_port": 16}
 SINGLE_PRECISION = {"first_token", "token_interval"}
 
