Limit frames of a link to 1 KiB until its peer is verified

Cause: 256 connections without a key could make an instance buffer 1 MiB each. Change: a greeting and the empty frame after it may have 1,024 bytes. Conclusion: unverified connections can hold at most 256 KiB of frames.

--- a/borageworks/wire/link.py
+++ b/borageworks/wire/link.py
@@ -21,6 +21,7 @@
 
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 1 << 20
+MAX_GREETING_BYTES = 1024  # bounds what a peer that has proved nothing makes us buffer
 NONCE_BYTES = 16
 SEQUENCE_BYTES = 8
 WRITE_HEADER_BYTES = 52  # IPv4 (20) and TCP with timestamps (32)
@@ -196,10 +197,10 @@
         if len(self._buffer) < LENGTH_BYTES:
             return None
         length = int.from_bytes(self._buffer[:LENGTH_BYTES], "big")
-        if length > MAX_FRAME_BYTES:
+        limit = MAX_FRAME_BYTES if self.ready else MAX_GREETING_BYTES
+        if length > limit:
             raise MessageTooLargeError(
-                f"peer announced a frame of {length} bytes, "
-                f"over the limit of {MAX_FRAME_BYTES}"
+                f"peer announced a frame of {length} bytes, over the limit of {limit}"
             )
         end = LENGTH_BYTES + length
         if len(self._buffer) < end + CODE_BYTES:
--- a/borageworks/wire/tests/test_links.py
+++ b/borageworks/wire/tests/test_links.py
@@ -209,7 +209,11 @@
                 frame(encode([Hello("a", 9, "d", b"")]), HELLO_CONTEXT),
                 frame(b"\xff" * 30, HELLO_CONTEXT),
             ],
-            "message_too_large": [b"\xff" * 8],
+            "message_too_large": [
+                b"\xff" * 8,
+                frame(bytes(1025), HELLO_CONTEXT),
+                hello + frame(bytes(1025), NONCE + NONCE + bytes(8)),
+            ],
         }
 
         async def scenario(b):
