--- a/borageworks/store/etcd.py
+++ b/borageworks/store/etcd.py
@@ -273,7 +273,9 @@
     ) -> dict[str, Any]:
         try:
             async with self._open().post(
-                self._settings.url + path, data=orjson.dumps(request)
+                self._settings.url + path,
+                data=orjson.dumps(request),
+                allow_redirects=False,
             ) as response:
                 body = await response.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -313,10 +315,8 @@
         detail = f"status {status}: {text}"
         # A server error may follow a write that the store's leader already accepted,
         # e.g. "etcdserver: request timed out" is sent as 503.
-        uncertain = status >= 500 or status in {
-            HTTP_REQUEST_TIMEOUT,
-            HTTP_CLIENT_CLOSED,
-        }
+        refused = 400 <= status < 500
+        uncertain = not refused or status in {HTTP_REQUEST_TIMEOUT, HTTP_CLIENT_CLOSED}
         if write and uncertain:
             return StoreOutcomeUnknownError(detail)
         return StoreUnavailableError(detail)
--- a/borageworks_emulator/store.py
+++ b/borageworks_emulator/store.py
@@ -160,6 +160,8 @@
         `lease_keepalive` and `watch`.
     refused
         Calls refused by a fault, by kind.
+    bytes_written
+        Bytes of all values put.
     """
 
     def __init__(
@@ -172,6 +174,7 @@
         self.faults = faults or StoreFaults()
         self.calls: Counter[str] = Counter()
         self.refused: Counter[str] = Counter()
+        self.bytes_written = 0
         self._unavailable = False
         self._revision = 1
         self._compacted = 0
@@ -426,6 +429,7 @@
 
     def _put(self, revision: int, key: bytes, value: bytes, lease: int) -> None:
         before = self._current(key)
+        self.bytes_written += len(value)
         if before is not None and before.lease:
             self._leases[before.lease].keys.discard(key)
         if lease:
