--- a/borageworks/claims/service.py
+++ b/borageworks/claims/service.py
@@ -18,6 +18,7 @@
     CommitSegment,
     LoadSegments,
 )
+from borageworks.claims.content import ShardContent
 from borageworks.claims.holder import Holder
 from borageworks.claims.key import BODY_HASH_BYTES, KEY_HASH_BYTES, IdempotencyKey
 from borageworks.claims.moment import Moment
@@ -359,7 +360,10 @@
         shard = self._shards[number]
         try:
             result = await self._store.range(action.prefix)
-            actions = shard.loaded(self._moment(), result.values)
+            content = ShardContent()
+            for _ in content.decode(action.prefix, result.values):
+                await asyncio.sleep(0)
+            actions = shard.loaded(self._moment(), content)
         except BorageworksError as error:
             # The shard is not used while a segment cannot be read.
             self._failed(number, error)
--- a/borageworks/claims/shard.py
+++ b/borageworks/claims/shard.py
@@ -13,14 +13,14 @@
     CommitSegment,
     LoadSegments,
 )
+from borageworks.claims.content import ShardContent, remember
 from borageworks.claims.flight import Flight
 from borageworks.claims.holder import Holder
 from borageworks.claims.moment import Moment
 from borageworks.claims.record import ClaimRecord
 from borageworks.claims.segment import RECORD_BYTES, REQUEST_MASK, Segment
 from borageworks.config.settings import ClaimSettings
-from borageworks.exceptions import ClaimSegmentMalformedError
-from borageworks.store.values import StoredValue, Transaction
+from borageworks.store.values import Transaction
 from borageworks.wire.messages import ClaimOutcome, ClaimState
 
 # A state change alone waits this long for a claim to share its commit with.
@@ -132,39 +132,14 @@
         """Continue with what `due` announced."""
         return self._advance(moment)
 
-    def loaded(self, moment: Moment, values: Mapping[str, StoredValue]) -> list[Action]:
-        """Take the stored segments, all read at one revision.
-
-        Raises
-        ------
-        ClaimSegmentMalformedError
-            A segment cannot be decoded; the shard then counts as not loaded.
-        """
-        self._phase = _Phase.EMPTY
-        self._sealed.clear()
-        self._index.clear()
-        self._active_number = self._active_revision = self._head_revision = 0
-        self._active = Segment(0.0, 0.0)
-        head = values.get(self._prefix + "head")
-        if head is not None:
-            self._head_revision = head.mod_revision
-            self._active_number = _number(head.value)
-        for key in sorted(values):
-            if key == self._prefix + "head":
-                continue
-            number = _number(key.removeprefix(self._prefix).encode())
-            segment = Segment.decode(values[key].value)
-            for record in segment.records.values():
-                self._remember(record)
-            if number == self._active_number:
-                self._active = segment
-                self._active_revision = values[key].mod_revision
-            else:
-                self._sealed[number] = (segment.latest, tuple(segment.records))
-        if self._active_number and not self._active_revision:
-            raise ClaimSegmentMalformedError(
-                f"active segment {self._active_number} of {self._prefix} is absent"
-            )
+    def loaded(self, moment: Moment, content: ShardContent) -> list[Action]:
+        """Take the stored content of the shard, and own it from then on."""
+        self._sealed = content.sealed
+        self._index = content.index
+        self._head_revision = content.head_revision
+        self._active_number = content.active_number
+        self._active_revision = content.active_revision
+        self._active = content.active
         self._phase = _Phase.READY
         self._failing_until = float("-inf")
         return self._advance(moment)
@@ -185,7 +160,7 @@
         for number in flight.expired:
             self._forget(number)
         for record in flight.records:
-            self._remember(record)
+            remember(self._index, record)
         self._phase = _Phase.READY
         actions: list[Action] = [
             Answer(claim, ClaimOutcome.CLAIMED, claim.holder)
@@ -407,11 +382,6 @@
         ]
         return tuple(expired[:EXPIRED_PER_COMMIT])
 
-    def _remember(self, record: ClaimRecord) -> None:
-        known = self._index.get(record.key_hash)
-        if known is None or known.state is ClaimState.CLAIMED:
-            self._index[record.key_hash] = record
-
     def _forget(self, number: int) -> None:
         _, keys = self._sealed.pop(number)
         kept = set(self._active.records).union(
@@ -429,12 +399,3 @@
     """Return the bytes that a record adds to a segment with `holders`."""
     name = 0 if record.holder in holders else 1 + len(record.holder.encode())
     return RECORD_BYTES + name
-
-
-def _number(text: bytes) -> int:
-    try:
-        return int(text)
-    except ValueError as error:
-        raise ClaimSegmentMalformedError(
-            f"segment number {text!r} is no number"
-        ) from error
--- a/borageworks/claims/tests/test_shard.py
+++ b/borageworks/claims/tests/test_shard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import testtools
+from testtools import ExpectedException
 
 from borageworks.claims.actions import (
     Action,
@@ -11,10 +12,12 @@
     CommitSegment,
     LoadSegments,
 )
+from borageworks.claims.content import ShardContent
 from borageworks.claims.moment import Moment
 from borageworks.claims.shard import FINISH_DELAY_S, RETRY_DELAY_S, ClaimShard
 from borageworks.claims.tests.fake_store import FakeStore
 from borageworks.config.settings import ClaimSettings
+from borageworks.exceptions import ClaimSegmentMalformedError
 from borageworks.store.values import Transaction
 from borageworks.wire.messages import ClaimOutcome, ClaimState
 
@@ -64,7 +67,8 @@
         moment = Moment(at, at)
         match pending:
             case LoadSegments(prefix):
-                self.execute(self.shard.loaded(moment, self.store.range(prefix)))
+                content = ShardContent.read(prefix, self.store.range(prefix))
+                self.execute(self.shard.loaded(moment, content))
             case Transaction():
                 if self.store.commit(pending):
                     actions = self.shard.committed(moment, self.store.revision)
@@ -248,3 +252,23 @@
             max(len(stored.value) for stored in self.store.values.values()),
             SETTINGS.segment_bytes,
         )
+
+
+class ShardContentTest(testtools.TestCase):
+    """Guards against claims made on a partly readable shard."""
+
+    def test_an_absent_active_segment_or_a_foreign_key_is_an_error(self):
+        store = FakeStore()
+        writer = Writer(store)
+        writer.claim(START, 1, b"k")
+        writer.run(START)
+        for change in (
+            Transaction({}, {}, ("claims/0000/0000000001",)),
+            Transaction({}, {"claims/0000/head": b"x"}),
+            Transaction({}, {"claims/0000/0000000002": b""}),
+        ):
+            values = dict(store.values)
+            store.commit(change)
+            with ExpectedException(ClaimSegmentMalformedError):
+                ShardContent.read("claims/0000/", store.values)
+            store.values = values
--- a/borageworks/claims/tests/test_shard_machine.py
+++ b/borageworks/claims/tests/test_shard_machine.py
@@ -23,6 +23,7 @@
     CommitSegment,
     LoadSegments,
 )
+from borageworks.claims.content import ShardContent
 from borageworks.claims.key import IdempotencyKey
 from borageworks.claims.moment import Moment
 from borageworks.claims.shard import ClaimShard
@@ -252,7 +253,8 @@
                     values = self.snapshots[writer]
                     if values is None:
                         values = self.store.range(prefix)
-                    actions = shard.loaded(moment, values)
+                    content = ShardContent.read(prefix, values)
+                    actions = shard.loaded(moment, content)
                 else:
                     actions = shard.unavailable(moment)
             case Transaction():
