--- a/borageworks/config/settings.py
+++ b/borageworks/config/settings.py
@@ -63,7 +63,9 @@
 
     exchange_interval_s: float = Field(default=4.0, gt=0, le=60)
     correction_gain: float = Field(default=0.3, gt=0, le=1)
-    correction_trend_gain: float = Field(default=0.5, ge=0, le=1)
+    correction_trend_gain: float = Field(
+        default=0.8, ge=0, le=1, description="weight of the newest drift estimate"
+    )
     correction_limit: float = Field(
         default=0.25,
         gt=0,
--- a/borageworks/fair/aggregator.py
+++ b/borageworks/fair/aggregator.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from borageworks.fair.counter import ServiceCounter
 from borageworks.fair.ledger import ServiceLedger
+from borageworks.fair.level import Level
 from borageworks.wire.messages import ServiceError, ServiceReport
 
 
@@ -27,9 +28,10 @@
 class Aggregator:
     """Aggregator of one pool in one failure domain.
 
-    Owners of the domain report their counters; aggregators of other domains report the
-    sums of theirs. Counters only grow, so repeated, late or reordered reports do no
-    harm, and after a partition the next report of a domain carries all that it served.
+    Owners of the domain report their counters; aggregators of other domains report
+    the sums and levels of theirs. Counters only grow, so repeated, late or reordered
+    reports do no harm, and after a partition the next report of a domain carries all
+    that it served.
 
     Parameters
     ----------
@@ -49,6 +51,7 @@
         # Reporter (owner of this domain, or another domain) by organisation.
         self._holdings: dict[str, dict[str, _Holding]] = {}
         self._unsent: set[str] = set()
+        self._other_levels: list[Level] = []
 
     def __len__(self) -> int:
         """Return the number of counters held."""
@@ -71,6 +74,10 @@
             holdings.pop(reporter, None)
         if local:
             self._unsent.add(name)
+        elif report.share > 0:
+            self._other_levels.append(
+                Level(name, report.offset, report.share, report.backlogged)
+            )
 
     def forget(self, owner: str) -> None:
         """Drop an owner that left; what it served stays in the totals."""
@@ -81,6 +88,8 @@
     def errors(self, now: float, shares: Mapping[str, float]) -> list[TellOwners]:
         """Return the error of each backlogged organisation for this domain's owners."""
         self._expire(now)
+        others, self._other_levels = self._other_levels, []
+        self._ledger.levels.merge(others, self._ledger.totals())
         errors = self._ledger.errors(shares, self._holdings.keys())
         totals = self._ledger.totals()
         return [
@@ -104,11 +113,11 @@
     def domain_reports(self) -> list[ServiceReport]:
         """Return the domain's sums that changed since the last call."""
         unsent, self._unsent = self._unsent, set()
-        return [self._domain_report(name) for name in sorted(unsent)]
+        return self._domain_reports(sorted(unsent))
 
-    def all_domain_reports(self) -> Iterable[ServiceReport]:
+    def all_domain_reports(self) -> list[ServiceReport]:
         """Return the domain's sums of all organisations, for a new aggregator."""
-        return [self._domain_report(name) for name in sorted(self._domain_units)]
+        return self._domain_reports(sorted(self._domain_units))
 
     def _count_local(self, report: ServiceReport) -> None:
         key = report.owner, report.incarnation, report.organisation
@@ -119,21 +128,27 @@
                 self._domain_units.get(report.organisation, 0.0) + grown
             )
 
-    def _domain_report(self, name: str) -> ServiceReport:
-        local = [
-            holding
-            for reporter, holding in self._holdings.get(name, {}).items()
+    def _domain_reports(self, names: list[str]) -> list[ServiceReport]:
+        levels = {level.organisation: level for level in self._ledger.levels.levels()}
+        return [self._domain_report(name, levels.get(name)) for name in names]
+
+    def _domain_report(self, name: str, level: Level | None) -> ServiceReport:
+        owners = sum(
+            1
+            for reporter in self._holdings.get(name, {})
             if not reporter.startswith("@")
-        ]
+        )
         return ServiceReport(
             pool=self._pool,
             organisation=name,
             owner="",
             incarnation=0,
             units=self._domain_units.get(name, 0.0),
-            backlogged=bool(local),
+            backlogged=owners > 0,
             domain=self._domain,
-            owners=len(local),
+            owners=owners,
+            offset=0.0 if level is None else level.offset,
+            share=0.0 if level is None else level.share,
         )
 
     def _expire(self, now: float) -> None:
--- a/borageworks/router/exchange.py
+++ b/borageworks/router/exchange.py
@@ -8,7 +8,7 @@
 from borageworks.catalog.replica import Replica
 from borageworks.config.settings import Settings
 from borageworks.fair.aggregator import Aggregator
-from borageworks.fair.correction import Correction
+from borageworks.fair.drift import DriftCorrection
 from borageworks.membership.member import Member
 from borageworks.metrics import Metrics
 from borageworks.router.owner import Owner
@@ -27,11 +27,13 @@
 class _PoolState:
     """What this owner reported of one pool and to whom."""
 
-    correction: Correction
+    correction: DriftCorrection
     aggregator: str | None = None
     reported_backlog: set[str] = field(default_factory=set)
     served_total: float = 0.0
     served_interval: float = 0.0
+    holders: dict[str, int] = field(default_factory=dict)
+    shares: float = 0.0
 
 
 class ServiceExchange:
@@ -117,8 +119,9 @@
     ) -> None:
         state = self._pools.get(name)
         if state is None:
-            state = self._pools[name] = _PoolState(Correction(self._settings.fair))
+            state = self._pools[name] = _PoolState(DriftCorrection(self._settings.fair))
         state.correction.end_exchange()
+        self._divide_shares(pool, state)
         total = pool.served_total
         state.served_interval = total - state.served_total
         state.served_total = total
@@ -176,23 +179,28 @@
                     self._send(peer, report)
             self._peers[pool] = peers
 
+    def _divide_shares(self, pool: OwnedPool, state: _PoolState) -> None:
+        """Apply the numbers of owners that the last exchange told."""
+        pool.set_holders(state.holders)
+        state.shares = 0.0
+        for name in pool.queue.backlogged():
+            organisation = self._replica.organisations.get(name)
+            if organisation is not None:
+                pool.set_share(name, organisation.share)
+                state.shares += organisation.share / state.holders.get(name, 1)
+        state.holders = {}
+
     def _correct(self, message: ServiceError) -> None:
         pool = self._owner.pools.get(message.pool)
         state = self._pools.get(message.pool)
         if pool is None or state is None:
             return
-        shares = sum(
-            organisation.share
-            for name in pool.queue.backlogged()
-            if (organisation := self._replica.organisations.get(name)) is not None
-        )
-        if shares <= 0:
+        state.holders[message.organisation] = max(1, message.owners)
+        if state.shares <= 0:
             return
+        # Shares are divided by the owners, so the correction is not divided again.
         delta = state.correction.update(
-            message.organisation,
-            message.error,
-            message.owners,
-            state.served_interval / shares,
+            message.organisation, message.error, 1, state.served_interval / state.shares
         )
         if delta:
             self._metrics.count("corrections")
--- a/borageworks/router/owner.py
+++ b/borageworks/router/owner.py
@@ -201,7 +201,7 @@
             self._metrics.count("demand_ignored", "organisation_unknown")
             return
         if organisation is not None:
-            pool.queue.set_share(organisation.id, organisation.share)
+            pool.set_share(organisation.id, organisation.share)
         pool.queue.set_demand(
             self._timers.now(), sender, demand.organisation, demand.waiting
         )
--- a/borageworks/router/pool.py
+++ b/borageworks/router/pool.py
@@ -17,6 +17,7 @@
         self._served: dict[str, float] = {}
         self._served_total = 0.0
         self._changed: set[str] = set()
+        self._holders: dict[str, int] = {}
 
     @property
     def served(self) -> Mapping[str, float]:
@@ -28,6 +29,18 @@
         """Service units of all organisations."""
         return self._served_total
 
+    def set_share(self, organisation: str, share: float) -> None:
+        """Set an organisation's share in this owner's queue.
+
+        Its share is divided by the owners that hold its demand, so that one that many
+        owners know does not get its whole share from each.
+        """
+        self.queue.set_share(organisation, share / self._holders.get(organisation, 1))
+
+    def set_holders(self, holders: Mapping[str, int]) -> None:
+        """Replace the numbers of owners that hold demand, by organisation."""
+        self._holders = dict(holders)
+
     def count_service(self, organisation: str, units: float) -> None:
         """Add service units; counters never fall, so a refund is ignored."""
         if units <= 0:
--- a/borageworks/wire/fleet.capnp
+++ b/borageworks/wire/fleet.capnp
@@ -10,7 +10,7 @@
 struct Used { pool @0 :Text; organisation @1 :Text; units @2 :Float64; requests @3 :UInt32; }
 struct Charge { grantId @0 :UInt64; units @1 :Float64; }
 struct Running { grantId @0 :UInt64; endpoint @1 :Text; pool @2 :Text; organisation @3 :Text; units @4 :Float64; }
-struct ServiceReport { pool @0 :Text; organisation @1 :Text; owner @2 :Text; incarnation @3 :UInt64; units @4 :Float64; backlogged @5 :Bool; domain @6 :Text; owners @7 :UInt32; }
+struct ServiceReport { pool @0 :Text; organisation @1 :Text; owner @2 :Text; incarnation @3 :UInt64; units @4 :Float64; backlogged @5 :Bool; domain @6 :Text; owners @7 :UInt32; offset @8 :Float64; share @9 :Float64; }
 struct ServiceError { pool @0 :Text; organisation @1 :Text; error @2 :Float64; owners @3 :UInt32; total @4 :Float64; }
 struct Claim { requestId @0 :UInt64; shard @1 :UInt16; keyHash @2 :Data; bodyHash @3 :Data; issued @4 :Float64; holder @5 :Text; }
 struct ClaimReply { requestId @0 :UInt64; outcome @1 :UInt8; holder @2 :Text; state @3 :UInt8; }
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -156,7 +156,9 @@
     """Service units that an organisation received from one owner incarnation.
 
     An aggregator reports the sum of its domain to the aggregators of other domains;
-    `owner` is then empty and `owners` counts the owners that hold demand.
+    `owner` is then empty, `owners` counts the owners that hold demand, and `offset` and
+    `share` describe the organisation's level (see `Level`); a share of 0.0 stands for
+    no level.
     """
 
     pool: str
@@ -167,6 +169,8 @@
     backlogged: bool
     domain: str
     owners: int
+    offset: float = 0.0
+    share: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
