Do not shrink a window below what its endpoint runs at once

Change: while an endpoint reports waiting requests, the number that it runs is the floor. Measured: the new test fails before (limits under 16) and passes after; the naive twin has the same rule.

--- a/borageworks/fair/tests/naive_window.py
+++ b/borageworks/fair/tests/naive_window.py
@@ -66,7 +66,8 @@
             used = min(limit, max(1, peak, seen))
             if seen <= limit and in_use <= limit:
                 safe = min(safe, int(used * 0.9))
-            return max(1, min(limit, max(safe, limit // 2)))
+            floor = min(running, limit) if report.waiting else 1
+            return max(floor, min(limit, max(safe, limit // 2)))
         if interval < 0.8 * target and peak >= limit:
             safe = int(running * 0.8 * target / interval)
             step = max(1, self.largest // 64)
--- a/borageworks/fair/tests/test_window.py
+++ b/borageworks/fair/tests/test_window.py
@@ -162,6 +162,21 @@
         self.window.on_report(1.0, LoadReport(5, 3, 0.03, "1"))
         self.assertEqual(7, self.window.limit)
 
+    def test_window_settles_at_what_an_engine_runs_at_once(self):
+        """Guards against a batch limit that the window swings around and idles."""
+        window = Window(WindowSettings(), 8, 64)
+        limits = []
+        for second in range(60):
+            while window.acquire(float(second)):
+                pass
+            running = min(16, window.in_use)
+            report = LoadReport(running, window.in_use - running, 0.0456, "1")
+            window.on_report(second + 0.9, report)
+            limits.append(window.limit)
+            for _ in range(max(0, window.in_use - window.limit)):
+                window.release(second + 0.95)
+        self.assertTrue(all(16 <= limit <= 18 for limit in limits[20:]), limits)
+
 
 class WindowPlainServiceTest(testtools.TestCase):
     """Endpoints without a token interval, at most 20 requests in parallel."""
--- a/borageworks/fair/window.py
+++ b/borageworks/fair/window.py
@@ -184,7 +184,8 @@
         running = report.running if report and report.running else self._limit
         waiting = report.waiting if report else 0
         if waiting:
-            self._shrink(self._limit, running + waiting)
+            # What runs while others wait is what the endpoint can run at once.
+            self._shrink(self._limit, running + waiting, min(running, self._limit))
         elif interval > target:
             self._shrink(int(running * target / interval), running)
         elif interval < GROWTH_RATIO * target:
@@ -193,7 +194,8 @@
     def _follow_latency(self, report: LoadReport | None) -> None:
         if report and report.waiting:
             self._times.clear()
-            self._shrink(self._limit, report.running + report.waiting)
+            floor = max(1, min(report.running, self._limit))
+            self._shrink(self._limit, report.running + report.waiting, floor)
             return
         if self._has_tokens:
             if self._intervals:
