--- a/borageworks/claims/shard.py
+++ b/borageworks/claims/shard.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
 from enum import Enum, auto
 
@@ -157,8 +157,8 @@
             self._active_number = flight.number
         self._active = flight.segment
         self._active_revision = revision
-        for number in flight.expired:
-            self._forget(number)
+        if flight.expired:
+            self._forget(flight.expired)
         for record in flight.records:
             remember(self._index, record)
         self._phase = _Phase.READY
@@ -382,14 +382,14 @@
         ]
         return tuple(expired[:EXPIRED_PER_COMMIT])
 
-    def _forget(self, number: int) -> None:
-        _, keys = self._sealed.pop(number)
+    def _forget(self, numbers: Iterable[int]) -> None:
+        dropped = [self._sealed.pop(number)[1] for number in numbers]
+        # A later segment repeats a record whose state changed after it was sealed.
         kept = set(self._active.records).union(
-            *(other for _, other in self._sealed.values())
+            *(keys for _, keys in self._sealed.values())
         )
-        for key_hash in keys:
-            if key_hash not in kept:
-                self._index.pop(key_hash, None)
+        for key_hash in set().union(*dropped) - kept:
+            self._index.pop(key_hash, None)
 
     def _key(self, number: int) -> str:
         return f"{self._prefix}{number:010d}"
