End attempts at lost endpoints and run copies of suspected requests one at a time

The emulated endpoints did not break connections under uvloop, whose transports are no asyncio.Transport, so crashed requests were answered 500 or hung. After that, two copies of the request were tried alone at two endpoints, and a load report asked for before a crash cleared the blame. Change: emulated crashes abort connections; owners tell entries of restarted and silent endpoints, which end such attempts; copies of a suspected request ask one owner, which waits for the outcome of a crash; the verdict is checked again with the grant; reports asked for before a crash do not clear it. The fake endpoint no longer counts a second crash of an incarnation that is already gone.

--- a/borageworks/endpoints/engine.py
+++ b/borageworks/endpoints/engine.py
@@ -104,6 +104,7 @@
         usage: dict[str, Any] | None = None
         decoder = StreamDecoder()
         async for data in response.content.iter_any():
+            progress.active_at = time.monotonic()
             events = decoder.feed(data)
             if not events:
                 continue
--- a/borageworks/endpoints/plain.py
+++ b/borageworks/endpoints/plain.py
@@ -48,7 +48,8 @@
             else:
                 await sink.start(response.status, headers)
                 async for part in response.content.iter_any():
-                    progress.units = time.monotonic() - began
+                    progress.active_at = time.monotonic()
+                    progress.units = progress.active_at - began
                     await sink.write(part)
         await sink.finish()
         return Exchange(units=time.monotonic() - began)
--- a/borageworks/endpoints/transport.py
+++ b/borageworks/endpoints/transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -138,6 +139,7 @@
         )
         sent_before = progress.sent
         progress.sent = True
+        progress.active_at = time.monotonic()
         try:
             async with session.request(
                 call.method,
--- a/borageworks/router/entry.py
+++ b/borageworks/router/entry.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import time
 from collections.abc import Callable, Mapping, Sequence
 
 import xxhash
@@ -32,12 +33,14 @@
     RetriesExhaustedError,
 )
 from borageworks.metrics import Metrics
+from borageworks.router.alone import WaitingAlone
 from borageworks.router.held import HeldGrant
 from borageworks.router.standing import StandingSlots
 from borageworks.router.usage import Usage
 from borageworks.routing.budget import RetryBudget
 from borageworks.routing.demand import DemandPlan, TellOwner
 from borageworks.routing.queue import EntryQueue
+from borageworks.routing.rendezvous import rendezvous
 from borageworks.routing.suspects import CrashSuspects, Verdict
 from borageworks.routing.waiting import WaitingRequest
 from borageworks.timers import Subscription, Timers
@@ -45,6 +48,7 @@
     AloneDemand,
     AloneGrant,
     Charge,
+    EndpointLost,
     Grant,
     Message,
     Outcome,
@@ -57,6 +61,8 @@
 Send = Callable[[str, Message], None]
 
 CHARGE_INTERVAL_S = 1.0
+# An attempt at an endpoint that does not answer its owner ends after this silence.
+SILENT_S = 3.0
 # Owners tell within this time whether the endpoint crashed, so that a request that
 # crashes endpoints is known before it is tried again.
 CRASH_BACKOFF_S = 0.3
@@ -99,7 +105,7 @@
         self._budget = RetryBudget(settings.retry)
         self._suspects = CrashSuspects()
         self._owners: Mapping[str, Sequence[str]] = {}
-        self._alone: dict[int, tuple[WaitingRequest, asyncio.Future[HeldGrant]]] = {}
+        self._alone: dict[int, WaitingAlone] = {}
         self._granted: dict[int, asyncio.Future[HeldGrant]] = {}
         self._held: dict[int, HeldGrant] = {}
         self._standing = StandingSlots()
@@ -107,6 +113,7 @@
         self._stopping = False
         self._sequence = itertools.count(1)
         self._flush_pending = False
+        self._tick_pending: Subscription | None = None
         self._calls = 0
         self._subscriptions: list[Subscription] = []
 
@@ -128,7 +135,6 @@
     def start(self) -> None:
         """Subscribe to the timers."""
         self._subscriptions = [
-            self._timers.every(self._settings.queue.escalation_s, self._tick),
             self._timers.every(CHARGE_INTERVAL_S, self._refresh),
         ]
 
@@ -143,6 +149,8 @@
         """Cancel the timers."""
         for subscription in self._subscriptions:
             subscription.cancel()
+        if self._tick_pending is not None:
+            self._tick_pending.cancel()
 
     def set_owners(
         self, owners: Mapping[str, str], by_pool: Mapping[str, Sequence[str]]
@@ -226,7 +234,21 @@
             return
         held = HeldGrant(message.grant, sender, Progress(), alone=True)
         self._held[message.grant.grant_id] = held
-        waiting[1].set_result(held)
+        waiting.future.set_result(held)
+
+    def receive_endpoint_lost(self, message: EndpointLost) -> None:
+        """End attempts whose endpoint is gone without closing its connections.
+
+        Where the endpoint only does not answer its owner, attempts that still receive
+        bytes go on.
+        """
+        silent_since = time.monotonic() - SILENT_S
+        for held in self._held.values():
+            if held.grant.endpoint != message.endpoint or held.scope is None:
+                continue
+            if message.restarted or held.progress.active_at < silent_since:
+                self._metrics.count("attempts_ended", "endpoint_lost")
+                held.scope.reschedule(self._timers.now())
 
     def receive_suspect(self, message: Suspect) -> None:
         """Note that a request ran on an endpoint that crashed."""
@@ -269,6 +291,10 @@
             if endpoint is None:
                 self._release(held, Outcome.UNUSED)
                 continue
+            if self._verdict(fingerprint) is Verdict.REFUSED:
+                # A copy of the request was found to crash endpoints meanwhile.
+                self._release(held, Outcome.UNUSED)
+                continue
             attempt += 1
             try:
                 await self._attempt(endpoint, held, call, sink, progress, fingerprint)
@@ -299,9 +325,7 @@
         progress.units = 0.0
         kind = self._replica.pools[held.grant.pool].endpoints
         try:
-            exchange = await self._clients[kind].exchange(
-                endpoint, call, sink, progress
-            )
+            exchange = await self._exchange(endpoint, held, call, sink, kind)
         except EndpointFailedError as error:
             self._release(held, _outcome(error), fingerprint=fingerprint)
             raise
@@ -315,6 +339,26 @@
         if exchange.first_token:
             self._metrics.observe("first_token", exchange.first_token)
 
+    async def _exchange(
+        self,
+        endpoint: Endpoint,
+        held: HeldGrant,
+        call: Call,
+        sink: Sink,
+        kind: PoolKind,
+    ) -> Exchange:
+        try:
+            async with asyncio.timeout(None) as held.scope:
+                return await self._clients[kind].exchange(
+                    endpoint, call, sink, held.progress
+                )
+        except TimeoutError as error:
+            raise EndpointDisconnectedError(
+                f"endpoint {endpoint.id!r} was lost"
+            ) from error
+        finally:
+            held.scope = None
+
     async def _wait_for_slot(
         self,
         call: Call,
@@ -332,7 +376,7 @@
             queued_at=now,
             deadline=deadline,
         )
-        verdict = self._suspects.verdict(now, fingerprint)
+        verdict = self._verdict(fingerprint)
         if verdict is Verdict.CLEAR and not again:
             kept = self._take_standing(call)
             if kept is not None:
@@ -343,7 +387,7 @@
                     "endpoints crashed while they ran this request", ran=ran
                 )
             case Verdict.ALONE:
-                future = self._queue_alone(request)
+                future = self._queue_alone(request, fingerprint)
             case Verdict.CLEAR:
                 future = self._queue_shared(now, request, again)
         try:
@@ -399,18 +443,27 @@
         self._note_waiting(now, request.pool, request.organisation)
         return future
 
-    def _queue_alone(self, request: WaitingRequest) -> asyncio.Future[HeldGrant]:
+    def _verdict(self, fingerprint: bytes) -> Verdict:
+        return self._suspects.verdict(self._timers.now(), fingerprint)
+
+    def _queue_alone(
+        self, request: WaitingRequest, fingerprint: bytes
+    ) -> asyncio.Future[HeldGrant]:
         self._metrics.count("runs_alone")
         future: asyncio.Future[HeldGrant] = asyncio.get_running_loop().create_future()
-        self._alone[request.request_id] = request, future
-        self._tell_alone(request)
+        self._alone[request.request_id] = WaitingAlone(request, fingerprint, future)
+        self._tell_alone(self._alone[request.request_id])
         return future
 
-    def _tell_alone(self, request: WaitingRequest) -> None:
-        owners = self._owners.get(request.pool, ())
-        if owners:
+    def _tell_alone(self, waiting: WaitingAlone) -> None:
+        """Ask the owner that all copies of the request ask; it runs one at a time."""
+        request = waiting.request
+        owner = rendezvous(
+            waiting.fingerprint.hex(), self._owners.get(request.pool, ())
+        )
+        if owner is not None:
             self._send(
-                owners[0],
+                owner,
                 AloneDemand(request.request_id, request.pool, request.organisation),
             )
 
@@ -510,14 +563,24 @@
     def _flush(self) -> None:
         self._flush_pending = False
         self._tell(self._demand.flush(self._timers.now()))
+        self._schedule_tick()
+
+    def _schedule_tick(self) -> None:
+        """Have demand looked after while there is any; an idle entry does not wake."""
+        if self._tick_pending is None and self._demand.active:
+            self._tick_pending = self._timers.after(
+                self._settings.queue.escalation_s, self._tick
+            )
 
     def _tick(self, now: float) -> None:
+        self._tick_pending = None
         self._tell(self._demand.tick(now))
+        self._schedule_tick()
 
     def _refresh(self, now: float) -> None:
         self._tell(self._demand.refresh(now))
-        for request, _ in self._alone.values():
-            self._tell_alone(request)
+        for waiting in self._alone.values():
+            self._tell_alone(waiting)
         for held in self._held.values():
             if held.progress.units > held.reported:
                 held.reported = held.progress.units
--- a/borageworks/router/held.py
+++ b/borageworks/router/held.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 
 from borageworks.endpoints.progress import Progress
@@ -28,6 +29,8 @@
         Whether the slot may be kept after the request.
     reused
         Whether the slot was kept and is used again.
+    scope
+        Ends the running attempt when it is rescheduled to the present.
     alone
         Whether the request runs with no other beside it.
     """
@@ -39,4 +42,5 @@
     organisation: str = ""
     standing: bool = False
     reused: bool = False
+    scope: asyncio.Timeout | None = None
     alone: bool = False
--- a/borageworks/router/owned.py
+++ b/borageworks/router/owned.py
@@ -8,6 +8,14 @@
 from borageworks.fair.window import Window
 
 
+@dataclass(frozen=True, slots=True)
+class BrokenRun:
+    """A request whose connection broke: whether it ran alone, and when it was told."""
+
+    alone: bool
+    told_at: float
+
+
 @dataclass(slots=True)
 class OwnedEndpoint:
     """One owned endpoint.
@@ -30,8 +38,8 @@
     reserved
         Whether the endpoint is kept free for a request that runs alone.
     crashed
-        Fingerprints that were running when connections to this incarnation broke, and
-        whether each ran alone; kept until a report tells whether it crashed.
+        Requests that were running when connections to this incarnation broke, by
+        fingerprint; kept until a later report tells whether it crashed.
     """
 
     endpoint: Endpoint
@@ -41,7 +49,7 @@
     incarnation: str = ""
     missed_reports: int = 0
     reserved: bool = False
-    crashed: dict[bytes, bool] = field(default_factory=dict)
+    crashed: dict[bytes, BrokenRun] = field(default_factory=dict)
 
     def free(self, now: float) -> int:
         """Return the number of slots that can be granted now."""
--- a/borageworks/router/owner.py
+++ b/borageworks/router/owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Mapping
 
 from borageworks.catalog.objects import Endpoint
@@ -16,7 +17,7 @@
 from borageworks.metrics import Metrics
 from borageworks.router.grants import GivenGrant, GrantTable
 from borageworks.router.isolation import IsolationQueue
-from borageworks.router.owned import OwnedEndpoint
+from borageworks.router.owned import BrokenRun, OwnedEndpoint
 from borageworks.router.pool import OwnedPool
 from borageworks.timers import Subscription, Timers
 from borageworks.wire.messages import (
@@ -24,6 +25,7 @@
     AloneGrant,
     Charge,
     Demand,
+    EndpointLost,
     Grant,
     Message,
     Outcome,
@@ -91,7 +93,7 @@
         self._pools: dict[str, OwnedPool] = {}
         self._subscription: Subscription | None = None
         self._polls: set[asyncio.Task[None]] = set()
-        self._polled: set[str] = set()
+        self._polled: Counter[str] = Counter()
 
     @property
     def owned(self) -> Mapping[str, OwnedEndpoint]:
@@ -224,11 +226,11 @@
         """Reserve an endpoint for a request that runs alone; grant it once empty."""
         if not self._isolation.waits(now, name):
             return
-        candidates = [
-            owned
-            for owned in self._owned.values()
-            if owned.endpoint.pool == name and owned.up and now >= owned.grants_from
-        ]
+        owned_here = [o for o in self._owned.values() if o.endpoint.pool == name]
+        if any(owned.crashed for owned in owned_here):
+            # The next request may be a copy of the one that has just crashed one.
+            return
+        candidates = [o for o in owned_here if o.up and now >= o.grants_from]
         if not candidates:
             return
         owned = min(
@@ -319,7 +321,9 @@
                     )
             case Outcome.CRASHED if owned is not None:
                 if release.fingerprint:
-                    owned.crashed[release.fingerprint] = grant.alone
+                    owned.crashed[release.fingerprint] = BrokenRun(
+                        grant.alone, self._timers.now()
+                    )
                 self._suspend(owned)
             case Outcome.UNREACHABLE if owned is not None:
                 self._suspend(owned)
@@ -392,7 +396,8 @@
         """Give no grants until the next load report tells the endpoint's state."""
         owned.up = False
         self._recall(owned.endpoint.pool, owned.endpoint.id)
-        self._poll(owned.endpoint)
+        # A report that is under way may have been written before the failure.
+        self._start_poll(owned.endpoint)
 
     def _fail(self, owned: OwnedEndpoint) -> None:
         owned.up = False
@@ -402,12 +407,16 @@
         emit(Event.ENDPOINT_DOWN, endpoint=owned.endpoint.id)
         self._blame(owned)
 
+    def _tell_lost(self, owned: OwnedEndpoint, *, restarted: bool) -> None:
+        for entry in sorted(self._grants.entries_at(owned.endpoint.id)):
+            self._send(entry, EndpointLost(owned.endpoint.id, restarted))
+
     def _blame(self, owned: OwnedEndpoint) -> None:
         """Tell all instances which requests ran on an incarnation that crashed."""
-        for fingerprint, alone in owned.crashed.items():
+        for fingerprint, run in owned.crashed.items():
             self._metrics.count("suspects")
             self._broadcast(
-                Suspect(fingerprint, owned.endpoint.id, owned.incarnation, alone)
+                Suspect(fingerprint, owned.endpoint.id, owned.incarnation, run.alone)
             )
         owned.crashed.clear()
 
@@ -421,14 +430,17 @@
             self._poll(owned.endpoint)
 
     def _poll(self, endpoint: Endpoint) -> None:
-        if endpoint.id in self._polled:
-            return
-        self._polled.add(endpoint.id)
+        if not self._polled[endpoint.id]:
+            self._start_poll(endpoint)
+
+    def _start_poll(self, endpoint: Endpoint) -> None:
+        self._polled[endpoint.id] += 1
         task = asyncio.get_running_loop().create_task(self._read_report(endpoint))
         self._polls.add(task)
         task.add_done_callback(self._polls.discard)
 
     async def _read_report(self, endpoint: Endpoint) -> None:
+        asked_at = self._timers.now()
         try:
             body = await self._transport.get_json(
                 endpoint, "/load", self._settings.window.report_interval_s
@@ -438,10 +450,13 @@
             owned = self._owned.get(endpoint.id)
             if owned is not None:
                 self._miss_report(owned, error)
+                self._grant(endpoint.pool)
         else:
-            self._take_report(endpoint, body)
+            self._take_report(endpoint, body, asked_at)
         finally:
-            self._polled.discard(endpoint.id)
+            self._polled[endpoint.id] -= 1
+            if not self._polled[endpoint.id]:
+                del self._polled[endpoint.id]
 
     def _miss_report(self, owned: OwnedEndpoint, error: EndpointFailedError) -> None:
         owned.missed_reports += 1
@@ -452,8 +467,12 @@
         silent = owned.missed_reports >= MISSED_REPORTS_DOWN
         if (closed or silent) and owned.window.limit > 0:
             self._fail(owned)
+        if silent:
+            self._tell_lost(owned, restarted=False)
 
-    def _take_report(self, endpoint: Endpoint, body: Mapping[str, object]) -> None:
+    def _take_report(
+        self, endpoint: Endpoint, body: Mapping[str, object], asked_at: float
+    ) -> None:
         owned = self._owned.get(endpoint.id)
         if owned is None:
             return
@@ -467,10 +486,15 @@
         owned.missed_reports = 0
         if owned.incarnation and report.incarnation != owned.incarnation:
             self._blame(owned)
-        owned.crashed.clear()
+            self._tell_lost(owned, restarted=True)
+        owned.crashed = {
+            fingerprint: run
+            for fingerprint, run in owned.crashed.items()
+            if run.told_at >= asked_at
+        }
         owned.incarnation = report.incarnation
         owned.window.on_report(self._timers.now(), report)
-        if not owned.up:
+        if not owned.up and not owned.crashed:
             self._resume(owned)
         self._grant(endpoint.pool)
 
--- a/borageworks/router/router.py
+++ b/borageworks/router/router.py
@@ -45,6 +45,7 @@
     ClaimFinish,
     ClaimReply,
     Demand,
+    EndpointLost,
     Grant,
     HeldAnswerQuery,
     HeldAnswerReply,
@@ -287,6 +288,8 @@
                 self._entry.receive_grant(sender, message)
             case Recall():
                 self._entry.receive_recall(sender, message)
+            case EndpointLost():
+                self._entry.receive_endpoint_lost(message)
             case AloneGrant():
                 self._entry.receive_alone_grant(sender, message)
             case Suspect():
--- a/borageworks/router/tests/harness.py
+++ b/borageworks/router/tests/harness.py
@@ -31,6 +31,7 @@
     AloneGrant,
     Charge,
     Demand,
+    EndpointLost,
     Grant,
     Recall,
     Release,
@@ -133,7 +134,8 @@
                 await self.behaviour(endpoint.id, call)
             else:
                 await asyncio.sleep(0.01)
-            if self.poison is not None and call.body == self.poison:
+            poisoned = self.poison is not None and call.body == self.poison
+            if poisoned and self.incarnations[endpoint.id] == incarnation:
                 self.incarnations[endpoint.id] += 1
             if self.incarnations[endpoint.id] != incarnation:
                 raise EndpointDisconnectedError(endpoint.id)
@@ -190,6 +192,8 @@
                 self.entry.receive_grant(sender, message)
             case Recall():
                 self.entry.receive_recall(sender, message)
+            case EndpointLost():
+                self.entry.receive_endpoint_lost(message)
             case AloneGrant():
                 self.entry.receive_alone_grant(sender, message)
             case Suspect():
--- a/borageworks/router/tests/test_sides.py
+++ b/borageworks/router/tests/test_sides.py
@@ -178,6 +178,48 @@
 
         asyncio.run(scenario())
 
+    def test_endpoint_that_restarts_silently_does_not_hang_requests(self):
+        """Guards against waiting for an endpoint that lost power and came back."""
+
+        async def scenario():
+            network = FakeNetwork(replica_with(1, window=2), "xy")
+
+            async def hang_in_first_incarnation(endpoint, call):
+                if network.endpoints.incarnations[endpoint] == 0:
+                    await asyncio.sleep(3600)
+
+            network.endpoints.behaviour = hang_in_first_incarnation
+            tasks = [asyncio.create_task(network.run(n, "a", 0)) for n in "xy"]
+            await asyncio.sleep(0.5)
+            self.assertEqual(2, len(network.endpoints.ran))
+            network.endpoints.incarnations["e0"] += 1
+            async with asyncio.timeout(10):
+                await asyncio.gather(*tasks)
+            network.stop()
+            self.assertEqual(4, len(network.endpoints.ran))
+
+        asyncio.run(scenario())
+
+    def test_concurrent_copies_of_a_crashing_request_cost_three_endpoints(self):
+        """Guards against each copy being tried alone at an endpoint of its own."""
+
+        async def scenario():
+            network = FakeNetwork(replica_with(8, window=4), "xyz")
+            network.endpoints.poison = b"poison"
+            copies = []
+            for number in range(6):
+                name = "xyz"[number % 3]
+                copies.append(
+                    asyncio.create_task(network.run(name, "a", number, b"poison"))
+                )
+                await asyncio.sleep(0.2)
+            results = await gather(*copies)
+            network.stop()
+            self.assertTrue(sum(network.endpoints.incarnations.values()) <= 3)
+            self.assertNotIn(None, results)
+
+        asyncio.run(scenario())
+
     def test_crashing_request_costs_three_endpoints_at_most(self):
         """Guards against one request taking down the fleet, and blaming others."""
 
--- a/borageworks/routing/demand.py
+++ b/borageworks/routing/demand.py
@@ -52,6 +52,11 @@
         self._entries: dict[DemandKey, _Entry] = {}
         self._changed: set[DemandKey] = set()
 
+    @property
+    def active(self) -> bool:
+        """Whether `tick` has anything to look after."""
+        return bool(self._entries)
+
     def set_owners(self, owners: Mapping[str, Sequence[str]]) -> None:
         """Replace the owners by pool, nearest first."""
         self._owners = dict(owners)
--- a/borageworks/wire/fleet.capnp
+++ b/borageworks/wire/fleet.capnp
@@ -7,6 +7,7 @@
 struct Grant { grantId @0 :UInt64; endpoint @1 :Text; pool @2 :Text; organisation @3 :Text; standing @4 :Bool; }
 struct Release { grantId @0 :UInt64; outcome @1 :UInt8; units @2 :Float64; firstToken @3 :Float32; tokenInterval @4 :Float32; fingerprint @5 :Data; keep @6 :Bool; }
 struct Recall { pool @0 :Text; endpoint @1 :Text; }
+struct EndpointLost { endpoint @0 :Text; restarted @1 :Bool; }
 struct Used { pool @0 :Text; organisation @1 :Text; units @2 :Float64; requests @3 :UInt32; }
 struct Charge { grantId @0 :UInt64; units @1 :Float64; }
 struct Running { grantId @0 :UInt64; endpoint @1 :Text; pool @2 :Text; organisation @3 :Text; units @4 :Float64; }
@@ -55,6 +56,7 @@
     aloneGrant @21 :AloneGrant;
     recall @22 :Recall;
     used @23 :Used;
+    endpointLost @24 :EndpointLost;
   }
 }
 
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -119,6 +119,14 @@
     endpoint: str
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointLost:
+    """An endpoint restarted, so that nothing runs there now, or does not answer."""
+
+    endpoint: str
+    restarted: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Used:
     """Service units received on kept standing slots since the last such message.
@@ -353,4 +361,5 @@
     | AloneGrant
     | Recall
     | Used
+    | EndpointLost
 )
--- a/borageworks_emulator/endpoint.py
+++ b/borageworks_emulator/endpoint.py
@@ -176,7 +176,8 @@
             return
         for connection in list(server.connections):
             transport = connection.transport
-            if isinstance(transport, asyncio.Transport):
+            if transport is not None:
+                # uvloop's transports are no subclass of `asyncio.Transport`.
                 transport.abort()
 
     async def _refresh_load(self) -> None:
--- a/borageworks_emulator/service.py
+++ b/borageworks_emulator/service.py
@@ -180,7 +180,7 @@
 
 def _break(request: web.Request, data: bytes) -> web.StreamResponse:
     """Write bytes to the connection and close it without a complete answer."""
-    if isinstance(request.transport, asyncio.Transport):
+    if request.transport is not None:
         request.transport.write(data)
         request.transport.close()
     # The connection is closed, so this answer is never written.
