--- a/borageworks/config/settings.py
+++ b/borageworks/config/settings.py
@@ -105,12 +105,12 @@
 class ClaimSettings(_Section):
     """At-most-once claims."""
 
-    shards: int = Field(default=64, ge=1, le=1024)
+    shards: int = Field(default=16, ge=1, le=1024)
     window_s: float = Field(default=3600.0, gt=0)
     clock_difference_s: float = Field(default=60.0, ge=0)
     segment_bytes: int = Field(default=16_384, ge=1024, le=1_000_000)
     segment_age_s: float = Field(default=60.0, gt=0)
-    commit_interval_s: float = Field(default=0.01, ge=0)
+    commit_interval_s: float = Field(default=0.1, ge=0)
     held_answer_bytes: int = Field(default=32 * 1_048_576, ge=0)
 
 
--- a/borageworks/router/entry.py
+++ b/borageworks/router/entry.py
@@ -110,6 +110,7 @@
         self._held: dict[int, HeldGrant] = {}
         self._standing = StandingSlots()
         self._usage = Usage()
+        self._kept: list[tuple[str, Release]] = []
         self._stopping = False
         self._sequence = itertools.count(1)
         self._flush_pending = False
@@ -429,6 +430,8 @@
         return not self._queue.waiting_for(held.grant.pool)
 
     def _return(self, held: HeldGrant) -> None:
+        # The owner has to settle the first request before it frees the slot.
+        self._flush_kept()
         self._send(held.owner, Release(held.grant.grant_id, Outcome.UNUSED, 0.0))
 
     def _queue_shared(
@@ -537,18 +540,20 @@
             self._standing.add(self._timers.now(), held)
         if keep and held.reused:
             return
-        self._send(
-            held.owner,
-            Release(
-                grant.grant_id,
-                outcome,
-                units,
-                exchange.first_token,
-                exchange.token_interval,
-                fingerprint if outcome is Outcome.CRASHED else b"",
-                keep,
-            ),
+        release = Release(
+            grant.grant_id,
+            outcome,
+            units,
+            exchange.first_token,
+            exchange.token_interval,
+            fingerprint if outcome is Outcome.CRASHED else b"",
+            keep,
         )
+        if keep:
+            # The slot stays in use, so the owner can wait for the next batch.
+            self._kept.append((held.owner, release))
+        else:
+            self._send(held.owner, release)
 
     def _note_waiting(self, now: float, pool: str, organisation: str) -> None:
         waiting = self._queue.waiting(pool, organisation)
@@ -586,6 +591,11 @@
                 held.reported = held.progress.units
                 self._send(held.owner, Charge(held.grant.grant_id, held.progress.units))
 
+    def _flush_kept(self) -> None:
+        kept, self._kept = self._kept, []
+        for owner, release in kept:
+            self._send(owner, release)
+
     def _report_progress(self, held: HeldGrant) -> None:
         grown = held.progress.units - held.reported
         if grown <= 0:
