Let bookkeeping messages wait for others to the same instance

Cause: charges, usage, service reports and claim states were sent in frames of their own, 72 bytes of framing for 25 to 40 bytes of content. Change: such messages wait up to half a second for another message to the instance.

--- a/borageworks/router/router.py
+++ b/borageworks/router/router.py
@@ -276,7 +276,7 @@
             # Delivered in the next loop turn, so that senders are not re-entered.
             asyncio.get_running_loop().call_soon(self._deliver, instance, message)
         else:
-            self._links.send(instance, message)
+            self._links.send(instance, message, lazy=_is_lazy(message))
 
     def _broadcast(self, message: Message) -> None:
         for member in self._live_members():
@@ -407,3 +407,14 @@
         gauge("slots_in_use", self._owner.grants_in_use)
         gauge("catalog_revision", self._replica.version()[0])
         gauge("uptime_seconds", now - self._started_at)
+
+
+def _is_lazy(message: Message) -> bool:
+    """Return whether a message only keeps books, so that it may wait for others."""
+    match message:
+        case Charge() | Used() | ClaimFinish() | ServiceReport() | ServiceError():
+            return True
+        case Release(keep=keep):
+            return keep
+        case _:
+            return False
--- a/borageworks/wire/links.py
+++ b/borageworks/wire/links.py
@@ -26,6 +26,7 @@
 QUEUE_BYTES = 8 << 20  # per peer, estimated
 MESSAGE_BYTES = 128  # estimate of a message without its body
 FRAME_BYTES = MAX_FRAME_BYTES // 2  # estimated; leaves room for the estimate's error
+LAZY_S = 0.5
 CONNECT_TIMEOUT_S = 2.0
 HANDSHAKE_TIMEOUT_S = 2.0
 # Links that both sides opened at the same time are ready within this time.
@@ -59,6 +60,7 @@
     queued_bytes: int = 0
     backoff: float = 0.0
     retry: Subscription | None = None
+    lazy: Subscription | None = None
     wanted: bool = False
     keep_queue: bool = False
 
@@ -165,6 +167,8 @@
         for peer in list(self._peers.values()):
             if peer.retry is not None:
                 peer.retry.cancel()
+            if peer.lazy is not None:
+                peer.lazy.cancel()
             self._drop_queue(peer, "stopped")
         for link in list(self._links):
             link.close()
@@ -189,6 +193,8 @@
         self._drop_queue(peer, "removed")
         if peer.retry is not None:
             peer.retry.cancel()
+        if peer.lazy is not None:
+            peer.lazy.cancel()
         for link in self._links:
             if instance in (link.dialed, link.peer and link.peer.instance):
                 link.close()
@@ -196,9 +202,12 @@
             peer.link = None
             self._disconnected(instance)
 
-    def send(self, instance: str, message: Message) -> bool:
+    def send(self, instance: str, message: Message, *, lazy: bool = False) -> bool:
         """Queue a message until the end of this loop turn.
 
+        A lazy message waits for the next other message to the instance, for half a
+        second at most, since a frame of its own costs more bytes than its content.
+
         Returns
         -------
         bool
@@ -222,7 +231,10 @@
             return False
         peer.queue.append((message, size))
         peer.queued_bytes += size
-        self._mark(instance)
+        if not lazy:
+            self._mark(instance)
+        elif peer.lazy is None or peer.lazy.cancelled:
+            peer.lazy = self._timers.after(LAZY_S, lambda _now: self._mark(instance))
         return True
 
     def link_greeted(self, link: Link) -> bool:
--- a/borageworks/wire/tests/test_links.py
+++ b/borageworks/wire/tests/test_links.py
@@ -108,6 +108,23 @@
 
         self.run_with(scenario, ("a",), ("b",))
 
+    def test_lazy_messages_wait_for_others_but_arrive(self):
+        """Guards against bookkeeping messages that are kept back for ever."""
+
+        async def scenario(a, b):
+            a.knows(b)
+            sent = [Demand("p", "o", number) for number in range(4)]
+            a.links.send("b", sent[0])
+            await until(lambda: len(b.messages) == 1)
+            a.links.send("b", sent[1], lazy=True)
+            a.links.send("b", sent[2])
+            await until(lambda: len(b.messages) == 3)
+            a.links.send("b", sent[3], lazy=True)
+            await until(lambda: len(b.messages) == 4)
+            self.assertEqual(sent, b.messages)
+
+        self.run_with(scenario, ("a",), ("b",))
+
     def test_simultaneous_connects(self):
         """Guards against two links per pair, and against losing both of them."""
 
