Break connections of emulated endpoints on uvloop too

Cause: crashes, cut and garbage answers of plain services tested the transport against `asyncio.Transport`, which uvloop's transports are not. Under the commands a crash broke no connection: the crashing request got status 500 after two seconds, and routers rightly saw no crash. Change: the transport's type is no longer tested; the endpoint tests run on the commands' loop. The bytes sent between routers are noted beside the sum of both directions.

--- a/borageworks_emulator/endpoint.py
+++ b/borageworks_emulator/endpoint.py
@@ -7,7 +7,7 @@
 import secrets
 from abc import ABC, abstractmethod
 from collections.abc import Coroutine
-from typing import Any, TypeVar
+from typing import Any, TypeVar, cast
 
 import orjson
 from aiohttp import web
@@ -27,6 +27,15 @@
 MAX_BODY_BYTES = 64 * 1_048_576
 
 
+def stream_of(transport: asyncio.BaseTransport | None) -> asyncio.Transport | None:
+    """Return a connection's transport with the type of a stream.
+
+    Transports of uvloop are no subclasses of `asyncio.Transport`, so the type cannot be
+    checked at run time.
+    """
+    return cast("asyncio.Transport | None", transport)
+
+
 class EmulatedEndpoint(ABC):
     """An HTTP endpoint that records what it ran and applies faults."""
 
@@ -175,9 +184,9 @@
         if server is None:
             return
         for connection in list(server.connections):
-            transport = connection.transport
-            if isinstance(transport, asyncio.Transport):
-                transport.abort()
+            stream = stream_of(connection.transport)
+            if stream is not None:
+                stream.abort()
 
     async def _refresh_load(self) -> None:
         while True:
--- a/borageworks_emulator/fleet.py
+++ b/borageworks_emulator/fleet.py
@@ -20,6 +20,7 @@
 from borageworks_emulator.topology import Topology
 
 TICKET_LIMIT_S = 30.0
+CONTROL_SENT_METRIC = "borageworks_control_bytes_sent"
 
 
 class TicketFailedError(Exception):
@@ -33,6 +34,7 @@
     at: float
     cpu_s: dict[str, float] = field(default_factory=dict)
     control_bytes: dict[str, float] = field(default_factory=dict)
+    control_bytes_sent: dict[str, float] = field(default_factory=dict)
     memory_mb: dict[str, float] = field(default_factory=dict)
     starts: dict[str, int] = field(default_factory=dict)
 
@@ -125,9 +127,12 @@
             if not router.alive:
                 continue
             name = router.settings.instance
-            control = control_bytes(await read_metrics(self.session, router.url))
+            metrics = await read_metrics(self.session, router.url)
+            control = control_bytes(metrics)
             if control is not None:
                 sample.control_bytes[name] = control
+            if CONTROL_SENT_METRIC in metrics:
+                sample.control_bytes_sent[name] = metrics[CONTROL_SENT_METRIC]
             sample.cpu_s[name] = router.cpu_s
             sample.memory_mb[name] = router.memory_mb
             sample.starts[name] = router.starts
--- a/borageworks_emulator/scenario.py
+++ b/borageworks_emulator/scenario.py
@@ -248,6 +248,9 @@
     cpu = largest_rate(before, after, "cpu_s")
     result.cpu_percent = None if cpu is None else 100 * cpu
     result.control_bytes_per_second = largest_rate(before, after, "control_bytes")
+    sent = largest_rate(before, after, "control_bytes_sent")
+    if sent is not None:
+        result.notes["control_bytes_sent_per_second"] = sent
     result.memory_mb = max(after.memory_mb.values(), default=0.0)
     return load
 
--- a/borageworks_emulator/scenarios/store_outage.py
+++ b/borageworks_emulator/scenarios/store_outage.py
@@ -40,6 +40,7 @@
             sum(1 for call in refused if call.ran != "not_run"),
             0,
         ),
+        at_least("protected requests refused in the outage", len(refused), 1),
         at_least("protected answers after the outage", len(late), 1),
     ]
 
--- a/borageworks_emulator/service.py
+++ b/borageworks_emulator/service.py
@@ -16,6 +16,7 @@
     ORGANISATION,
     REQUEST_ID,
     EmulatedEndpoint,
+    stream_of,
 )
 from borageworks_emulator.faults import Faults
 from borageworks_emulator.recording import Recording, Run, RunOutcome
@@ -180,9 +181,10 @@
 
 def _break(request: web.Request, data: bytes) -> web.StreamResponse:
     """Write bytes to the connection and close it without a complete answer."""
-    if isinstance(request.transport, asyncio.Transport):
-        request.transport.write(data)
-        request.transport.close()
+    stream = stream_of(request.transport)
+    if stream is not None:
+        stream.write(data)
+        stream.close()
     # The connection is closed, so this answer is never written.
     return web.Response()
 
--- a/borageworks_emulator/tests/test_engine.py
+++ b/borageworks_emulator/tests/test_engine.py
@@ -6,6 +6,7 @@
 import orjson
 import testtools
 
+from borageworks.commands.loop import run_loop
 from borageworks_emulator.engine import (
     EmulatedEngine,
     EngineProfile,
@@ -56,7 +57,8 @@
         finally:
             await engine.stop()
 
-    return asyncio.run(main())
+    # The loop of the commands: its transports differ from those of asyncio.
+    return run_loop(main())
 
 
 async def _post(session, body, **headers):
--- a/borageworks_emulator/tests/test_scenarios.py
+++ b/borageworks_emulator/tests/test_scenarios.py
@@ -130,6 +130,7 @@
             call.ran = "not_run"
         result = _result("store-outage", _measures(1.0, 1.0), None)
         self.assertEqual([], self.checks("store-outage", result, calls[:2]))
+        self.assertEqual(1, len(self.checks("store-outage", result, calls[:1])))
         self.assertEqual(1, len(self.checks("store-outage", result, calls)))
         calls[1].ran = "unknown"
         self.assertEqual(1, len(self.checks("store-outage", result, calls[:2])))
--- a/borageworks_emulator/tests/test_service.py
+++ b/borageworks_emulator/tests/test_service.py
@@ -5,6 +5,7 @@
 import aiohttp
 import testtools
 
+from borageworks.commands.loop import run_loop
 from borageworks_emulator.analysis import doubled
 from borageworks_emulator.recording import RunOutcome
 from borageworks_emulator.service import (
@@ -27,7 +28,8 @@
         finally:
             await service.stop()
 
-    return asyncio.run(main())
+    # The loop of the commands: its transports differ from those of asyncio.
+    return run_loop(main())
 
 
 class ServiceTest(testtools.TestCase):
@@ -100,3 +102,41 @@
         runs = _run_with_service(case)
         self.assertEqual(RunOutcome.COMPLETE, runs[0].outcome)
         self.assertEqual(1, doubled(runs))
+
+    def test_broken_answers_are_noticed_by_an_http_client(self):
+        """Guards against cut and garbage faults that have no effect."""
+
+        async def case(service, session):
+            outcomes = []
+            for fault in ("cut_every", "garbage_every"):
+                setattr(service.faults, fault, 1)
+                try:
+                    async with session.post("/", json={"duration_ms": 1}) as response:
+                        outcomes.append(await response.read())
+                except aiohttp.ClientError as error:
+                    outcomes.append(type(error))
+                setattr(service.faults, fault, 0)
+            return outcomes
+
+        for outcome in _run_with_service(case):
+            self.assertTrue(issubclass(outcome, aiohttp.ClientError))
+
+    def test_crash_breaks_running_requests(self):
+        """Guards against a crash that answers its callers."""
+
+        async def case(service, session):
+            service.faults.crash_marker = b"poison"
+            service.faults.down_s = 0.05
+            results = await asyncio.gather(
+                session.post("/", json={"duration_ms": 5000}),
+                session.post("/", json={"text": "poison"}),
+                return_exceptions=True,
+            )
+            await until(lambda: not service.down)
+            async with session.post("/", json={"duration_ms": 1}) as response:
+                return results, response.status
+
+        results, status = _run_with_service(case)
+        for result in results:
+            self.assertIsInstance(result, aiohttp.ClientError)
+        self.assertEqual(200, status)
