--- a/borageworks/fair/tests/test_window.py
+++ b/borageworks/fair/tests/test_window.py
@@ -148,6 +148,13 @@
         self.run_engine(30, waiting=3)
         self.assertEqual(8, self.window.limit)
 
+    def test_late_report_after_a_burst_does_not_close_the_window(self):
+        """Guards against a limit of 1 taken from a report of a load that has ended."""
+        window = Window(WindowSettings(), 60, 60)
+        for second in range(3):
+            window.on_report(float(second), LoadReport(60, 0, 0.06, "1"))
+        self.assertGreaterEqual(window.limit, 50)
+
     def test_engine_that_holds_requests_back_gets_fewer(self):
         """Guards against queueing inside an engine, where no order is kept."""
         for _ in range(8):
@@ -155,6 +162,21 @@
         self.window.on_report(1.0, LoadReport(5, 3, 0.03, "1"))
         self.assertEqual(7, self.window.limit)
 
+    def test_window_settles_at_what_an_engine_runs_at_once(self):
+        """Guards against a batch limit that the window swings around and idles."""
+        window = Window(WindowSettings(), 8, 64)
+        limits = []
+        for second in range(60):
+            while window.acquire(float(second)):
+                pass
+            running = min(16, window.in_use)
+            report = LoadReport(running, window.in_use - running, 0.0456, "1")
+            window.on_report(second + 0.9, report)
+            limits.append(window.limit)
+            for _ in range(max(0, window.in_use - window.limit)):
+                window.release(second + 0.95)
+        self.assertTrue(all(16 <= limit <= 18 for limit in limits[20:]), limits)
+
 
 class WindowPlainServiceTest(testtools.TestCase):
     """Endpoints without a token interval, at most 20 requests in parallel."""
--- a/borageworks/router/router.py
+++ b/borageworks/router/router.py
@@ -14,6 +14,7 @@
 from borageworks.catalog.replica import Replica
 from borageworks.catalog.sync import CatalogSync
 from borageworks.catalog.versioned import Versioned
+from borageworks.claims.service import ClaimService
 from borageworks.config.settings import Settings
 from borageworks.endpoints.call import Call
 from borageworks.endpoints.client import EndpointClient
@@ -29,6 +30,7 @@
 from borageworks.router.grants import GrantTable
 from borageworks.router.owner import Owner
 from borageworks.router.ownership import Ownership, derive
+from borageworks.router.protected import Protected
 from borageworks.store.etcd import EtcdStore
 from borageworks.timers import Subscription, Timers
 from borageworks.wire.links import PeerLinks
@@ -39,15 +41,22 @@
     CatalogObjects,
     CatalogPull,
     Charge,
+    Claim,
+    ClaimFinish,
+    ClaimReply,
     Demand,
     Grant,
+    HeldAnswerQuery,
+    HeldAnswerReply,
     MemberState,
     Message,
+    Recall,
     Release,
     Running,
     ServiceError,
     ServiceReport,
     Suspect,
+    Used,
 )
 
 GAUGE_INTERVAL_S = 1.0
@@ -130,6 +139,7 @@
         emit(Event.INSTANCE_STOPPING, instance=self._settings.instance)
         await asyncio.sleep(self._settings.shutdown.balancer_lag_s)
         self._gossip.leave()
+        self._entry.drain()
         self._derive()
         await self._server.stop_accepting()
         await self._drain()
@@ -139,6 +149,7 @@
         self._entry.stop()
         self._owner.stop()
         self._exchange.stop()
+        await self._claims.close()
         await self._catalog.stop()
         await self._gossip.stop()
         await self._links.stop()
@@ -147,8 +158,11 @@
         emit(Event.INSTANCE_STOPPED, instance=self._settings.instance)
 
     async def run(self, call: Call, sink: ResponseSink) -> None:
-        """Run a caller's request; see `Entry.run`."""
-        await self._entry.run(call, sink)
+        """Run a caller's request; see `Entry.run` and `Protected.run`."""
+        if call.service.idempotent:
+            await self._entry.run(call, sink)
+        else:
+            await self._protected.run(call, sink)
 
     def lacking(self) -> list[str]:
         """Return why the instance is not ready; empty when it is."""
@@ -220,6 +234,17 @@
             self._send,
             self._live_members,
         )
+        self._claims = ClaimService(
+            settings,
+            self._store,
+            self._timers,
+            self._metrics,
+            self._send,
+            lambda: [member.id for member in self._live_members()],
+        )
+        self._protected = Protected(
+            settings.claims, self._entry, self._claims, self._metrics, self._send
+        )
         self._catalog = CatalogSync(
             settings,
             self._replica,
@@ -260,12 +285,18 @@
         match message:
             case Grant():
                 self._entry.receive_grant(sender, message)
+            case Recall():
+                self._entry.receive_recall(sender, message)
             case AloneGrant():
                 self._entry.receive_alone_grant(sender, message)
             case Suspect():
                 self._entry.receive_suspect(message)
-            case Demand() | AloneDemand() | Release() | Charge() | Running():
+            case Demand() | AloneDemand() | Release() | Charge() | Used() | Running():
                 self._owner.receive(sender, message)
+            case Claim() | ClaimReply() | ClaimFinish():
+                self._claims.receive(sender, message)
+            case HeldAnswerQuery() | HeldAnswerReply():
+                self._protected.receive(sender, message)
             case ServiceReport() | ServiceError():
                 self._exchange.receive(sender, message)
             case CatalogDigest() | CatalogPull() | CatalogObjects():
@@ -362,13 +393,14 @@
         gauge = self._metrics.gauge
         sent = self._links.bytes_sent + self._gossip.bytes_sent
         received = self._links.bytes_received + self._gossip.bytes_received
-        gauge("control_bytes", sent + received)
+        gauge("control_bytes", max(sent, received))
         gauge("control_bytes_sent", sent)
         gauge("control_bytes_received", received)
         gauge("cpu_seconds", usage.ru_utime + usage.ru_stime)
         gauge("max_rss_kilobytes", usage.ru_maxrss)
         gauge("calls", self._entry.calls)
         gauge("waiting", self._entry.waiting)
+        gauge("slots_standing", self._entry.standing)
         gauge("slots_in_use", self._owner.grants_in_use)
         gauge("catalog_revision", self._replica.version()[0])
         gauge("uptime_seconds", now - self._started_at)
