--- a/borageworks/commands/measure.py
+++ b/borageworks/commands/measure.py
@@ -14,13 +14,15 @@
 from borageworks_emulator.report import Result
 from borageworks_emulator.scenario import Options, median_checks, run_scenario
 from borageworks_emulator.scenarios import SCENARIOS
+from borageworks_emulator.slopes import measure_slopes, render
 from borageworks_emulator.topology import PATITSA, TOPOLOGIES
 
 EXIT_MISSED = 1
+SLOPES = "slopes"
 
 
 @click.command()
-@click.argument("name", required=False, type=click.Choice(sorted(SCENARIOS)))
+@click.argument("name", required=False, type=click.Choice([*sorted(SCENARIOS), SLOPES]))
 @click.option("--list", "list_names", is_flag=True, help="List the scenarios.")
 @click.option("--seed", default=1, show_default=True, help="Seed of the load.")
 @click.option(
@@ -70,9 +72,13 @@
     if list_names:
         for scenario in SCENARIOS.values():
             click.echo(f"{scenario.name:18}{scenario.description}")
+        click.echo(f"{SLOPES:18}cost of each part at four sizes and more")
         return
     if name is None:
         raise click.UsageError("name a scenario or use --list")
+    if name == SLOPES:
+        _show_slopes(seed, json_file)
+        return
     found = []
     for number in range(seed, seed + repeat):
         options = Options(TOPOLOGIES[topology], number, routers, duration, directory)
@@ -93,6 +99,19 @@
         sys.exit(EXIT_MISSED)
 
 
+def _show_slopes(seed: int, json_file: Path | None) -> None:
+    slopes = measure_slopes(
+        seed, lambda name: click.echo(f"measuring {name}", err=True)
+    )
+    for name, rows in slopes.items():
+        click.echo("\n".join(["", name, *render(rows)]), err=json_file is not None)
+    encoded = orjson.dumps(slopes, option=orjson.OPT_INDENT_2)
+    if json_file is not None and str(json_file) == "-":
+        click.echo(encoded)
+    elif json_file is not None:
+        json_file.write_bytes(encoded)
+
+
 async def _run(name: str, options: Options) -> Result:
     """Run a scenario; SIGTERM cancels it, so that started routers are ended."""
     task = asyncio.ensure_future(run_scenario(SCENARIOS[name], options))
