Report the use of kept slots and return idle ones

Also: request ids differ between starts of an instance, an unsettled claim commit has an event of its own, not that of an unhandled error.

--- a/borageworks/api/server.py
+++ b/borageworks/api/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import secrets
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -65,6 +66,8 @@
         self._replica = replica
         self._frontend = frontend
         self._metrics = metrics
+        # A restarted instance must not repeat ids that endpoints still know.
+        self._prefix = f"{settings.instance}-{secrets.token_hex(4)}"
         self._sequence = itertools.count(1)
         self._runner: web.AppRunner | None = None
         self._listener: asyncio.Server | None = None
@@ -120,7 +123,7 @@
 
     @web.middleware
     async def _errors(self, request: web.Request, handler: Handler) -> Any:
-        request_id = f"{self._settings.instance}-{next(self._sequence)}"
+        request_id = f"{self._prefix}-{next(self._sequence)}"
         request[REQUEST_ID] = request_id
         self._metrics.count("requests")
         try:
--- a/borageworks/claims/service.py
+++ b/borageworks/claims/service.py
@@ -396,7 +396,12 @@
     def _failed(self, number: int, error: BorageworksError) -> None:
         self._metrics.count("claim_failures", error.code)
         if not isinstance(error, StoreUnavailableError):
-            emit(Event.TASK_FAILED, shard=number, code=error.code, reason=str(error))
+            emit(
+                Event.CLAIM_COMMIT_UNSETTLED,
+                shard=number,
+                code=error.code,
+                reason=str(error),
+            )
 
     def _wake(self, number: int) -> None:
         due = self._shards[number].due
--- a/borageworks/events.py
+++ b/borageworks/events.py
@@ -36,6 +36,7 @@
     STORE_UP = (602, "store_up")
     CLAIM_CONFLICT = (603, "claim_conflict")
     CLAIM_SHARD_LOADED = (604, "claim_shard_loaded")
+    CLAIM_COMMIT_UNSETTLED = (605, "claim_commit_unsettled")
     PEER_CONNECTED = (701, "peer_connected")
     PEER_DISCONNECTED = (702, "peer_disconnected")
     PEER_REJECTED = (703, "peer_rejected")
--- a/borageworks/router/entry.py
+++ b/borageworks/router/entry.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import itertools
-import time
 from collections.abc import Callable, Mapping, Sequence
 
 import xxhash
@@ -22,7 +21,6 @@
     EndpointDisconnectedError,
     EndpointFailedError,
     EndpointRefusedError,
-    EndpointReplyCrossedError,
     EndpointReplyIncompleteError,
     EndpointTimeoutError,
     EndpointUnreachableError,
@@ -35,8 +33,7 @@
 from borageworks.metrics import Metrics
 from borageworks.router.alone import WaitingAlone
 from borageworks.router.held import HeldGrant
-from borageworks.router.standing import StandingSlots
-from borageworks.router.usage import Usage
+from borageworks.router.slots import Slots
 from borageworks.routing.budget import RetryBudget
 from borageworks.routing.demand import DemandPlan, TellOwner
 from borageworks.routing.queue import EntryQueue
@@ -47,22 +44,17 @@
 from borageworks.wire.messages import (
     AloneDemand,
     AloneGrant,
-    Charge,
     EndpointLost,
     Grant,
     Message,
     Outcome,
     Recall,
-    Release,
-    Running,
     Suspect,
 )
 
 Send = Callable[[str, Message], None]
 
-CHARGE_INTERVAL_S = 1.0
-# An attempt at an endpoint that does not answer its owner ends after this silence.
-SILENT_S = 3.0
+REFRESH_S = 1.0
 # Owners tell within this time whether the endpoint crashed, so that a request that
 # crashes endpoints is known before it is tried again.
 CRASH_BACKOFF_S = 0.3
@@ -107,11 +99,7 @@
         self._owners: Mapping[str, Sequence[str]] = {}
         self._alone: dict[int, WaitingAlone] = {}
         self._granted: dict[int, asyncio.Future[HeldGrant]] = {}
-        self._held: dict[int, HeldGrant] = {}
-        self._standing = StandingSlots()
-        self._usage = Usage()
-        self._kept: list[tuple[str, Release]] = []
-        self._stopping = False
+        self._slots = Slots(timers, metrics, send)
         self._sequence = itertools.count(1)
         self._flush_pending = False
         self._tick_pending: Subscription | None = None
@@ -131,20 +119,15 @@
     @property
     def standing(self) -> int:
         """Number of idle standing slots."""
-        return len(self._standing)
+        return self._slots.standing
 
     def start(self) -> None:
         """Subscribe to the timers."""
-        self._subscriptions = [
-            self._timers.every(CHARGE_INTERVAL_S, self._refresh),
-        ]
+        self._subscriptions = [self._timers.every(REFRESH_S, self._refresh)]
 
     def drain(self) -> None:
         """Return all idle standing slots and keep none from now on."""
-        self._stopping = True
-        for held in self._standing.all():
-            self._standing.recall(held.owner, held.grant.pool, held.grant.endpoint)
-            self._return(held)
+        self._slots.drain()
 
     def stop(self) -> None:
         """Cancel the timers."""
@@ -167,29 +150,17 @@
         """
         self._owners = by_pool
         self._demand.set_owners(by_pool)
-        for held in self._standing.all():
-            if owners.get(held.grant.endpoint) != held.owner:
-                self._standing.recall(held.owner, held.grant.pool, held.grant.endpoint)
-                self._return(held)
-        for held in self._held.values():
-            owner = owners.get(held.grant.endpoint)
-            if owner is not None and owner != held.owner:
-                held.owner = owner
-                held.standing = False
-                self._tell_running(held)
+        self._slots.set_owners(owners)
         self._schedule_flush()
 
     def link_up(self, instance: str) -> None:
         """Tell an owner of the slots in use, after a link to it came up."""
-        for held in self._held.values():
-            if held.owner == instance:
-                self._tell_running(held)
+        self._slots.link_up(instance)
 
     def link_lost(self, instance: str) -> None:
         """Advertise demand again, after the link to an owner was lost."""
         self._demand.forget_owner(instance)
-        # The owner has freed them too.
-        self._standing.drop_owner(instance)
+        self._slots.link_lost(instance)
         self._schedule_flush()
 
     def receive_grant(self, sender: str, grant: Grant) -> None:
@@ -199,28 +170,16 @@
         request = self._queue.pop(now, grant.pool, grant.organisation)
         if request is None:
             self._metrics.count("grants_unused")
-            self._send(sender, Release(grant.grant_id, Outcome.UNUSED, 0.0))
+            self._slots.give_back(sender, grant)
             return
         self._note_waiting(now, grant.pool, grant.organisation)
-        held = HeldGrant(
-            grant,
-            sender,
-            Progress(),
-            organisation=grant.organisation,
-            standing=grant.standing,
-        )
-        self._held[grant.grant_id] = held
+        held = self._slots.hold(sender, grant)
         self._metrics.observe("queue_wait", now - request.queued_at)
         self._granted.pop(request.request_id).set_result(held)
 
     def receive_recall(self, sender: str, recall: Recall) -> None:
-        """Return idle standing slots, and busy ones once their requests end."""
-        for held in self._standing.recall(sender, recall.pool, recall.endpoint):
-            self._return(held)
-        for held in self._held.values():
-            wanted = recall.endpoint in ("", held.grant.endpoint)
-            if wanted and held.owner == sender and held.grant.pool == recall.pool:
-                held.standing = False
+        """Return standing slots that an owner needs."""
+        self._slots.recall(sender, recall)
 
     def check_admission(self, call: Call) -> None:
         """Refuse a call that would find the queue full, before it is claimed."""
@@ -230,26 +189,13 @@
         """Give the whole endpoint to the request that waits for it, or return it."""
         waiting = self._alone.pop(message.request_id, None)
         if waiting is None:
-            grant_id = message.grant.grant_id
-            self._send(sender, Release(grant_id, Outcome.UNUSED, 0.0))
+            self._slots.give_back(sender, message.grant)
             return
-        held = HeldGrant(message.grant, sender, Progress(), alone=True)
-        self._held[message.grant.grant_id] = held
-        waiting.future.set_result(held)
+        waiting.future.set_result(self._slots.hold(sender, message.grant, alone=True))
 
     def receive_endpoint_lost(self, message: EndpointLost) -> None:
-        """End attempts whose endpoint is gone without closing its connections.
-
-        Where the endpoint only does not answer its owner, attempts that still receive
-        bytes go on.
-        """
-        silent_since = time.monotonic() - SILENT_S
-        for held in self._held.values():
-            if held.grant.endpoint != message.endpoint or held.scope is None:
-                continue
-            if message.restarted or held.progress.active_at < silent_since:
-                self._metrics.count("attempts_ended", "endpoint_lost")
-                held.scope.reschedule(self._timers.now())
+        """End attempts at an endpoint that is gone."""
+        self._slots.end_lost(message)
 
     def receive_suspect(self, message: Suspect) -> None:
         """Note that a request ran on an endpoint that crashed."""
@@ -290,11 +236,11 @@
             )
             endpoint = self._replica.endpoints.get(held.grant.endpoint)
             if endpoint is None:
-                self._release(held, Outcome.UNUSED)
+                self._slots.release(held, Outcome.UNUSED)
                 continue
             if self._verdict(fingerprint) is Verdict.REFUSED:
                 # A copy of the request was found to crash endpoints meanwhile.
-                self._release(held, Outcome.UNUSED)
+                self._slots.release(held, Outcome.UNUSED)
                 continue
             attempt += 1
             try:
@@ -328,12 +274,14 @@
         try:
             exchange = await self._exchange(endpoint, held, call, sink, kind)
         except EndpointFailedError as error:
-            self._release(held, _outcome(error), fingerprint=fingerprint)
+            self._slots.release(held, _outcome(error), fingerprint=fingerprint)
             raise
         except BaseException:
-            self._release(held, Outcome.CANCELLED)
+            self._slots.release(held, Outcome.CANCELLED)
             raise
-        self._release(held, Outcome.COMPLETED, exchange)
+        pool = held.grant.pool
+        keep = not self._queue.waiting_for(pool)
+        self._slots.release(held, Outcome.COMPLETED, exchange, keep=keep)
         if held.alone:
             self._suspects.clear(fingerprint)
         self._metrics.count("answers")
@@ -407,33 +355,17 @@
             raise
 
     def _take_standing(self, call: Call) -> HeldGrant | None:
-        """Return a kept slot, unless requests wait for the pool already."""
+        """Use a kept slot, unless requests wait for the pool already."""
         pool = call.service.pool
         if self._queue.waiting_for(pool):
             return None
-        while (held := self._standing.take(pool)) is not None:
+        while (held := self._slots.take_standing(pool, call.organisation)) is not None:
             endpoint = self._replica.endpoints.get(held.grant.endpoint)
             if endpoint is not None and endpoint.state is EndpointState.ACTIVE:
-                held.organisation = call.organisation
-                held.reused = True
-                held.reported = 0.0
-                self._held[held.grant.grant_id] = held
-                self._metrics.count("slots_reused")
                 return held
-            self._return(held)
+            self._slots.release(held, Outcome.UNUSED)
         return None
 
-    def _keep(self, held: HeldGrant) -> bool:
-        """Return whether a slot whose request was answered is kept."""
-        if not held.standing or self._stopping:
-            return False
-        return not self._queue.waiting_for(held.grant.pool)
-
-    def _return(self, held: HeldGrant) -> None:
-        # The owner has to settle the first request before it frees the slot.
-        self._flush_kept()
-        self._send(held.owner, Release(held.grant.grant_id, Outcome.UNUSED, 0.0))
-
     def _queue_shared(
         self, now: float, request: WaitingRequest, again: bool
     ) -> asyncio.Future[HeldGrant]:
@@ -475,7 +407,7 @@
     ) -> None:
         if future.done():
             # The grant arrived in the same loop turn as the timeout or cancellation.
-            self._release(future.result(), Outcome.UNUSED)
+            self._slots.release(future.result(), Outcome.UNUSED)
             return
         if self._alone.pop(request.request_id, None) is not None:
             return
@@ -512,49 +444,6 @@
                 retry_after=1.0,
             ) from error
 
-    def _release(
-        self,
-        held: HeldGrant,
-        outcome: Outcome,
-        exchange: Exchange | None = None,
-        fingerprint: bytes = b"",
-    ) -> None:
-        grant = held.grant
-        del self._held[grant.grant_id]
-        if exchange is None:
-            exchange = Exchange(
-                units=0.0 if outcome is Outcome.UNUSED else held.progress.units
-            )
-        keep = outcome is Outcome.COMPLETED and self._keep(held)
-        units = exchange.units
-        if held.reused:
-            self._usage.add(
-                held.owner,
-                grant.pool,
-                held.organisation,
-                max(0.0, units - held.reported),
-                1,
-            )
-            units = 0.0
-        if keep:
-            self._standing.add(self._timers.now(), held)
-        if keep and held.reused:
-            return
-        release = Release(
-            grant.grant_id,
-            outcome,
-            units,
-            exchange.first_token,
-            exchange.token_interval,
-            fingerprint if outcome is Outcome.CRASHED else b"",
-            keep,
-        )
-        if keep:
-            # The slot stays in use, so the owner can wait for the next batch.
-            self._kept.append((held.owner, release))
-        else:
-            self._send(held.owner, release)
-
     def _note_waiting(self, now: float, pool: str, organisation: str) -> None:
         waiting = self._queue.waiting(pool, organisation)
         self._demand.set_waiting(now, pool, organisation, waiting)
@@ -586,44 +475,12 @@
         self._tell(self._demand.refresh(now))
         for waiting in self._alone.values():
             self._tell_alone(waiting)
-        for held in self._held.values():
-            if held.progress.units > held.reported:
-                held.reported = held.progress.units
-                self._send(held.owner, Charge(held.grant.grant_id, held.progress.units))
-
-    def _flush_kept(self) -> None:
-        kept, self._kept = self._kept, []
-        for owner, release in kept:
-            self._send(owner, release)
-
-    def _report_progress(self, held: HeldGrant) -> None:
-        grown = held.progress.units - held.reported
-        if grown <= 0:
-            return
-        held.reported = held.progress.units
-        grant = held.grant
-        if held.reused:
-            self._usage.add(held.owner, grant.pool, held.organisation, grown, 0)
-        else:
-            self._send(held.owner, Charge(grant.grant_id, held.progress.units))
+        self._slots.refresh(now)
 
     def _tell(self, actions: list[TellOwner]) -> None:
         for action in actions:
             self._send(action.owner, action.demand)
 
-    def _tell_running(self, held: HeldGrant) -> None:
-        grant = held.grant
-        self._send(
-            held.owner,
-            Running(
-                grant.grant_id,
-                grant.endpoint,
-                grant.pool,
-                held.organisation,
-                held.progress.units,
-            ),
-        )
-
 
 def _fingerprint(call: Call) -> bytes:
     """Return a hash of what the caller asked for, the same for each resend."""
@@ -654,7 +511,5 @@
             return Outcome.CRASHED
         case EndpointTimeoutError():
             return Outcome.TIMED_OUT
-        case EndpointReplyCrossedError():
-            return Outcome.MALFORMED
         case _:
             return Outcome.MALFORMED
--- a/borageworks/router/tests/test_sides.py
+++ b/borageworks/router/tests/test_sides.py
@@ -43,6 +43,41 @@
 
         asyncio.run(scenario())
 
+    def test_kept_slots_are_charged_and_go_back(self):
+        """Guards against free service on kept slots, and slots kept for ever."""
+
+        async def scenario():
+            network = FakeNetwork(replica_with(1, window=8), "xy")
+            owner = next(n for n in "xy" if network.instances[n].owner.owned)
+            entry = "y" if owner == "x" else "x"
+            await asyncio.sleep(0.4)
+            for number in range(20):
+                await network.run(entry, "ab"[number % 2], number)
+            instance = network.instances[entry]
+            self.assertTrue(instance.metrics.value("slots_reused") >= 15)
+            served = network.instances[owner].owner.pools["p"].served
+            # Usage is reported each second, and a slot is kept for one second.
+            await asyncio.sleep(2.5)
+            self.assertEqual(0, network.instances[owner].owner.grants_in_use)
+            self.assertEqual({"a": 10.0, "b": 10.0}, served)
+            self.assertEqual(0, instance.entry.standing)
+            network.stop()
+
+        asyncio.run(scenario())
+
+    def test_kept_slots_are_recalled_for_waiting_requests(self):
+        """Guards against capacity that idles at one entry while another waits."""
+
+        async def scenario():
+            network = FakeNetwork(replica_with(1, window=4), "xy")
+            await asyncio.sleep(0.4)
+            await gather(*(network.run("x", "a", n) for n in range(4)))
+            await gather(*(network.run("y", "b", n) for n in range(12)))
+            self.assertEqual(4, network.endpoints.peak["e0"])
+            network.stop()
+
+        asyncio.run(scenario())
+
     def test_flood_does_not_starve_a_small_organisation(self):
         """Guards against first come first served between organisations."""
 
