--- a/borageworks/claims/tests/test_service.py
+++ b/borageworks/claims/tests/test_service.py
@@ -13,7 +13,7 @@
 from borageworks.claims.key import IdempotencyKey, body_hash
 from borageworks.claims.service import ClaimService
 from borageworks.claims.writer import shard_of, shard_writer
-from borageworks.config.settings import Settings
+from borageworks.config.settings import ClaimSettings, Settings
 from borageworks.exceptions import MessageMalformedError
 from borageworks.metrics import Metrics
 from borageworks.store.etcd import EtcdStore
@@ -28,6 +28,7 @@
 )
 from borageworks_emulator.store import EmulatedStore
 
+SHARDS = ClaimSettings().shards
 STORE_TIMEOUT_S = 0.4
 BODY = body_hash(b"body")
 CLAIMED = (ClaimOutcome.CLAIMED, ClaimState.CLAIMED)
@@ -98,7 +99,7 @@
         while True:
             self.keys += 1
             key = IdempotencyKey.parse(f"{int(time.time())}-{self.keys}")
-            if shard_writer(shard_of(key.hash("o"), 64), self.live) == instance:
+            if shard_writer(shard_of(key.hash("o"), SHARDS), self.live) == instance:
                 return key
 
 
