Exchange service in phases of the wall clock

Traced corrections showed the three domains' aggregators with errors that differed by up to 350 for one organisation: each compared its domain's present with sums of the others that were up to two exchanges old. Change: all owners report at one moment of each interval, aggregators exchange sums a quarter later and tell errors another quarter later.

--- a/borageworks/router/exchange.py
+++ b/borageworks/router/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -21,6 +22,16 @@
 
 # A report counts as demand until the second exchange after it was missed.
 EXPIRY_EXCHANGES = 2.5
+# A timer that fires a little early must not plan its phase a second time.
+SHORTEST_DELAY_S = 0.05
+# Parts of the interval, by wall clock, at which owners report, aggregators exchange
+# sums and owners are told errors. With phases of each instance's own, aggregators
+# compared their domain's present with the others' past, and their errors for one
+# organisation differed by up to 350 units at a gap of 700. Clocks may differ by a
+# quarter of the interval.
+REPORT_PHASE = 0.0
+SUMS_PHASE = 0.25
+ERRORS_PHASE = 0.5
 
 
 @dataclass(slots=True)
@@ -55,6 +66,8 @@
         Sends a message to an instance, also to this one.
     members
         Returns the live, reachable members.
+    wall
+        Returns Unix time in seconds.
     """
 
     def __init__(
@@ -67,6 +80,7 @@
         metrics: Metrics,
         send: Send,
         members: Callable[[], Sequence[Member]],
+        wall: Callable[[], float] = time.time,
     ) -> None:
         self._settings = settings
         self._incarnation = incarnation
@@ -76,21 +90,22 @@
         self._metrics = metrics
         self._send = send
         self._members = members
+        self._wall = wall
         self._pools: dict[str, _PoolState] = {}
         self._aggregators: dict[str, Aggregator] = {}
         self._peers: dict[str, set[str]] = {}
-        self._subscription: Subscription | None = None
+        self._subscriptions: dict[float, Subscription] = {}
 
     def start(self) -> None:
         """Subscribe to the timers."""
-        self._subscription = self._timers.every(
-            self._settings.fair.exchange_interval_s, self._exchange
-        )
+        self._plan(REPORT_PHASE, self._report_all)
+        self._plan(SUMS_PHASE, self._tell_domains)
+        self._plan(ERRORS_PHASE, self._tell_errors)
 
     def stop(self) -> None:
-        """Cancel the timer."""
-        if self._subscription is not None:
-            self._subscription.cancel()
+        """Cancel the timers."""
+        for subscription in self._subscriptions.values():
+            subscription.cancel()
 
     def member_dead(self, instance: str) -> None:
         """Drop a dead owner's demand."""
@@ -105,10 +120,21 @@
             case ServiceError():
                 self._correct(message)
 
-    def _exchange(self, now: float) -> None:
+    def _plan(self, phase: float, action: Callable[[float], None]) -> None:
+        """Call `action` at its phase of each interval of the wall clock."""
+        interval = self._settings.fair.exchange_interval_s
+        delay = (phase * interval - self._wall()) % interval
+
+        def run(now: float) -> None:
+            self._plan(phase, action)
+            action(now)
+
+        self._subscriptions[phase] = self._timers.after(
+            delay if delay > SHORTEST_DELAY_S else delay + interval, run
+        )
+
+    def _report_all(self, now: float) -> None:
         domains = self._domains()
-        self._tell_errors(now)
-        self._tell_domains(domains)
         for name, pool in self._owner.pools.items():
             self._report(name, pool, domains)
         for name in [name for name in self._pools if name not in self._owner.pools]:
@@ -163,7 +189,8 @@
                 for owner in action.owners:
                     self._send(owner, action.error)
 
-    def _tell_domains(self, domains: Mapping[str, list[str]]) -> None:
+    def _tell_domains(self, now: float) -> None:
+        domains = self._domains()
         for pool, aggregator in self._aggregators.items():
             changed = aggregator.domain_reports()
             known = self._peers.get(pool, set())
