Refuse callers as not ready while there is no configuration

Cause: an instance that started with the store down told callers that their key is unknown. Change: it answers 503 instance_not_ready; the run command names the settings file in errors. Measured: API tests pass; seen with curl against a router without a store.

--- a/borageworks/api/server.py
+++ b/borageworks/api/server.py
@@ -145,7 +145,7 @@
         return problem_response(refusal, request_id)
 
     async def _completions(self, request: web.Request) -> web.StreamResponse:
-        organisation = authenticate(request, self._replica)
+        organisation = self._organisation(request)
         completion, body = parse_completion(await _read_body(request))
         service = self._service(completion.model, organisation, PoolKind.ENGINE)
         _check_size(body, service)
@@ -164,7 +164,7 @@
         return await self._run(request, call)
 
     async def _plain(self, request: web.Request) -> web.StreamResponse:
-        organisation = authenticate(request, self._replica)
+        organisation = self._organisation(request)
         service = self._service(
             request.match_info["service"], organisation, PoolKind.PLAIN
         )
@@ -217,6 +217,13 @@
                 self._metrics.count("callers_lost", error.code)
         sink.abort()
 
+    def _organisation(self, request: web.Request) -> Organisation:
+        if not self._replica.organisations:
+            # Without a configuration every key would seem unknown.
+            reasons = self._frontend.lacking() or ["no organisation is configured"]
+            raise InstanceNotReadyError("; ".join(reasons), retry_after=1.0)
+        return authenticate(request, self._replica)
+
     def _service(
         self, service_id: str, organisation: Organisation, kind: PoolKind
     ) -> Service:
@@ -242,7 +249,7 @@
         }
 
     async def _models(self, request: web.Request) -> web.StreamResponse:
-        organisation = authenticate(request, self._replica)
+        organisation = self._organisation(request)
         data = [
             self._model_object(service)
             for service in self._replica.services.values()
@@ -251,7 +258,7 @@
         return _json({"object": "list", "data": data})
 
     async def _model(self, request: web.Request) -> web.StreamResponse:
-        organisation = authenticate(request, self._replica)
+        organisation = self._organisation(request)
         service = self._service(
             request.match_info["model"], organisation, PoolKind.ENGINE
         )
--- a/borageworks/api/tests/test_server.py
+++ b/borageworks/api/tests/test_server.py
@@ -263,6 +263,17 @@
 
         self.run_with(scenario)
 
+    def test_instance_without_configuration_does_not_judge_keys(self):
+        """Guards against callers told that their key is wrong during an outage."""
+
+        async def scenario(interface):
+            interface.server._replica = Replica()
+            interface.frontend.missing = ["no configuration yet"]
+            got = await interface.refusal("GET", "/v1/models")
+            self.assertEqual((503, "instance_not_ready", "not_run"), got)
+
+        self.run_with(scenario)
+
     def test_caller_that_leaves_cancels_its_call(self):
         """Guards against slots held for callers that are gone."""
 
--- a/borageworks/commands/run.py
+++ b/borageworks/commands/run.py
@@ -40,7 +40,7 @@
         settings = load_settings(path)
     except SettingsInvalidError as error:
         for reason in error.reasons:
-            click.echo(reason, err=True)
+            click.echo(f"{path}: {reason}", err=True)
         sys.exit(EXIT_SETTINGS)
     if settings.log_file is not None:
         eliot.to_file(open(settings.log_file, "ab"))  # noqa: SIM115
