Use one rendezvous hash and one place for the default of refusals

Cause: rendezvous hashing stood three times, two refusals repeated a constructor, and the former correction rule stood in the package although only the measurement uses it. Change: claims and catalog use routing.rendezvous; default_ran on the class; the former rule moves to the tests as the baseline. Conclusion: no behaviour changes, but shard writers and watchers are chosen anew.

--- a/borageworks/catalog/watchers.py
+++ b/borageworks/catalog/watchers.py
@@ -5,10 +5,11 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-import xxhash
+from borageworks.routing.rendezvous import ranked
 
 # Two per domain: one can fail while the other keeps its domain current.
 WATCHERS_PER_DOMAIN = 2
+ROLE = "catalog-watcher"
 
 
 class FleetMember(Protocol):
@@ -29,9 +30,4 @@
     A change of members moves the role only when it adds or removes a watcher.
     """
     names = {member.id for member in members if member.domain == domain}
-    ranked = sorted(names, key=_rank, reverse=True)
-    return tuple(ranked[:WATCHERS_PER_DOMAIN])
-
-
-def _rank(name: str) -> tuple[int, str]:
-    return xxhash.xxh3_64_intdigest(f"catalog-watcher\0{name}".encode()), name
+    return tuple(ranked(ROLE, names)[:WATCHERS_PER_DOMAIN])
--- a/borageworks/claims/writer.py
+++ b/borageworks/claims/writer.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-import xxhash
+from borageworks.routing.rendezvous import rendezvous
 
 
 def shard_of(key_hash: bytes, shards: int) -> int:
@@ -17,11 +17,13 @@
 
     Members that differ in their view may name two writers; compare-and-swap keeps
     claims safe then.
+
+    Raises
+    ------
+    ValueError
+        Without members.
     """
-    return max(
-        members,
-        key=lambda member: (
-            xxhash.xxh3_64_intdigest(f"{shard}:{member}".encode()),
-            member,
-        ),
-    )
+    writer = rendezvous(f"claims/{shard}", members)
+    if writer is None:
+        raise ValueError("there is no live member")
+    return writer
--- a/borageworks/exceptions.py
+++ b/borageworks/exceptions.py
@@ -172,17 +172,18 @@
     code = "refused"
     status: ClassVar[int] = 500
     title: ClassVar[str] = "The request was refused"
+    default_ran: ClassVar[Ran] = Ran.NOT_RUN
 
     def __init__(
         self,
         detail: str,
         *,
-        ran: Ran = Ran.NOT_RUN,
+        ran: Ran | None = None,
         retry_after: float | None = None,
     ) -> None:
         super().__init__(detail)
         self.detail = detail
-        self.ran = ran
+        self.ran = self.default_ran if ran is None else ran
         self.retry_after = retry_after
 
 
@@ -216,15 +217,7 @@
     code = "unexpected"
     status = 500
     title = "The router failed"
-
-    def __init__(
-        self,
-        detail: str,
-        *,
-        ran: Ran = Ran.UNKNOWN,
-        retry_after: float | None = None,
-    ) -> None:
-        super().__init__(detail, ran=ran, retry_after=retry_after)
+    default_ran = Ran.UNKNOWN
 
 
 class KeyUnknownError(RefusalError):
@@ -313,15 +306,7 @@
     code = "outcome_unknown"
     status = 504
     title = "The request may have run; its outcome is unknown"
-
-    def __init__(
-        self,
-        detail: str,
-        *,
-        ran: Ran = Ran.UNKNOWN,
-        retry_after: float | None = None,
-    ) -> None:
-        super().__init__(detail, ran=ran, retry_after=retry_after)
+    default_ran = Ran.UNKNOWN
 
 
 class IdempotencyKeyMissingError(RefusalError):
--- a/borageworks/fair/tests/fleet_model.py
+++ b/borageworks/fair/tests/fleet_model.py
@@ -13,11 +13,11 @@
 
 from borageworks.config.settings import FairSettings
 from borageworks.fair.bound import gap_bound
-from borageworks.fair.correction import Correction
 from borageworks.fair.cost import CostEstimator
 from borageworks.fair.drift import DriftCorrection
 from borageworks.fair.ledger import ServiceLedger
 from borageworks.fair.queue import FairQueue
+from borageworks.fair.tests.proportional import Correction
 
 SLOT_RATE = 100.0  # units/s
 LARGEST_COST_RATIO = 50
--- a/borageworks/fair/correction.py
+++ b/borageworks/fair/tests/proportional.py
@@ -1,4 +1,4 @@
-"""Correction of an owner's virtual times by the fleet-wide error."""
+"""Former proportional correction rule, the baseline of `DriftCorrection`."""
 
 from __future__ import annotations
 
--- a/borageworks/fair/tests/test_correction.py
+++ b/borageworks/fair/tests/test_correction.py
@@ -5,11 +5,11 @@
 import testtools
 
 from borageworks.config.settings import FairSettings
-from borageworks.fair.correction import FORGET_EXCHANGES, Correction
 from borageworks.fair.drift import FORGET_EXCHANGES as DRIFT_FORGET_EXCHANGES
 from borageworks.fair.drift import DriftCorrection
 from borageworks.fair.tests.fleet_model import FleetModel, Rule, Scenario
 from borageworks.fair.tests.measure_correction import recovery
+from borageworks.fair.tests.proportional import FORGET_EXCHANGES, Correction
 
 DRIFT = Rule(0.3, 0.8, 0.25, DriftCorrection)
 
