Test that a booking outlives a caller that leaves

Cause: the behaviour was built and only read, not run. Measured: passes; one run at the service, the resend gets 409 while it runs and then its answer.

--- a/borageworks_emulator/tests/test_router.py
+++ b/borageworks_emulator/tests/test_router.py
@@ -177,6 +177,30 @@
 
         self.run_with(scenario)
 
+    def test_a_booking_outlives_a_caller_that_leaves(self):
+        """Guards against a booking that is cut off, or lost, with its connection."""
+
+        async def scenario(deployment):
+            first, second = deployment.urls
+            key = f"{int(time.time())}-coop-8"
+            body = b'{"duration_ms": 600}'
+            booking = asyncio.create_task(deployment.book(first, key, body))
+            await asyncio.sleep(0.3)
+            booking.cancel()
+            seen = set()
+            async with asyncio.timeout(20):
+                while True:
+                    status, text, _ = await deployment.book(second, key, body)
+                    seen.add(status)
+                    if status == 200:
+                        break
+                    self.assertIn(b"request_in_progress", text)
+                    await asyncio.sleep(0.1)
+            self.assertEqual({409, 200}, seen)
+            self.assertEqual(1, len(deployment.desk.recording.runs))
+
+        self.run_with(scenario)
+
     def test_bad_keys_and_a_lost_store_run_nothing(self):
         """Guards against a 'not run' that is not true, and unclaimed runs."""
 
