Drop grants of endpoints that an owner gives up, keep its service counters

Cause: found in the read-through: grants of a disowned endpoint stayed in the table, and when the endpoint came back their release freed slots of a new window that it had never counted; service counters of a pool without owned endpoints restarted at 0, which other instances ignore until they exceed the former value. Change: grants are settled and dropped with the ownership; counters stay.

--- a/borageworks/router/grants.py
+++ b/borageworks/router/grants.py
@@ -101,11 +101,9 @@
             del self._standing[grant.grant_id]
         return taken
 
-    def entries_at(self, endpoint: str) -> set[str]:
-        """Return the entry instances that use slots of an endpoint."""
-        return {
-            grant.entry for grant in self._grants.values() if grant.endpoint == endpoint
-        }
+    def at_endpoint(self, endpoint: str) -> list[GivenGrant]:
+        """Return the grants of an endpoint's slots."""
+        return [grant for grant in self._grants.values() if grant.endpoint == endpoint]
 
     def of_entry(self, entry: str) -> list[GivenGrant]:
         """Return the grants that an entry instance uses."""
--- a/borageworks/router/owner.py
+++ b/borageworks/router/owner.py
@@ -128,6 +128,10 @@
         now = self._timers.now()
         for endpoint_id in [name for name in self._owned if name not in endpoints]:
             self._recall(self._owned[endpoint_id].endpoint.pool, endpoint_id)
+            # Entry instances tell the new owner of the slots that they use.
+            for grant in self._grants.at_endpoint(endpoint_id):
+                self._grants.pop(grant.grant_id)
+                self._charge_end(grant, grant.received)
             del self._owned[endpoint_id]
             emit(Event.ENDPOINT_DISOWNED, endpoint=endpoint_id)
         for endpoint in endpoints.values():
@@ -148,8 +152,9 @@
             self._timers.after(TAKEOVER_GRACE_S, lambda _: self._grant_all())
             self._poll(endpoint)
         live = {owned.endpoint.pool for owned in self._owned.values()}
-        for pool in [name for name in self._pools if name not in live]:
-            del self._pools[pool]
+        for name, pool in self._pools.items():
+            if name not in live:
+                pool.clear_demand()
 
     def receive(self, sender: str, message: OwnerMessage) -> None:
         """Handle a message of an entry instance."""
@@ -408,7 +413,8 @@
         self._blame(owned)
 
     def _tell_lost(self, owned: OwnedEndpoint, *, restarted: bool) -> None:
-        for entry in sorted(self._grants.entries_at(owned.endpoint.id)):
+        grants = self._grants.at_endpoint(owned.endpoint.id)
+        for entry in sorted({grant.entry for grant in grants}):
             self._send(entry, EndpointLost(owned.endpoint.id, restarted))
 
     def _blame(self, owned: OwnedEndpoint) -> None:
--- a/borageworks/router/pool.py
+++ b/borageworks/router/pool.py
@@ -29,6 +29,14 @@
         """Service units of all organisations."""
         return self._served_total
 
+    def clear_demand(self) -> None:
+        """Forget all demand, when no endpoint of the pool is owned any more.
+
+        The service counters stay: they belong to this incarnation of the instance, and
+        other instances ignore a counter that falls.
+        """
+        self.queue = FairQueue()
+
     def set_share(self, organisation: str, share: float) -> None:
         """Set an organisation's share in this owner's queue.
 
--- a/borageworks/router/router.py
+++ b/borageworks/router/router.py
@@ -182,6 +182,7 @@
             "uptime_s": round(now - self._started_at, 3),
             "lacking": self.lacking(),
             "catalog_revision": self._replica.version()[0],
+            "catalog_hash": f"{self._replica.version()[1]:016x}",
             "calls": self._entry.calls,
             "waiting": self._entry.waiting,
             "members": [
--- a/borageworks/router/tests/test_sides.py
+++ b/borageworks/router/tests/test_sides.py
@@ -112,6 +112,30 @@
 
         asyncio.run(scenario())
 
+    def test_ownership_that_moves_and_returns_leaves_no_slots(self):
+        """Guards against slots counted twice, or for ever, after ownership moved."""
+
+        async def scenario():
+            network = FakeNetwork(replica_with(4, window=3), "xyz")
+            tasks = [
+                asyncio.create_task(network.run(name, "a", n))
+                for n in range(30)
+                for name in "xyz"
+            ]
+            await asyncio.sleep(0.33)
+            for live in ("yz", "xyz", "xz", "xyz"):
+                network.derive(live)
+                await asyncio.sleep(0.05)
+            self.assertEqual([None] * 90, await gather(*tasks))
+            await asyncio.sleep(2.5)
+            network.stop()
+            for instance in network.instances.values():
+                self.assertEqual(0, instance.owner.grants_in_use)
+                in_use = [o.window.in_use for o in instance.owner.owned.values()]
+                self.assertEqual([0] * len(in_use), in_use)
+
+        asyncio.run(scenario())
+
     def test_loss_of_an_entry_frees_its_slots(self):
         """Guards against slots held for ever by a dead entry instance."""
 
--- a/borageworks_emulator/targets.py
+++ b/borageworks_emulator/targets.py
@@ -11,6 +11,7 @@
 MEMORY_MB = 256.0
 RATE_PER_ROUTER = 26.0
 LEAVING_S = 3.0
+EFFECT_S = 4.0
 CRASHED_ENDPOINTS = 3
 # Store budget of an idle fleet: a tenth of 2,000 reads/s and 300 writes/s at 800
 # instances, per instance.
