Make the test of moving ownership able to fail

Change: requests outlast the moves; the fake network fails a test on any exception in a callback; excluded instances are told that they own nothing.

--- a/borageworks/router/tests/harness.py
+++ b/borageworks/router/tests/harness.py
@@ -216,6 +216,10 @@
         self.replica = replica
         self.sent: Counter[str] = Counter()
         self.cut: set[str] = set()
+        self.errors: list[dict[str, Any]] = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _loop, context: self.errors.append(context)
+        )
         self.instances: dict[str, FakeInstance] = {}
         for name in names:
             self.instances[name] = FakeInstance(self, name, replica, **sections)
@@ -227,10 +231,11 @@
         asyncio.get_running_loop().call_soon(self._deliver, sender, target, message)
 
     def derive(self, live: str) -> None:
-        """Give every live instance the ownership over the live ones."""
+        """Give every instance that is not cut off the ownership of the live ones."""
         ownership = derive(self.replica.endpoints.values(), {"d1": list(live)})
-        for name in live:
-            instance = self.instances[name]
+        for name, instance in self.instances.items():
+            if name in self.cut:
+                continue
             instance.owner.set_owned(ownership.owned_by(name))
             instance.entry.set_owners(
                 ownership.owners, ownership.owners_for(name, "d1")
@@ -262,9 +267,11 @@
         await self.instances[instance].entry.run(call, sink)
 
     def stop(self) -> None:
-        """Stop all instances."""
+        """Stop all instances; an exception in any callback fails the test."""
         for instance in self.instances.values():
             instance.stop()
+        if self.errors:
+            raise AssertionError(self.errors)
 
     def _deliver(self, sender: str, target: str, message: Any) -> None:
         if sender not in self.cut and target not in self.cut:
--- a/borageworks/router/tests/test_sides.py
+++ b/borageworks/router/tests/test_sides.py
@@ -117,6 +117,11 @@
 
         async def scenario():
             network = FakeNetwork(replica_with(4, window=3), "xyz")
+
+            async def run_for_a_while(endpoint, call):
+                await asyncio.sleep(0.25)
+
+            network.endpoints.behaviour = run_for_a_while
             tasks = [
                 asyncio.create_task(network.run(name, "a", n))
                 for n in range(30)
