--- a/borageworks/commands/demo.py
+++ b/borageworks/commands/demo.py
@@ -107,7 +107,7 @@
             stack.push_async_callback(router.stop)
         _say(f"{ROUTERS} routers in {len(DEMO.domains)} failure domains started")
         await _apply_ticket(settings[0], DEMO.ticket(endpoints))
-        return await _load(settings, endpoints, duration)
+        return await _load(settings, endpoints, store, duration)
 
 
 async def _apply_ticket(settings: Settings, ticket: Ticket) -> None:
@@ -119,7 +119,10 @@
 
 
 async def _load(
-    settings: list[Settings], endpoints: list[AnyEndpoint], duration: float
+    settings: list[Settings],
+    endpoints: list[AnyEndpoint],
+    store: EmulatedStore,
+    duration: float,
 ) -> Result:
     urls = [_url(one) for one in settings]
     generator = LoadGenerator(Trace(_flows(DEMO), SEED, duration), Balancer(urls))
@@ -132,6 +135,7 @@
             f"{len(endpoints)} endpoints; {FLOODER} floods for {duration:g} s"
         )
         before = await _control_bytes(session, urls)
+        calls = store.calls.total()
         progress = asyncio.create_task(_show_progress(generator, endpoints))
         try:
             load = await generator.run()
@@ -140,11 +144,13 @@
             with suppress(asyncio.CancelledError):
                 await progress
         span = time.monotonic() - load.began
+        store_calls = (store.calls.total() - calls) / span
         control = (await _control_bytes(session, urls) - before) / span / len(urls)
     recordings = [endpoint.recording for endpoint in endpoints]
     measures = analyse(recordings, load.calls, DEMO.shares, load.until)
     result = Result("demo", DEMO.name, SEED, ROUTERS, duration, measures)
     result.control_bytes_per_second = control
+    result.store_calls_per_second = store_calls
     return result
 
 
