Add a soak of gateway processes under random faults

Change: borageworks soak starts gateway processes, an emulated store, endpoints and callers; each path between two of them leads through a loopback proxy, since the store's replies name the reader's own paths. Series of faults overlap: kills, stops, pauses, reloads, wrong clocks, cuts in one or both directions, delays, resets, a failing store, endpoints that crash, leave or misbehave, new configurations. Promises are checked from what callers and endpoints see while it runs; a recovery and a flood follow.

--- a/borageworks_emulator/platform/engine.py
+++ b/borageworks_emulator/platform/engine.py
@@ -46,6 +46,10 @@
         Seconds between events.
     plain
         Whether it answers with a plain body.
+    named
+        Whether body and events carry the request's id.
+    think_s
+        Seconds before its answer, or its first event.
     """
 
     status: int = 200
@@ -59,17 +63,20 @@
     events: int = 5
     pause_s: float = 0.0
     plain: bool = False
+    named: bool = False
+    think_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """A request that an endpoint began to run."""
+    """A request that an endpoint began to run, at a time of the loop."""
 
     id: str
     method: str
     target: str
     headers: CIMultiDictProxy[str]
     body: bytes
+    at: float
 
 
 class EmulatedEndpoint:
@@ -81,12 +88,20 @@
         Identity, which requests name.
     behave
         Returns how a request is treated.
+
+    Attributes
+    ----------
+    began, finished
+        Called when a request begins to run, and when the endpoint has stopped to work
+        on it.
     """
 
     def __init__(
         self, name: str, behave: Callable[[web.BaseRequest], Behaviour] | None = None
     ) -> None:
         self.name = name
+        self.began: Callable[[Run], None] = lambda _run: None
+        self.finished: Callable[[Run], None] = lambda _run: None
         self.behave = behave or (lambda _request: Behaviour())
         self.runs: list[Run] = []
         self.refused = 0
@@ -149,14 +164,27 @@
             self.refused += 1
             headers["X-Borageworks-Not-Executed"] = "1"
             return web.Response(status=503, headers=headers)
-        self.runs.append(
-            Run(identity, request.method, request.raw_path, request.headers, body)
+        run = Run(
+            identity,
+            request.method,
+            request.raw_path,
+            request.headers,
+            body,
+            asyncio.get_running_loop().time(),
         )
+        self.runs.append(run)
+        self.began(run)
         try:
             return await self._run(request, behaviour, headers)
         except asyncio.CancelledError:
             self.cancelled.append(identity)
             raise
+        except ConnectionResetError:
+            # The caller left between two writes.
+            self.cancelled.append(identity)
+            raise asyncio.CancelledError from None
+        finally:
+            self.finished(run)
 
     async def _run(
         self, request: web.BaseRequest, behaviour: Behaviour, headers: dict[str, str]
@@ -166,10 +194,11 @@
             await asyncio.sleep(3600)
         if behaviour.break_after == 0:
             _reset(request)
+        await asyncio.sleep(behaviour.think_s)
+        identity = request.headers.get(REQUEST_ID, "") if behaviour.named else ""
         if behaviour.status != 200 or behaviour.plain:
-            return web.Response(
-                status=behaviour.status, headers=headers, text=f"by {self.name}"
-            )
+            text = plain_text(self.name, identity)
+            return web.Response(status=behaviour.status, headers=headers, text=text)
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         if behaviour.unframed:
@@ -192,7 +221,7 @@
                 await asyncio.sleep(RESET_PAUSE_S)
                 _reset(request)
                 return response
-            await response.write(event_bytes(event))
+            await response.write(event_bytes(event, identity))
             await asyncio.sleep(behaviour.pause_s)
         await response.write_eof()
         return response
@@ -207,6 +236,11 @@
     transport.abort()
 
 
-def event_bytes(event: int) -> bytes:
+def event_bytes(event: int, identity: str = "") -> bytes:
     """Return one event of a stream."""
-    return f"id: {event}\ndata: {event}\n\n".encode()
+    return f"id: {event}\ndata: {event}{identity}\n\n".encode()
+
+
+def plain_text(endpoint: str, identity: str = "") -> str:
+    """Return the body of a plain answer."""
+    return f"by {endpoint}{identity}"
--- a/borageworks_emulator/platform/harness.py
+++ b/borageworks_emulator/platform/harness.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import math
-import socket
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any
@@ -19,6 +18,7 @@
 from borageworks.platform.store import PlatformStore
 from borageworks_emulator.platform.engine import EmulatedEndpoint
 from borageworks_emulator.platform.store import EmulatedPlatformStore
+from borageworks_emulator.ports import free_ports
 
 HOST = "api.example"
 KEY = "key-1"
@@ -28,19 +28,12 @@
 READY_POLL_S = 0.01
 
 
-def free_ports(count: int) -> list[int]:
-    """Return loopback ports that nothing listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    for opened in sockets:
-        opened.bind(("127.0.0.1", 0))
-    ports = [opened.getsockname()[1] for opened in sockets]
-    for opened in sockets:
-        opened.close()
-    return ports
-
-
 def settings_text(
-    store: tuple[str, int], ports: list[int], name: str = "edge-1", grace_s: float = 8
+    store: tuple[str, int],
+    ports: list[int],
+    name: str = "edge-1",
+    grace_s: float = 8,
+    domain: str = "zone-a",
 ) -> str:
     """Return a settings file of the platform."""
     front, ready, control, peer = ports
@@ -48,7 +41,7 @@
         (
             f"node_name={name}",
             "ip=127.0.0.1",
-            "zone=zone-a",
+            f"zone={domain}",
             f"listen.front=127.0.0.1:{front}",
             f"listen.ready=127.0.0.1:{ready}",
             f"listen.control=127.0.0.1:{control}",
--- a/borageworks_emulator/platform/store.py
+++ b/borageworks_emulator/platform/store.py
@@ -6,6 +6,7 @@
 import itertools
 from base64 import b64decode, b64encode
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -13,6 +14,8 @@
 import orjson
 from aiohttp import web
 
+Translate = Callable[[str, bytes], bytes]
+
 PAGE_ITEMS = 500
 LEASE_POLL_S = 0.05
 FOREVER_S = 3600.0
@@ -43,7 +46,11 @@
 
 
 class EmulatedPlatformStore:
-    """Key-value store with conditions, leases and watches over HTTP."""
+    """Key-value store with conditions, leases and watches over HTTP.
+
+    A reader may be given a view of its own, in which values are translated: it stands
+    for a network in which addresses differ from place to place.
+    """
 
     def __init__(self) -> None:
         self._items: dict[str, _Item] = {}
@@ -55,6 +62,7 @@
         self._changed = asyncio.Condition()
         self._runner: web.AppRunner | None = None
         self._expiry: asyncio.Task[None] | None = None
+        self._views: dict[int, Translate] = {}
         self.fault = StoreFault.NONE
         self.calls: Counter[str] = Counter()
         self.address = ("127.0.0.1", 0)
@@ -86,6 +94,15 @@
         self.address = self._runner.addresses[0][:2]
         self._expiry = asyncio.create_task(self._expire())
 
+    async def open_view(self, translate: Translate) -> tuple[str, int]:
+        """Listen on one more port, whose reads are translated; return its address."""
+        assert self._runner is not None
+        known = set(self._runner.addresses)
+        await web.TCPSite(self._runner, self.address[0], 0).start()
+        address: tuple[str, int] = (set(self._runner.addresses) - known).pop()[:2]
+        self._views[address[1]] = translate
+        return address
+
     async def stop(self) -> None:
         """Close all connections."""
         if self._expiry is not None:
@@ -177,22 +194,36 @@
             case StoreFault.SILENT:
                 await asyncio.sleep(FOREVER_S)
             case StoreFault.RESET:
-                assert request.transport is not None
-                request.transport.abort()
+                if request.transport is not None:
+                    request.transport.abort()
         return None
 
+    def _seen(self, request: web.Request, row: dict[str, Any]) -> dict[str, Any]:
+        """Return a row as the reader of a request sees it."""
+        if request.transport is None or "value" not in row:
+            return row
+        port = request.transport.get_extra_info("sockname")[1]
+        translate = self._views.get(port)
+        if translate is None:
+            return row
+        value = translate(row["key"], b64decode(row["value"]))
+        return {**row, "value": b64encode(value).decode()}
+
     async def _get(self, request: web.Request) -> web.Response:
         key = request.query["key"]
         if key not in self._items:
             return _json({}, 404)
-        return _json({**self._row(key), "store_revision": self._revision})
+        row = self._seen(request, self._row(key))
+        return _json({**row, "store_revision": self._revision})
 
     async def _range(self, request: web.Request) -> web.Response:
         prefix, after = request.query["prefix"], request.query.get("after", "")
         keys = sorted(k for k in self._items if k.startswith(prefix) and k > after)
         return _json(
             {
-                "items": [self._row(key) for key in keys[:PAGE_ITEMS]],
+                "items": [
+                    self._seen(request, self._row(key)) for key in keys[:PAGE_ITEMS]
+                ],
                 "truncated": len(keys) > PAGE_ITEMS,
                 "store_revision": self._revision,
             }
@@ -211,7 +242,12 @@
         if self._compacted > after:
             return _json({}, 410)
         return _json(
-            {"events": self._since(prefix, after), "store_revision": self._revision}
+            {
+                "events": [
+                    self._seen(request, row) for row in self._since(prefix, after)
+                ],
+                "store_revision": self._revision,
+            }
         )
 
     def _since(self, prefix: str, after: int) -> list[dict[str, Any]]:
--- a/borageworks_emulator/process.py
+++ b/borageworks_emulator/process.py
@@ -1,4 +1,4 @@
-"""One router process of an emulated fleet."""
+"""Programs in processes of their own."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 
 import aiohttp
@@ -22,83 +23,51 @@
 PROJECT_ROOT = Path(__file__).resolve().parent.parent
 
 
-class RouterProcess:
-    """Starts `borageworks run` and controls the process by its id.
+class Program:
+    """One program in a process of its own, controlled by the process's id.
 
     Parameters
     ----------
-    settings
-        Settings of the instance.
-    directory
-        Where its settings file and output go.
+    arguments
+        Arguments of the Python interpreter.
+    output_file
+        Receives what the program writes.
+    environment
+        Variables beside those of this process.
     """
 
-    def __init__(self, settings: Settings, directory: Path) -> None:
-        self.settings = settings
-        self.settings_file = directory / f"{settings.instance}.json"
-        self.output_file = directory / f"{settings.instance}.out"
-        self.settings_file.write_text(settings.model_dump_json(indent=2))
+    def __init__(
+        self,
+        arguments: Sequence[str],
+        output_file: Path,
+        environment: Mapping[str, str] | None = None,
+    ) -> None:
+        self._arguments = arguments
+        self.output_file = output_file
+        self.environment = dict(environment or {})
         self.starts = 0
         self._process: asyncio.subprocess.Process | None = None
 
-    @property
-    def url(self) -> str:
-        """Base address of the callers' interface."""
-        host, port = self.settings.listen.pair
-        return f"http://{host}:{port}"
-
     @property
     def alive(self) -> bool:
         """Whether the process runs."""
         return self._process is not None and self._process.returncode is None
 
-    @property
-    def cpu_s(self) -> float:
-        """User and system time of the process in seconds."""
-        assert self._process is not None
-        stat = Path(f"/proc/{self._process.pid}/stat").read_text()
-        fields = stat.rsplit(")", 1)[1].split()
-        return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
-
-    @property
-    def memory_mb(self) -> float:
-        """Largest resident size of the process in MB."""
-        assert self._process is not None
-        for line in Path(f"/proc/{self._process.pid}/status").read_text().splitlines():
-            if line.startswith("VmHWM:"):
-                return int(line.split()[1]) / 1024
-        return 0.0
-
     async def start(self) -> None:
-        """Start the process; `wait_ready` waits for it."""
+        """Start the process."""
         self.starts += 1
         with self.output_file.open("ab") as output:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "-m",
-                "borageworks",
-                "run",
-                str(self.settings_file),
+                *self._arguments,
                 cwd=PROJECT_ROOT,
+                env={**os.environ, **self.environment},
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
                 start_new_session=True,
             )
 
-    async def wait_ready(self, session: aiohttp.ClientSession) -> None:
-        """Wait until the router is ready.
-
-        Raises
-        ------
-        RouterNotReadyError
-            If the process ends or stays unready.
-        """
-        try:
-            await wait_ready(session, self.url, READY_LIMIT_S, lambda: self.alive)
-        except RouterNotReadyError as error:
-            raise RouterNotReadyError(f"{error}; {self.output_tail()}") from error
-
     def output_tail(self) -> str:
         """Return the end of what the process wrote."""
         return self.output_file.read_text(errors="replace")[-2000:]
@@ -137,6 +106,63 @@
         self.send(signal.SIGKILL)
         await self.wait_exit(KILL_LIMIT_S)
 
+
+class RouterProcess(Program):
+    """Starts `borageworks run` and controls the process by its id.
+
+    Parameters
+    ----------
+    settings
+        Settings of the instance.
+    directory
+        Where its settings file and output go.
+    """
+
+    def __init__(self, settings: Settings, directory: Path) -> None:
+        self.settings = settings
+        self.settings_file = directory / f"{settings.instance}.json"
+        self.settings_file.write_text(settings.model_dump_json(indent=2))
+        super().__init__(
+            ["-m", "borageworks", "run", str(self.settings_file)],
+            directory / f"{settings.instance}.out",
+        )
+
+    @property
+    def url(self) -> str:
+        """Base address of the callers' interface."""
+        host, port = self.settings.listen.pair
+        return f"http://{host}:{port}"
+
+    @property
+    def cpu_s(self) -> float:
+        """User and system time of the process in seconds."""
+        assert self._process is not None
+        stat = Path(f"/proc/{self._process.pid}/stat").read_text()
+        fields = stat.rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+    @property
+    def memory_mb(self) -> float:
+        """Largest resident size of the process in MB."""
+        assert self._process is not None
+        for line in Path(f"/proc/{self._process.pid}/status").read_text().splitlines():
+            if line.startswith("VmHWM:"):
+                return int(line.split()[1]) / 1024
+        return 0.0
+
+    async def wait_ready(self, session: aiohttp.ClientSession) -> None:
+        """Wait until the router is ready.
+
+        Raises
+        ------
+        RouterNotReadyError
+            If the process ends or stays unready.
+        """
+        try:
+            await wait_ready(session, self.url, READY_LIMIT_S, lambda: self.alive)
+        except RouterNotReadyError as error:
+            raise RouterNotReadyError(f"{error}; {self.output_tail()}") from error
+
     async def status(self, session: aiohttp.ClientSession) -> dict[str, object]:
         """Return the router's own state for operators."""
         async with session.get(f"{self.url}/status") as response:
--- /dev/null
+++ b/borageworks_emulator/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised soak of gateway processes under faults from outside."""
