--- a/borageworks/events.py
+++ b/borageworks/events.py
@@ -57,6 +57,7 @@
     PEER_REJECTED = (703, "peer_rejected")
     PLACEMENT_MOVED = (704, "placement_moved")
     PLACED_ALONE = (705, "placed_alone")
+    FEED_CHANGED = (706, "feed_changed")
 
     @property
     def number(self) -> int:
--- a/borageworks/gateway/fleet.py
+++ b/borageworks/gateway/fleet.py
@@ -14,7 +14,7 @@
 from borageworks.gateway.settings import GatewaySettings
 from borageworks.gateway.store import FollowedStore
 from borageworks.metrics import Metrics
-from borageworks.routing.rendezvous import rendezvous
+from borageworks.routing.rendezvous import ranked, rendezvous
 from borageworks.store.values import Transaction
 from borageworks.timers import Timers
 from borageworks.wire.link_settings import LinkSettings
@@ -33,6 +33,11 @@
 # Instances with less than this part of the strongest one's processor own nothing while
 # there are stronger ones: placing comes on top of the callers that reach them.
 OWNER_CAPACITY_RATIO = 0.5
+# Two instances read the store for their failure domain, so that one may fail unnoticed.
+READERS = 2
+# Readers ask the store several times as often as others would, to vouch for what they
+# tell; in smaller failure domains that costs more calls than it saves.
+FED_DOMAIN_INSTANCES = 8
 # All instances start at once; the first to write the secret spares the others a call.
 KEY_DELAY_S = 1.5
 
@@ -110,6 +115,15 @@
         """Whether messages can be sent."""
         return self._links is not None
 
+    @property
+    def neighbours(self) -> list[str]:
+        """Other instances of the own failure domain."""
+        return [
+            name
+            for name, record in self._instances.others.items()
+            if record.domain == self.domain
+        ]
+
     async def apply(self, change: ReplicaChange) -> None:
         """Take the secret from the store's items, and open links with it."""
         item = change.puts.get(self._key_name)
@@ -193,6 +207,23 @@
         strong = [name for name, capacity in candidates.items() if capacity >= least]
         return rendezvous(key, strong) or self.instance
 
+    def readers(self) -> list[str]:
+        """Return the instances of the own failure domain that read the store for it.
+
+        Empty where every instance does.
+        """
+        if self._links is None:
+            return []
+        now = self._timers.now()
+        names = [
+            name for name in self.neighbours if self._suspected.get(name, now) <= now
+        ]
+        if not self._leaving:
+            names.append(self.instance)
+        if len(names) < FED_DOMAIN_INSTANCES:
+            return []
+        return ranked(f"readers/{self.domain}", names)[:READERS]
+
     def suspect(self, instance: str) -> None:
         """Leave an instance out, longer each time while it shows no sign of life."""
         length = self._suspicion_s.get(instance, SUSPICION_S / 2) * 2
--- a/borageworks/gateway/follower.py
+++ b/borageworks/gateway/follower.py
@@ -6,6 +6,7 @@
 import random
 from base64 import b64decode, b64encode
 from collections.abc import Callable, Iterable
+from contextlib import aclosing
 from typing import Any
 
 import aiohttp
@@ -18,12 +19,14 @@
     StoreUnavailableError,
 )
 from borageworks.gateway.directory import LAPSE_GRACE_S, Directory
+from borageworks.gateway.feed import Feed
 from borageworks.gateway.replica import ReplicaChange, StoreReplica
 from borageworks.gateway.settings import HostPort
 from borageworks.gateway.store import FollowedStore
 from borageworks.metrics import Metrics
-from borageworks.store.values import RangeResult, StoredValue
+from borageworks.store.values import RangeResult, StoredValue, WatchBatch
 from borageworks.timers import Timers
+from borageworks.wire.messages import ReplicaNews
 
 RETRY_S = 0.2
 # Without news from the store for this long, another instance is asked.
@@ -37,8 +40,9 @@
 class Follower:
     """Keeps the directory up to date from the store and from other instances.
 
-    One watch follows all keys. While the store does not answer this instance, it asks
-    others for what they know, since the store may serve them.
+    One watch follows all keys, unless readers of the failure domain tell what it would
+    report. While the store does not answer this instance, it asks others for what they
+    know, since the store may serve them.
 
     Parameters
     ----------
@@ -46,6 +50,8 @@
         Client of the store.
     directory
         Receives the changes.
+    feed
+        Passes changes between the instances of a failure domain.
     timers, metrics
         Services of the process.
     peers
@@ -58,6 +64,7 @@
         self,
         store: FollowedStore,
         directory: Directory,
+        feed: Feed,
         timers: Timers,
         metrics: Metrics,
         peers: Callable[[], Iterable[HostPort]],
@@ -65,6 +72,7 @@
     ) -> None:
         self._store = store
         self._directory = directory
+        self._feed = feed
         self._timers = timers
         self._metrics = metrics
         self._peers = peers
@@ -85,15 +93,35 @@
             try:
                 result = await self._store.range(EVERYTHING)
                 self._reached_store = True
-                self._take(self._replica.replace(result))
-                async for batch in self._store.watch(EVERYTHING, result.revision + 1):
-                    self._take(self._replica.apply(batch))
+                self._take_from_store(result)
+                while True:
+                    await self._watch()
+                    await self._feed.wait_for_silence()
             except StoreCompactedError:
                 self._metrics.count("replica_reloads", "compacted")
             except (StoreUnavailableError, StoreReplyMalformedError) as error:
                 self._metrics.count("replica_reloads", error.code)
                 await asyncio.sleep(RETRY_S)
 
+    async def _watch(self) -> None:
+        """Watch the store until others tell what it holds."""
+        changes = self._store.follow(
+            EVERYTHING, self._replica.revision + 1, self._feed.watch_wait_s
+        )
+        async with aclosing(changes):
+            async for batch in changes:
+                self._take_from_store(batch)
+                if self._feed.fed:
+                    return
+
+    def take_news(self, news: ReplicaNews) -> None:
+        """Take what a reader of the store tells."""
+        batch = self._feed.take(news, self._replica.revision)
+        if batch is None:
+            return
+        keep_until = self._timers.now() + news.lapse_grace_s
+        self._take(self._replica.apply(batch), keep_until)
+
     async def follow_peers(self) -> None:
         """Ask other instances while the store does not answer, until cancelled."""
         self._session = aiohttp.ClientSession(
@@ -149,17 +177,31 @@
         self._metrics.count("replica_relays")
         self._take(self._replica.replace(result))
 
-    def _take(self, change: ReplicaChange) -> None:
-        if not change.puts and not change.deletes:
-            return
+    def _take_from_store(self, news: RangeResult | WatchBatch) -> None:
+        """Take news of the store, and tell them to those that this instance feeds."""
+        after = self._replica.revision
+        match news:
+            case RangeResult():
+                change = self._replica.replace(news)
+            case WatchBatch():
+                change = self._replica.apply(news)
         now = self._timers.now()
-        keep_until = now
+        grace_s = max(self._keep_until(now) - now, 0.0)
+        self._feed.publish(after, self._replica.revision, change, grace_s)
+        self._take(change)
+
+    def _keep_until(self, now: float) -> float:
+        """Return until when endpoints whose entry is gone are still used."""
         regained = self._store.regained_at
         if self._store.failing_since is not None:
-            keep_until = now + LAPSE_GRACE_S
-        elif regained is not None:
-            keep_until = regained + LAPSE_GRACE_S
-        self._directory.apply(change, now, keep_until)
+            return now + LAPSE_GRACE_S
+        return now if regained is None else regained + LAPSE_GRACE_S
+
+    def _take(self, change: ReplicaChange, keep_until: float = 0.0) -> None:
+        if change.empty:
+            return
+        now = self._timers.now()
+        self._directory.apply(change, now, max(keep_until, self._keep_until(now)))
         self._on_change(change)
 
 
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -12,6 +12,7 @@
 from borageworks.events import Event, emit
 from borageworks.gateway.codec import Codec
 from borageworks.gateway.directory import Directory
+from borageworks.gateway.feed import Feed
 from borageworks.gateway.fleet import LINK_KEY, Fleet
 from borageworks.gateway.follower import Follower
 from borageworks.gateway.frontend import Frontend
@@ -28,6 +29,7 @@
 from borageworks.metrics import Metrics
 from borageworks.placement.settings import PlacementSettings
 from borageworks.timers import Timers
+from borageworks.wire.messages import Message, ReplicaNews
 
 MILLISECONDS_PER_SECOND = 1000
 DRAIN_POLL_S = 0.05
@@ -76,6 +78,11 @@
         """Number of instances that it can send messages to, with itself."""
         return self._fleet.count if self._fleet.linked else 1
 
+    @property
+    def fed(self) -> bool:
+        """Whether other instances tell this one what the store holds."""
+        return self._feed.fed
+
     async def start(self) -> None:
         """Start all parts on the running loop."""
         settings = self._settings
@@ -100,7 +107,7 @@
             self._store,
             timers,
             self._metrics,
-            lambda instance, message: self._placer.receive(instance, message),
+            self._receive,
             self._instance_lost,
         )
         self._placer = Placer(
@@ -110,9 +117,11 @@
             self._metrics,
             PlacementSettings(),
         )
+        self._feed = Feed(settings, self._fleet, timers, self._metrics)
         self._follower = Follower(
             self._store,
             self._directory,
+            self._feed,
             timers,
             self._metrics,
             self._instances.relays,
@@ -192,6 +201,14 @@
         await self._upstream.stop()
         await self._store.close()
 
+    def _receive(self, instance: str, message: Message) -> None:
+        self._fleet.note_message(instance)
+        match message:
+            case ReplicaNews():
+                self._follower.take_news(message)
+            case _:
+                self._placer.receive(instance, message)
+
     def _changed(self, change: ReplicaChange) -> None:
         if self._instances.apply(change):
             for key in change.deletes:
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -233,7 +233,6 @@
 
     def receive(self, instance: str, message: Message) -> None:
         """Take a message from another instance."""
-        self._fleet.note_message(instance)
         now = self._timers.now()
         match message:
             case PlaceRequest():
--- a/borageworks/gateway/replica.py
+++ b/borageworks/gateway/replica.py
@@ -15,6 +15,11 @@
     puts: Mapping[str, StoredValue] = field(default_factory=dict)
     deletes: tuple[str, ...] = ()
 
+    @property
+    def empty(self) -> bool:
+        """Whether nothing changed."""
+        return not self.puts and not self.deletes
+
 
 class StoreReplica:
     """Items of the store as of one revision.
--- a/borageworks/gateway/tests/test_fleet.py
+++ b/borageworks/gateway/tests/test_fleet.py
@@ -31,23 +31,28 @@
         self.count = len(capacities) + 1
 
 
+def fleet_of(capacities, timers=None):
+    """Return a fleet with links, beside instances of the same failure domain."""
+    arguments: Any = (
+        GATEWAY,
+        1,
+        FakeInstances(capacities),
+        "key",
+        None,
+        timers or FakeTimers(),
+        Metrics(),
+        None,
+        None,
+    )
+    fleet = Fleet(*arguments)
+    fleet._links = cast(Any, object())
+    return fleet
+
+
 class OwnerTest(TestCase):
     def fleet(self, **capacities):
         self.timers = FakeTimers()
-        arguments: Any = (
-            GATEWAY,
-            1,
-            FakeInstances(capacities),
-            "key",
-            None,
-            self.timers,
-            Metrics(),
-            None,
-            None,
-        )
-        fleet = Fleet(*arguments)
-        fleet._links = cast(Any, object())
-        return fleet
+        return fleet_of(capacities, self.timers)
 
     def owners(self, fleet):
         return {fleet.owner(f"shard/{number}") for number in range(60)}
--- a/borageworks/platform/store.py
+++ b/borageworks/platform/store.py
@@ -4,7 +4,8 @@
 
 import asyncio
 from base64 import b64decode, b64encode
-from collections.abc import AsyncGenerator, Mapping
+from collections.abc import AsyncGenerator, Callable, Mapping
+from contextlib import aclosing
 from typing import Any
 
 import aiohttp
@@ -177,16 +178,36 @@
         self, prefix: str, start_revision: int
     ) -> AsyncGenerator[WatchBatch, None]:
         """Yield each change under `prefix` from `start_revision` on."""
+        async with aclosing(
+            self.follow(prefix, start_revision, lambda: None)
+        ) as batches:
+            async for batch in batches:
+                if batch.puts or batch.deletes:
+                    yield batch
+
+    async def follow(
+        self,
+        prefix: str,
+        start_revision: int,
+        wait_s: Callable[[], float | None],
+    ) -> AsyncGenerator[WatchBatch, None]:
+        """Yield each change under `prefix`, and a batch without changes now and then.
+
+        A call that ends without changes yields a batch without changes. Calls wait for
+        `wait_s` seconds; None stands for as long as the deployment's bounds allow.
+        """
         after = start_revision - 1
         delay = RETRY_FIRST_S
         while True:
+            asked_s = wait_s()
+            waits_s = self._wait_s if asked_s is None else asked_s
             query = {
                 "prefix": prefix,
                 "after": str(after),
-                "wait_ms": str(int(self._wait_s * MILLISECONDS_PER_SECOND)),
+                "wait_ms": str(int(waits_s * MILLISECONDS_PER_SECOND)),
             }
             try:
-                status, answer = await self._watch_once(query)
+                status, answer = await self._watch_once(query, waits_s)
                 if status == COMPACTED:
                     raise StoreCompactedError(f"changes after {after} are compacted")
                 reply = _checked(status, answer)
@@ -207,8 +228,12 @@
             after = max(after, reached)
             if batches:
                 await asyncio.sleep(WATCH_PAUSE_S)
+            else:
+                yield WatchBatch(after, {}, ())
 
-    async def _watch_once(self, query: Mapping[str, str]) -> tuple[int, Any]:
+    async def _watch_once(
+        self, query: Mapping[str, str], waits_s: float
+    ) -> tuple[int, Any]:
         """Make one watch call, given up when the store answers again after a failure.
 
         A call that was waiting when the store went away may never be answered.
@@ -220,7 +245,7 @@
                 "GET",
                 "/kv-watch",
                 query=query,
-                timeout_s=self._wait_s + WATCH_MARGIN_S,
+                timeout_s=waits_s + WATCH_MARGIN_S,
             )
         )
         regained = asyncio.ensure_future(self._regained.wait())
--- a/borageworks/wire/links.py
+++ b/borageworks/wire/links.py
@@ -21,6 +21,7 @@
     HeldAnswerReply,
     Hello,
     Message,
+    ReplicaNews,
 )
 
 QUEUE_BYTES = 8 << 20  # per peer, estimated
@@ -46,6 +47,10 @@
             return MESSAGE_BYTES + len(body)
         case CatalogObjects(objects=objects):
             return MESSAGE_BYTES + sum(8 + len(item) for item in objects)
+        case ReplicaNews(items=items):
+            return MESSAGE_BYTES + sum(
+                len(item.key) + len(item.value) for item in items
+            )
         case _:
             return MESSAGE_BYTES
 
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -378,6 +378,32 @@
     started: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicaItem:
+    """An item of the platform's store, as of its revision."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaNews:
+    """What a reader of the store learned, for an instance that does not read it itself.
+
+    It changes a copy that has reached `after` into one that has reached `revision`.
+    `lapse_grace_s` is the time for which endpoints whose entry is gone are still used;
+    `age_s` the time since the store vouched for `revision`.
+    """
+
+    after: int
+    revision: int
+    age_s: float
+    lapse_grace_s: float = 0.0
+    items: tuple[ReplicaItem, ...] = ()
+    deletes: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class MemberUpdate:
     """State of one member as the sender knows it."""
@@ -455,4 +481,5 @@
     | WorkStarted
     | WorkEnded
     | WorkRunning
+    | ReplicaNews
 )
