Promise nothing when a second endpoint refuses after a broken attempt

The refusal of the second attempt was passed on as 503, which promises that the request has not run; whether an earlier attempt may have run was not looked at.

Change: such a request ends with 502.

--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -179,7 +179,7 @@
                 outcome = WorkOutcome.SERVED if done else WorkOutcome.SHED
                 if done and self._sink.response.status in SERVER_ERRORS:
                     outcome = WorkOutcome.FAILED
-            except (EndpointsBusyError, _NoFurtherAttemptError):
+            except (EndpointsBusyError, AnswerLostError, _NoFurtherAttemptError):
                 outcome = WorkOutcome.SHED
                 raise
             except EndpointUnreachableError as error:
@@ -310,6 +310,8 @@
         if not self._may_repeat():
             if self._failure is not None:
                 raise _NoFurtherAttemptError(self._failure)
+            if self._may_have_run:
+                raise AnswerLostError(f"endpoint {endpoint.id!r} has no room either")
             raise EndpointsBusyError(
                 f"endpoint {endpoint.id!r} has no room", retry_after=BUSY_RETRY_S
             )
