--- a/borageworks_emulator/platform/tests/test_answers.py
+++ b/borageworks_emulator/platform/tests/test_answers.py
@@ -196,7 +196,7 @@
         self.assertTrue(self.play(ENGINES, endpoints, scenario))
 
     def test_refusal_after_a_broken_attempt_promises_nothing(self):
-        """Guards against a 503 for a request that may have run at the first endpoint."""
+        """Guards against a 503 for a request that may have run elsewhere."""
         behaviours = iter((Behaviour(break_after=0), Behaviour(not_run=True)))
         status, _, _, ends = self.ask(DESK, lambda _r: next(behaviours), "/look/")
         self.assertEqual((502, 1), (status, len(runs(ends))))
--- a/borageworks_emulator/soak/caller.py
+++ b/borageworks_emulator/soak/caller.py
@@ -90,32 +90,45 @@
         """Send requests until cancelled."""
         while True:
             gateway = self._balancer.pick()
-            timeout = aiohttp.ClientTimeout(total=PATIENCE_S, sock_connect=CONNECT_S)
-            async with aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=1), timeout=timeout
-            ) as session:
+            async with _session() as session:
                 for _ in range(self._rng.randint(1, REQUESTS_PER_CONNECTION)):
-                    call = await self._call(session, gateway)
+                    leaves = self._rng.random() < LEAVING_RATIO
+                    call = await self._call(
+                        session, self._next_call(gateway, self._route()), leaves
+                    )
                     await asyncio.sleep(self._pause(call))
                     if call.ending in (Ending.CUT, Ending.CLOSED, Ending.UNCONNECTED):
                         break
 
+    async def ask(self, gateway: str, route: str) -> Call:
+        """Send one request to a gateway, on a connection of its own."""
+        async with _session() as session:
+            return await self._call(session, self._next_call(gateway, route), False)
+
+    def _route(self) -> str:
+        routes = self._habit.routes
+        return self._rng.choices(list(routes), list(routes.values()))[0]
+
     def _pause(self, call: Call) -> float:
         pause = self._rng.expovariate(1.0 / self._habit.pause_s)
         if call.ending is Ending.REFUSED and self._habit.patient and call.detail:
             return max(pause, float(call.detail))
         return pause
 
-    async def _call(self, session: aiohttp.ClientSession, gateway: str) -> Call:
-        call, headers = self._next_call(gateway)
-        leaves = self._rng.random() < LEAVING_RATIO
+    async def _call(
+        self,
+        session: aiohttp.ClientSession,
+        request: tuple[Call, dict[str, str]],
+        leaves: bool,
+    ) -> Call:
+        call, headers = request
         self._promises.sent(call)
         connected = False
         loop = asyncio.get_running_loop()
         part = bytearray()
         try:
             async with session.post(
-                self._urls[gateway] + call.target, data=call.body, headers=headers
+                self._urls[call.gateway] + call.target, data=call.body, headers=headers
             ) as response:
                 connected = True
                 call.status = response.status
@@ -156,10 +169,9 @@
                 call, headers.get(SEAL, ""), headers.get(REQUEST_ID, ""), body
             )
 
-    def _next_call(self, gateway: str) -> tuple[Call, dict[str, str]]:
+    def _next_call(self, gateway: str, route: str) -> tuple[Call, dict[str, str]]:
         self._number += 1
         habit, rng = self._habit, self._rng
-        route = rng.choices(list(habit.routes), list(habit.routes.values()))[0]
         stream = route in ("resume", "once")
         own, generated = rng.randint(*OWN_TOKENS), rng.randint(*GENERATED_TOKENS)
         shared = rng.randrange(SHARED_PARTS)
@@ -187,3 +199,11 @@
                 f"aa{shared:02x}:{SHARED_TOKENS},{abs(hash(identity)):x}:{own}"
             )
         return call, headers
+
+
+def _session() -> aiohttp.ClientSession:
+    """Return a session with one connection."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=1),
+        timeout=aiohttp.ClientTimeout(total=PATIENCE_S, sock_connect=CONNECT_S),
+    )
--- /dev/null
+++ b/borageworks_emulator/soak/regressions.py
@@ -0,0 +1,41 @@
+"""Soaks that failed once, with the cause of each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Regression:
+    """A soak that failed once.
+
+    Parameters
+    ----------
+    seed, minutes, gateways
+        Options of the soak.
+    cause
+        What was wrong, and which test shows it without the soak.
+    """
+
+    seed: int
+    minutes: float
+    gateways: int
+    cause: str
+
+
+REGRESSIONS = (
+    Regression(
+        seed=200,
+        minutes=0.4,
+        gateways=5,
+        cause="503 after an attempt that had run, since the second endpoint refused; "
+        "test_refusal_after_a_broken_attempt_promises_nothing",
+    ),
+    Regression(
+        seed=201,
+        minutes=0.4,
+        gateways=5,
+        cause="the soak itself: recovery counted on callers that happened not to ask "
+        "one route at one gateway; it now asks each itself",
+    ),
+)
--- a/borageworks_emulator/soak/soak.py
+++ b/borageworks_emulator/soak/soak.py
@@ -202,14 +202,17 @@
         """Return the seconds until all gateways serve all routes again."""
         loop = asyncio.get_running_loop()
         ended_at = loop.time()
-        missing = {(name, route) for name in self._gateways for route in ROUTES}
+        habit = Habit(*next(iter(self._keys.items())), ROUTES, PAUSE_S, patient=False)
+        caller = self._caller("recovery", habit)
+        missing = [(name, route) for name in self._gateways for route in ROUTES]
         while missing and loop.time() < ended_at + RECOVERY_S:
-            await asyncio.sleep(POLL_S)
-            missing -= {
+            calls = await asyncio.gather(*(caller.ask(*pair) for pair in missing))
+            missing = [
                 (call.gateway, call.route)
-                for call in self._promises.calls
-                if call.ending is Ending.ANSWERED and call.sent_at >= ended_at
-            }
+                for call in calls
+                if call.ending is not Ending.ANSWERED
+            ]
+            await asyncio.sleep(POLL_S)
         if missing:
             self._promises.report(
                 Promise.RECOVERY, f"not served for {RECOVERY_S} s: {sorted(missing)}"
