Collect the error of a watch that is given up

A watch that is given up when the store answers again is cancelled; the HTTP library can turn that into a timeout, which became an error that nobody collected.

Change: the call is awaited after it was cancelled.

--- a/borageworks/platform/store.py
+++ b/borageworks/platform/store.py
@@ -257,6 +257,8 @@
         finally:
             call.cancel()
             regained.cancel()
+            # A cancelled call may still end with an error of its own.
+            await asyncio.gather(call, regained, return_exceptions=True)
 
     async def _call(
         self,
