Refuse requests that broke off at three endpoints

Cause: a request that crashes each endpoint that runs it came again and again; each instance saw it as new. The product's own routers know such requests, the gateway did not.

Change: a request carries a hash of organisation, path and body to the instance that places it, which counts the endpoints at which it broke off, with the routers' part for that. After three the request is refused, without having run; a success clears it. The codec's test knows the single precision of the feed's new fields as well.

--- a/borageworks/exceptions.py
+++ b/borageworks/exceptions.py
@@ -310,6 +310,14 @@
     title = "The request has crashed endpoints and is not run again"
 
 
+class CrashingRequestError(RefusalError):
+    """The request broke off at several endpoints and is not tried at another one."""
+
+    code = "crashing_request"
+    status = 503
+    title = "The request has crashed endpoints"
+
+
 class RetriesExhaustedError(RefusalError):
     """All attempts failed or the retry budget is used up."""
 
--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 import aiohttp
+import xxhash
 
 from borageworks.api.sink import ResponseSink
 from borageworks.endpoints.headers import end_to_end
@@ -15,6 +16,7 @@
     AnswerLostError,
     AnswerTimeoutError,
     CapacityExceededError,
+    EndpointDisconnectedError,
     EndpointFailedError,
     EndpointReplyCrossedError,
     EndpointReplyIncompleteError,
@@ -134,6 +136,7 @@
         self._unreachable = 0
         self._may_have_run = False
         self._last_event = exchange.request.last_event
+        self._fingerprint = _fingerprint(exchange)
         self._failure: Answer | None = None
         self.endpoint = ""
         self.first_part_s: float | None = None
@@ -189,19 +192,26 @@
                 if self._unreachable >= CONNECT_TRIES:
                     raise self._unsent(str(error)) from error
                 done = False
+            except (EndpointDisconnectedError, EndpointReplyIncompleteError) as error:
+                outcome = WorkOutcome.BROKEN
+                done = self._continue_after(endpoint, error)
             except EndpointFailedError as error:
                 outcome = WorkOutcome.FAILED
-                self._note_failure(endpoint, error)
-                self._may_have_run = True
-                if not self._may_repeat():
-                    raise AnswerLostError(str(error)) from error
-                done = False
+                done = self._continue_after(endpoint, error)
             finally:
                 self._placer.ended(work.key, outcome)
             if done:
                 return
             self._excluded.add(endpoint.id)
 
+    def _continue_after(self, endpoint: Endpoint, error: EndpointFailedError) -> bool:
+        """Return that the request is not done, if it may be sent once more."""
+        self._note_failure(endpoint, error)
+        self._may_have_run = True
+        if not self._may_repeat():
+            raise AnswerLostError(str(error)) from error
+        return False
+
     async def _place(self) -> tuple[Endpoint, Work]:
         exchange = self._exchange
         while True:
@@ -213,12 +223,13 @@
                 patience_s=exchange.route.aim_s * PATIENCE_RATIO,
                 prompt=exchange.request.prompt if exchange.route.prompts else None,
                 excluded=frozenset(self._excluded),
+                fingerprint=self._fingerprint,
             )
             try:
                 placed = await self._placer.place(
                     exchange.service, exchange.request.id, work
                 )
-            except (CapacityExceededError, EndpointUnavailableError) as error:
+            except RefusalError as error:
                 if self._failure is not None:
                     raise _NoFurtherAttemptError(self._failure) from error
                 if self._may_have_run:
@@ -407,6 +418,14 @@
         return EndpointUnavailableError(detail, retry_after=BUSY_RETRY_S)
 
 
+def _fingerprint(exchange: Exchange) -> bytes:
+    """Return a hash that equal requests of an organisation share."""
+    digest = xxhash.xxh3_64((exchange.organisation or "").encode())
+    digest.update(b"\0" + exchange.request.target.encode() + b"\0")
+    digest.update(exchange.body or b"")
+    return digest.digest()
+
+
 class _NoFurtherAttemptError(Exception):
     """No further attempt is possible, and an endpoint's own failure is at hand."""
 
--- a/borageworks/gateway/place_messages.py
+++ b/borageworks/gateway/place_messages.py
@@ -6,6 +6,7 @@
 
 from borageworks.exceptions import (
     CapacityExceededError,
+    CrashingRequestError,
     EndpointUnavailableError,
     RefusalError,
 )
@@ -26,6 +27,7 @@
         work.aim_s,
         work.patience_s,
         tuple(sorted(work.excluded)),
+        fingerprint=work.fingerprint,
     )
     prompt = work.prompt
     if prompt is None:
@@ -57,6 +59,7 @@
         request.patience_s,
         prompt,
         frozenset(request.excluded),
+        request.fingerprint,
     )
 
 
@@ -99,3 +102,8 @@
             return CapacityExceededError(
                 "no endpoint was free in time", retry_after=refused.retry_after_s
             )
+        case RefusalReason.SUSPECTED:
+            return CrashingRequestError(
+                "the request broke off at three endpoints",
+                retry_after=refused.retry_after_s,
+            )
--- a/borageworks/placement/decisions.py
+++ b/borageworks/placement/decisions.py
@@ -14,6 +14,7 @@
     NO_ENDPOINT = 0
     NO_ROOM = 1
     WAITED = 2
+    SUSPECTED = 3
 
 
 @dataclass(frozen=True, slots=True)
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -16,6 +16,7 @@
 from borageworks.placement.reading_speed import ReadingSpeed
 from borageworks.placement.settings import PlacementSettings
 from borageworks.placement.work import Work, WorkKey
+from borageworks.routing.suspects import CrashSuspects, Verdict
 
 # Generated tokens cost an engine about twice as much as prompt tokens; the operator's
 # throughput figure counts them so.
@@ -28,6 +29,8 @@
 PLAIN_UNITS = 1.0
 # Part by which one more request moves the mean time in a slot.
 DURATION_GAIN = 0.05
+# A request that crashes endpoints is refused for good; the caller need not hurry.
+SUSPECT_RETRY_S = 60.0
 # Entry name under which all demand stands in the fair queue.
 _ENTRY = ""
 
@@ -73,6 +76,7 @@
         self._speed = ReadingSpeed(DEFAULT_TOKENS_PER_S)
         self._share = 1.0
         self._duration_s = 0.0
+        self._suspects = CrashSuspects()
 
     @property
     def endpoints(self) -> dict[str, EndpointState]:
@@ -125,6 +129,8 @@
 
     def submit(self, now: float, work: Work) -> list[Decision]:
         """Place a request, let it wait, or refuse it."""
+        if self._suspects.verdict(now, work.fingerprint) is Verdict.REFUSED:
+            return [Refused(work.key, RefusalReason.SUSPECTED, SUSPECT_RETRY_S)]
         preferred = self._prefer(now, work)
         if preferred is None:
             return [self._refuse(now, work, RefusalReason.NO_ENDPOINT)]
@@ -171,9 +177,8 @@
         state = self._endpoints.get(self._placed.pop(key, ""))
         if state is not None:
             ended = state.remove(key)
-            if ended is not None and outcome is WorkOutcome.SERVED:
-                taken = now - ended.placed_at
-                self._duration_s += DURATION_GAIN * (taken - self._duration_s)
+            if ended is not None:
+                self._note_end(now, state, ended, outcome)
             state.record(now, outcome)
             if outcome is WorkOutcome.UNREACHABLE:
                 # After a crash nothing is kept; news tell if it was only unreachable.
@@ -383,6 +388,7 @@
             memory_tokens=_own_tokens(work),
             backlog_tokens=backlog + unread,
             placed_at=now,
+            fingerprint=work.fingerprint,
         )
         state.add(now, work.key, running)
         if work.prompt is not None:
@@ -438,6 +444,27 @@
         total += change * waiting.tokens
         self._waiting_tokens[waiting.preferred] = max(total, 0.0)
 
+    def _note_end(
+        self,
+        now: float,
+        state: EndpointState,
+        ended: RunningWork,
+        outcome: WorkOutcome,
+    ) -> None:
+        match outcome:
+            case WorkOutcome.SERVED:
+                taken = now - ended.placed_at
+                self._duration_s += DURATION_GAIN * (taken - self._duration_s)
+                self._suspects.clear(ended.fingerprint)
+            case WorkOutcome.BROKEN if ended.fingerprint:
+                self._suspects.record(
+                    now,
+                    ended.fingerprint,
+                    state.endpoint.id,
+                    state.endpoint.incarnation,
+                    alone=False,
+                )
+
     def _forget(self, name: str) -> None:
         state = self._endpoints.pop(name)
         self._waiting_tokens.pop(name, None)
--- a/borageworks/placement/endpoint_state.py
+++ b/borageworks/placement/endpoint_state.py
@@ -31,6 +31,8 @@
         Tokens to read before its first token, when it was placed.
     placed_at, started_at
         Times of placement and of the first sign of an answer, None before that.
+    fingerprint
+        Hash that equal requests share.
     """
 
     unread_tokens: int
@@ -38,6 +40,7 @@
     backlog_tokens: float
     placed_at: float
     started_at: float | None = None
+    fingerprint: bytes = b""
 
 
 @dataclass(slots=True)
@@ -121,7 +124,7 @@
                 self.suspension_s = 0.0
             case WorkOutcome.SHED:
                 self.suspended_until = max(self.suspended_until, now + SHED_PAUSE_S)
-            case WorkOutcome.FAILED:
+            case WorkOutcome.FAILED | WorkOutcome.BROKEN:
                 self.failure_rate += FAILURE_GAIN * (1.0 - self.failure_rate)
             case WorkOutcome.UNREACHABLE:
                 self.failure_rate += FAILURE_GAIN * (1.0 - self.failure_rate)
--- a/borageworks/placement/outcome.py
+++ b/borageworks/placement/outcome.py
@@ -6,7 +6,11 @@
 
 
 class WorkOutcome(IntEnum):
-    """How a placed request ended at its endpoint."""
+    """How a placed request ended at its endpoint.
+
+    BROKEN means that the endpoint broke off, as one does that crashes; FAILED that it
+    answered with a failure.
+    """
 
     SERVED = 0
     LEFT = 1
@@ -14,3 +18,4 @@
     UNREACHABLE = 3
     FAILED = 4
     GONE = 5
+    BROKEN = 6
--- a/borageworks/placement/tests/test_dispatcher.py
+++ b/borageworks/placement/tests/test_dispatcher.py
@@ -144,3 +144,45 @@
         dispatcher.withdraw(0.0, placed.key)
         self.assertEqual(0, dispatcher.waiting)
         self.placed(dispatcher.submit(0.0, work()))
+
+
+class CrashTest(TestCase):
+    def run_once(self, dispatcher, now, outcome, fingerprint=b"f", excluded=()):
+        request = work(
+            prompt(own=10), fingerprint=fingerprint, excluded=frozenset(excluded)
+        )
+        (decision,) = dispatcher.submit(now, request)
+        if isinstance(decision, Placed):
+            dispatcher.end(now, request.key, outcome)
+        return decision
+
+    def break_at_all(self, dispatcher, outcome=WorkOutcome.BROKEN):
+        names: list[str] = []
+        for step in range(3):
+            placed = self.run_once(dispatcher, step * 0.1, outcome, excluded=names)
+            names.append(placed.endpoint)
+
+    def test_request_that_breaks_off_at_three_endpoints_is_refused(self):
+        """Guards against a request that takes down one endpoint after the other."""
+        dispatcher = engine_dispatcher(4)
+        self.break_at_all(dispatcher)
+        refused = self.run_once(dispatcher, 1.0, WorkOutcome.SERVED)
+        self.assertEqual(RefusalReason.SUSPECTED, refused.reason)
+        other = self.run_once(dispatcher, 1.0, WorkOutcome.SERVED, b"other")
+        self.assertIsInstance(other, Placed)
+
+    def test_answers_with_a_failure_are_no_crashes(self):
+        """Guards against refusing requests that an endpoint dislikes."""
+        dispatcher = engine_dispatcher(4)
+        self.break_at_all(dispatcher, WorkOutcome.FAILED)
+        self.assertIsInstance(
+            self.run_once(dispatcher, 1.0, WorkOutcome.SERVED), Placed
+        )
+
+    def test_success_clears_a_request(self):
+        """Guards against blaming a request for the endpoints' own crashes."""
+        dispatcher = engine_dispatcher(4)
+        for step in range(6):
+            outcome = WorkOutcome.SERVED if step % 2 else WorkOutcome.BROKEN
+            decision = self.run_once(dispatcher, step * 1.0, outcome)
+            self.assertIsInstance(decision, Placed)
--- a/borageworks/placement/work.py
+++ b/borageworks/placement/work.py
@@ -28,6 +28,8 @@
         Prompt for a model engine, None for plain services.
     excluded
         Endpoints that must not run it, since they failed to.
+    fingerprint
+        Hash that equal requests of an organisation share, empty if unknown.
     """
 
     key: WorkKey
@@ -36,3 +38,4 @@
     patience_s: float
     prompt: Prompt | None
     excluded: frozenset[str] = frozenset()
+    fingerprint: bytes = b""
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -327,6 +327,7 @@
     prompt_tokens: int = 0
     generated_tokens: int = 0
     pieces: tuple[PromptPiece, ...] = ()
+    fingerprint: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
--- a/borageworks/wire/tests/test_codec.py
+++ b/borageworks/wire/tests/test_codec.py
@@ -20,7 +20,7 @@
 BITS |= {"shard": 16, "status": 16, "port": 16, "peer_port": 16}
 SINGLE_PRECISION = {"first_token", "token_interval"}
 SINGLE_PRECISION |= {"aim_s", "patience_s", "retry_after_s"}
-SINGLE_PRECISION |= {"seconds_per_token", "start_s"}
+SINGLE_PRECISION |= {"seconds_per_token", "start_s", "age_s", "lapse_grace_s"}
 
 
 def _values(name: str, kind: typing.Any) -> st.SearchStrategy[typing.Any]:
--- a/borageworks_emulator/platform/tests/test_answers.py
+++ b/borageworks_emulator/platform/tests/test_answers.py
@@ -195,6 +195,19 @@
 
         self.assertTrue(self.play(ENGINES, endpoints, scenario))
 
+    def test_request_that_crashes_endpoints_reaches_three(self):
+        """Guards against one request that takes all endpoints down."""
+        ends = [
+            EmulatedEndpoint(f"i-{n}", lambda _r: Behaviour(break_after=0))
+            for n in range(6)
+        ]
+
+        async def scenario(harness):
+            return [(await harness.ask("/look/"))[0] for _ in range(4)]
+
+        statuses = self.play(DESK, ends, scenario)
+        self.assertEqual(([502, 502, 503, 503], 3), (statuses, len(runs(ends))))
+
     def test_refusal_after_a_broken_attempt_promises_nothing(self):
         """Guards against a 503 for a request that may have run elsewhere."""
         behaviours = iter((Behaviour(break_after=0), Behaviour(not_run=True)))
