Bound the processor time of placement by fleet and flood

A request asked for its shard's owner by hashing over all instances, and for its shard by hashing over all endpoints; under a flood each tick compared all engines for each waiting request, and each start and end sorted all of them.

Change: owners are remembered until an instance or a suspicion comes or goes, the home of a shared part for as long as the endpoints stay. A tick looks for better engines for 16 waiting requests in turn; a start or an end serves only those that wait for that engine; prompts that are not read yet are kept apart from running ones.

--- a/borageworks/gateway/fleet.py
+++ b/borageworks/gateway/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import secrets
 from collections.abc import Callable
@@ -93,6 +94,9 @@
         self._suspicion_s: dict[str, float] = {}
         self._heard: dict[str, float] = {}
         self._leaving = False
+        self._candidates: dict[str, float] | None = None
+        self._candidates_until = 0.0
+        self._owners: dict[str, str] = {}
         self._rng = random.Random()
 
     @property
@@ -170,6 +174,7 @@
 
     def update(self) -> None:
         """Take the present list of instances."""
+        self._candidates = None
         if self._links is None:
             return
         for name, record in self._instances.others.items():
@@ -195,17 +200,36 @@
         """Return the instance that decides about a key."""
         if self._links is None:
             return self.instance
+        if self._timers.now() >= self._candidates_until:
+            self._candidates = None
+        if self._candidates is None:
+            self._candidates = self._find_candidates()
+            self._owners.clear()
+        owner = self._owners.get(key)
+        if owner is None:
+            owner = rendezvous(key, self._candidates) or self.instance
+            self._owners[key] = owner
+        return owner
+
+    def _find_candidates(self) -> dict[str, float]:
+        """Return instances that may own something, with their processor.
+
+        Valid until an instance or a suspicion comes or goes.
+        """
         now = self._timers.now()
-        candidates = {
+        known = {
             name: record.capacity
             for name, record in self._instances.others.items()
             if self._suspected.get(name, now) <= now
         }
-        if not self._leaving or not candidates:
-            candidates[self.instance] = self._settings.capacity
-        least = OWNER_CAPACITY_RATIO * max(candidates.values())
-        strong = [name for name, capacity in candidates.items() if capacity >= least]
-        return rendezvous(key, strong) or self.instance
+        if not self._leaving or not known:
+            known[self.instance] = self._settings.capacity
+        least = OWNER_CAPACITY_RATIO * max(known.values())
+        self._candidates_until = min(
+            (until for until in self._suspected.values() if until > now),
+            default=math.inf,
+        )
+        return {name: capacity for name, capacity in known.items() if capacity >= least}
 
     def readers(self) -> list[str]:
         """Return the instances of the own failure domain that read the store for it.
@@ -229,12 +253,12 @@
         length = self._suspicion_s.get(instance, SUSPICION_S / 2) * 2
         self._suspicion_s[instance] = min(length, SUSPICION_LIMIT_S)
         self._suspected[instance] = self._timers.now() + self._suspicion_s[instance]
+        self._candidates = None
 
     def note_message(self, instance: str) -> None:
         """Note a sign of life, which ends a suspicion."""
         self._heard[instance] = self._timers.now()
-        self._suspicion_s.pop(instance, None)
-        self._suspected.pop(instance, None)
+        self._clear(instance)
 
     def note_silence(self, instance: str) -> None:
         """Note a question without reaction; suspect an instance that says nothing."""
@@ -245,6 +269,7 @@
     def leave(self) -> None:
         """Own nothing any more."""
         self._leaving = True
+        self._candidates = None
 
     async def stop(self) -> None:
         """Close all links."""
@@ -252,8 +277,13 @@
             await self._links.stop()
 
     def _connected(self, instance: str) -> None:
-        self._suspected.pop(instance, None)
+        self._clear(instance)
+
+    def _clear(self, instance: str) -> None:
+        """End the suspicion of an instance."""
         self._suspicion_s.pop(instance, None)
+        if self._suspected.pop(instance, None) is not None:
+            self._candidates = None
 
     def _disconnected(self, instance: str) -> None:
         self.suspect(instance)
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -27,12 +27,7 @@
 from borageworks.placement.outcome import WorkOutcome
 from borageworks.placement.reading_speed import ReadingSpeed
 from borageworks.placement.settings import PlacementSettings
-from borageworks.placement.shards import (
-    Shard,
-    home_shard,
-    shard_count,
-    shard_of_endpoint,
-)
+from borageworks.placement.shards import HomeShards, Shard
 from borageworks.placement.work import Work, WorkKey
 from borageworks.timers import Subscription, Timers
 from borageworks.wire.messages import (
@@ -92,8 +87,7 @@
         self._metrics = metrics
         self._settings = settings
         self._dispatchers: dict[Shard, Dispatcher] = {}
-        self._shards: dict[str, int] = {}
-        self._endpoints: dict[str, list[str]] = {}
+        self._homes: dict[str, HomeShards] = {}
         self._owners: dict[Shard, str] = {}
         self._asked: dict[int, Asked] = {}
         self._numbers = itertools.count(1)
@@ -122,15 +116,8 @@
         CapacityExceededError
             If none can answer in time.
         """
-        shard = (
-            service,
-            home_shard(
-                work.prompt,
-                request_id,
-                self._endpoints.get(service, ()),
-                self._shards.get(service, 1),
-            ),
-        )
+        homes = self._homes.get(service)
+        shard = service, homes.find(work.prompt, request_id) if homes else 0
         if shard not in self._dispatchers:
             raise EndpointUnavailableError(
                 f"service {service!r} has no endpoint",
@@ -194,12 +181,13 @@
         wanted: set[Shard] = set()
         for name, profile in deployment.services.items():
             endpoints = self._directory.of_service(name)
-            if not endpoints and name not in self._shards:
+            if not endpoints and name not in self._homes:
                 continue
-            shards = shard_count(len(endpoints))
-            self._shards[name] = shards
-            self._endpoints[name] = [endpoint.id for endpoint in endpoints]
-            for number in range(shards):
+            homes = self._homes.get(name)
+            ids = tuple(sorted(endpoint.id for endpoint in endpoints))
+            if homes is None or homes.endpoints != ids:
+                homes = self._homes[name] = HomeShards(ids)
+            for number in range(homes.count):
                 shard = name, number
                 wanted.add(shard)
                 dispatcher = self._dispatchers.get(shard)
@@ -217,7 +205,7 @@
                         [
                             endpoint
                             for endpoint in endpoints
-                            if shard_of_endpoint(endpoint.id, shards) == number
+                            if homes.of_endpoint[endpoint.id] == number
                         ],
                     )
                 )
--- a/borageworks/gateway/tests/test_fleet.py
+++ b/borageworks/gateway/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Tests of which instance owns what."""
 
+from types import SimpleNamespace
 from typing import Any, cast
 
 from testtools import TestCase
@@ -45,7 +46,7 @@
         None,
     )
     fleet = Fleet(*arguments)
-    fleet._links = cast(Any, object())
+    fleet._links = cast(Any, SimpleNamespace())
     return fleet
 
 
@@ -98,3 +99,16 @@
         fleet = self.fleet(a=1.0)
         fleet.leave()
         self.assertEqual({"a"}, self.owners(fleet))
+
+    def test_owners_follow_each_change(self):
+        """Guards against an owner that is remembered although it is gone."""
+        fleet = self.fleet(a=1.0)
+        self.assertEqual({"i", "a"}, self.owners(fleet))
+        fleet._instances.others = {"b": InstanceRecord("b", "d", "10.0.0.2", 1, 2, 3)}
+        fleet._links.set_address = lambda *_: None
+        fleet.update()
+        self.assertEqual({"i", "b"}, self.owners(fleet))
+        fleet.suspect("b")
+        self.assertEqual({"i"}, self.owners(fleet))
+        self.timers.time += SUSPICION_S + 0.01
+        self.assertEqual({"i", "b"}, self.owners(fleet))
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import heapq
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -29,6 +31,9 @@
 PLAIN_UNITS = 1.0
 # Part by which one more request moves the mean time in a slot.
 DURATION_GAIN = 0.05
+# Waiting requests that look for a better engine at each tick, in turn. A look compares
+# all engines, so that under a flood looks for all of them would take a whole processor.
+LOOKS_PER_TICK = 16
 # A request that crashes endpoints is refused for good; the caller need not hurry.
 SUSPECT_RETRY_S = 60.0
 # Entry name under which all demand stands in the fair queue.
@@ -41,6 +46,7 @@
     arrived_at: float
     expires_at: float
     preferred: str | None
+    preferred_at: float
     tokens: int
 
 
@@ -138,7 +144,8 @@
         if not self._must_wait(work) and self._has_room(now, state, work):
             return [self._place(now, state, work)]
         expires_at = now + self._longest_wait(state, work)
-        waiting = _Waiting(work, now, expires_at, preferred, _own_prompt_tokens(work))
+        tokens = _own_prompt_tokens(work)
+        waiting = _Waiting(work, now, expires_at, preferred, now, tokens)
         if now + self._expected_wait(now, waiting) > expires_at:
             return [self._spread(now, waiting)]
         self._waiting[work.key] = waiting
@@ -170,7 +177,7 @@
         started = state.start(now, key) if state is not None else None
         if started is not None and started.unread_tokens:
             self._speed.record(started.backlog_tokens, now - started.placed_at)
-        return self._serve(now)
+        return self._serve(now, state)
 
     def end(self, now: float, key: WorkKey, outcome: WorkOutcome) -> list[Decision]:
         """Note the end of a placed request."""
@@ -183,7 +190,7 @@
             if outcome is WorkOutcome.UNREACHABLE:
                 # After a crash nothing is kept; news tell if it was only unreachable.
                 state.memory.clear()
-        return self._serve(now)
+        return self._serve(now, state)
 
     def drop_instance(self, now: float, instance: str) -> list[Decision]:
         """Forget all requests of an instance that was lost."""
@@ -203,7 +210,10 @@
 
     def tick(self, now: float) -> list[Decision]:
         """Refuse requests that have waited too long, and place what fits."""
-        for waiting in self._waiting.values():
+        longest_ago = heapq.nsmallest(
+            LOOKS_PER_TICK, self._waiting.values(), key=lambda item: item.preferred_at
+        )
+        for waiting in longest_ago:
             self._prefer_again(now, waiting)
         decisions = self._serve(now)
         for waiting in list(self._waiting.values()):
@@ -213,16 +223,22 @@
                 decisions.append(self._refuse(now, waiting.work, RefusalReason.WAITED))
         return decisions
 
-    def _serve(self, now: float) -> list[Decision]:
+    def _serve(self, now: float, freed: EndpointState | None = None) -> list[Decision]:
+        """Place what fits, on one endpoint that has more room now or on any."""
         if not self._waiting:
             return []
         decisions: list[Decision] = []
-        order = sorted(
-            self._waiting.values(),
+        waiting_here = self._waiting.values()
+        if freed is not None and self.has_engines:
+            name = freed.endpoint.id
+            order = [item for item in waiting_here if item.preferred in (name, None)]
+        else:
+            order = list(waiting_here)
+        order.sort(
             key=lambda item: (
                 self._fair.virtual_time(item.work.organisation),
                 item.arrived_at,
-            ),
+            )
         )
         full: set[str] = set()
         for waiting in order:
@@ -248,6 +264,8 @@
         work = waiting.work
         if any(item.preferred != waiting.preferred for item in self._waiting.values()):
             return self._refuse(now, work, RefusalReason.NO_ROOM)
+        pace = self._speed.seconds_per_token
+        own = _own_prompt_tokens(work)
         fastest = min(
             (
                 state
@@ -257,7 +275,7 @@
                 and not self._waiting_tokens.get(name)
                 and self._has_room(now, state, work)
             ),
-            key=lambda state: self._cost(now, state, work),
+            key=lambda state: self._cost(now, state, work, own, pace),
             default=None,
         )
         if fastest is not None:
@@ -266,36 +284,49 @@
 
     def _prefer_again(self, now: float, waiting: _Waiting) -> None:
         self._count_tokens(waiting, -1)
+        waiting.preferred_at = now
         waiting.preferred = self._prefer(now, waiting.work)
         self._count_tokens(waiting, 1)
 
     def _prefer(self, now: float, work: Work) -> str | None:
+        pace = self._speed.seconds_per_token
+        own = _own_prompt_tokens(work)
         best: str | None = None
-        least = 0.0
+        least = math.inf
         for name, state in self._endpoints.items():
             if name in work.excluded or not state.usable(now):
                 continue
-            cost = self._cost(now, state, work)
+            cost = self._cost(now, state, work, own, pace)
             if best is None or cost < least:
                 best, least = name, cost
         return best
 
-    def _cost(self, now: float, state: EndpointState, work: Work) -> float:
-        """Return the seconds that a placement costs this request and the others."""
+    def _cost(
+        self, now: float, state: EndpointState, work: Work, own: int, pace: float
+    ) -> float:
+        """Return the seconds that a placement costs this request and the others.
+
+        Parameters
+        ----------
+        now, state, work
+            When, where and what is placed.
+        own
+            Prompt tokens that only this request or its session uses.
+        pace
+            Seconds to read a token.
+        """
         settings = self._settings
+        # Full slots hold a request back as surely as unread prompts do.
+        crowding = len(state.running) / state.endpoint.slots
         cost = settings.failure_penalty_s * state.failure_rate
         if state.endpoint.domain != self._domain:
             cost += settings.domain_penalty_s
         if work.prompt is None:
-            return cost + len(state.running) / state.endpoint.slots
-        prompt = work.prompt
-        pace = self._speed.seconds_per_token
-        unread = prompt.tokens - state.memory.kept_tokens(prompt)
-        reread = max(unread - _own_prompt_tokens(work), 0)
+            return cost + crowding
+        unread = work.prompt.tokens - state.memory.kept_tokens(work.prompt)
+        reread = max(unread - own, 0)
         ahead = state.backlog_tokens(now, pace)
         ahead += self._waiting_tokens.get(state.endpoint.id, 0.0)
-        # Full slots hold a request back as surely as unread prompts do.
-        crowding = len(state.running) / state.endpoint.slots
         return (
             cost
             + pace * (ahead + unread + settings.reread_weight * reread)
--- a/borageworks/placement/endpoint_state.py
+++ b/borageworks/placement/endpoint_state.py
@@ -53,11 +53,14 @@
         Entry in the list of endpoints.
     memory
         Prompt parts that it keeps.
+    running, reading
+        Placed requests, and the unread tokens of those that have not started, in order.
     """
 
     endpoint: Endpoint
     memory: PromptMemory
     running: dict[WorkKey, RunningWork] = field(default_factory=dict)
+    reading: dict[WorkKey, int] = field(default_factory=dict)
     unread_tokens: int = 0
     memory_tokens: int = 0
     reading_since: float = 0.0
@@ -71,6 +74,7 @@
         if self.unread_tokens == 0:
             self.reading_since = now
         self.running[key] = work
+        self.reading[key] = work.unread_tokens
         self.unread_tokens += work.unread_tokens
         self.memory_tokens += work.memory_tokens
 
@@ -80,6 +84,7 @@
         if work is None or work.started_at is not None:
             return None
         work.started_at = now
+        del self.reading[key]
         self.unread_tokens -= work.unread_tokens
         self.reading_since = now
         return work
@@ -89,22 +94,17 @@
         work = self.running.pop(key, None)
         if work is None:
             return None
-        if work.started_at is None:
+        if self.reading.pop(key, None) is not None:
             self.unread_tokens -= work.unread_tokens
         self.memory_tokens -= work.memory_tokens
         return work
 
     def backlog_tokens(self, now: float, seconds_per_token: float) -> float:
         """Return the prompt tokens that the endpoint still has to read."""
+        if not self.reading:
+            return 0.0
         read = (now - self.reading_since) / seconds_per_token
-        oldest = next(
-            (
-                work.unread_tokens
-                for work in self.running.values()
-                if work.started_at is None
-            ),
-            0,
-        )
+        oldest = next(iter(self.reading.values()))
         return max(self.unread_tokens - min(read, oldest), 0.0)
 
     def usable(self, now: float) -> bool:
--- a/borageworks/placement/tests/test_parts.py
+++ b/borageworks/placement/tests/test_parts.py
@@ -9,7 +9,12 @@
 from borageworks.placement.prompt_memory import PromptMemory
 from borageworks.placement.reading_speed import ReadingSpeed
 from borageworks.placement.retry_window import SAFETY, RetryWindow
-from borageworks.placement.shards import home_shard, shard_count, shard_of_endpoint
+from borageworks.placement.shards import (
+    REMEMBERED_PARTS,
+    HomeShards,
+    shard_count,
+    shard_of_endpoint,
+)
 from borageworks.placement.tests.builders import prompt
 
 SETTINGS = settings(derandomize=True, deadline=None, max_examples=100)
@@ -130,21 +135,24 @@
 
     def test_requests_with_one_first_part_have_one_home(self):
         """Guards against a shared part that is read in every shard."""
-        names = [f"endpoint-{number}" for number in range(40)]
-        homes = {
-            home_shard(prompt(shared=10, about="x"), str(n), names, 3)
-            for n in range(50)
-        }
-        self.assertEqual(1, len(homes))
+        homes = HomeShards(tuple(f"endpoint-{number}" for number in range(40)))
+        self.assertEqual(3, homes.count)
+        found = {homes.find(prompt(shared=10, about="x"), str(n)) for n in range(50)}
+        self.assertEqual(1, len(found))
         spread = {
-            home_shard(
-                described([("opening", 5), (f"about-{n}", 9), ("own", 1)]),
-                "",
-                names,
-                3,
-            )
+            homes.find(described([("opening", 5), (f"about-{n}", 9), ("own", 1)]), "")
             for n in range(50)
         }
         self.assertEqual({0, 1, 2}, spread)
-        spread = {home_shard(prompt(), str(n), names, 3) for n in range(50)}
+        spread = {homes.find(prompt(), str(n)) for n in range(50)}
         self.assertEqual({0, 1, 2}, spread)
+
+    def test_a_remembered_home_is_the_one_that_is_found(self):
+        """Guards against homes that differ between instances."""
+        names = tuple(f"endpoint-{number}" for number in range(40))
+        homes = HomeShards(names)
+        for n in range(REMEMBERED_PARTS + 50):
+            homes.find(prompt(shared=10, about=f"x{n}"), "")
+        for n in (0, 100, REMEMBERED_PARTS + 49):
+            asked = prompt(shared=10, about=f"x{n}")
+            self.assertEqual(HomeShards(names).find(asked, ""), homes.find(asked, ""))
