--- a/borageworks_emulator/soak/regressions.py
+++ b/borageworks_emulator/soak/regressions.py
@@ -23,13 +23,16 @@
     cause: str
 
 
+_REFUSED_AFTER_RUN = (
+    "503 after an attempt that had run, since the second endpoint refused; "
+    "test_refusal_after_a_broken_attempt_promises_nothing"
+)
 REGRESSIONS = (
     Regression(
         seed=200,
         minutes=0.4,
         gateways=5,
-        cause="503 after an attempt that had run, since the second endpoint refused; "
-        "test_refusal_after_a_broken_attempt_promises_nothing",
+        cause=_REFUSED_AFTER_RUN,
     ),
     Regression(
         seed=201,
@@ -38,4 +41,13 @@
         cause="the soak itself: recovery counted on callers that happened not to ask "
         "one route at one gateway; it now asks each itself",
     ),
+    Regression(seed=203, minutes=0.4, gateways=5, cause=_REFUSED_AFTER_RUN),
+    Regression(seed=107, minutes=0.4, gateways=5, cause=_REFUSED_AFTER_RUN),
+    Regression(
+        seed=105,
+        minutes=0.4,
+        gateways=5,
+        cause="tracebacks of a store call that was given up; "
+        "test_failure_of_a_watch_that_is_given_up_is_no_stray_error",
+    ),
 )
