--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -22,7 +22,7 @@
 from borageworks.gateway.placer import Placer
 from borageworks.gateway.replica import ReplicaChange
 from borageworks.gateway.retries import Retries
-from borageworks.gateway.settings import GatewaySettings
+from borageworks.gateway.settings import GatewaySettings, HostPort
 from borageworks.gateway.shutdown import Shutdown
 from borageworks.gateway.store import FollowedStore
 from borageworks.gateway.upstream import Upstream
@@ -254,10 +254,13 @@
         status.router.add_get("/metrics", self._metrics_text)
         relay = web.Application()
         relay.router.add_get("/replica", self._replica)
-        for app, address in (
-            (status, self._settings.status),
-            (relay, self._settings.relay),
-        ):
+        places = [(status, self._settings.status), (relay, self._settings.relay)]
+        if self._settings.metrics_port is not None:
+            metrics = web.Application()
+            metrics.router.add_get("/metrics", self._metrics_text)
+            address = HostPort(self._settings.host, self._settings.metrics_port)
+            places.append((metrics, address))
+        for app, address in places:
             runner = web.AppRunner(app, access_log=None)
             await runner.setup()
             await web.TCPSite(runner, address.host, address.port).start()
--- a/borageworks/gateway/settings.py
+++ b/borageworks/gateway/settings.py
@@ -43,6 +43,8 @@
     retry_ratio, retry_window_s, retry_extra
         Retries of the whole fleet to one service: in each window of that many seconds
         at most `retry_ratio` a request and `retry_extra` more.
+    metrics_port
+        Port for metrics beside the status address, None for the latter alone.
     balancer_lag_s
         Time in which the balancer still sends new connections to an instance that is
         not ready any more.
@@ -66,3 +68,4 @@
     retry_window_s: float
     retry_extra: float
     balancer_lag_s: float
+    metrics_port: int | None = None
--- a/borageworks/platform/main.py
+++ b/borageworks/platform/main.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 from borageworks.commands.loop import run_loop
@@ -16,10 +17,12 @@
 from borageworks.logs import LogWriter
 from borageworks.metrics import Metrics
 from borageworks.platform.codec import PlatformCodec
-from borageworks.platform.settings import load_settings
+from borageworks.platform.settings import load_settings, parse_port
 from borageworks.platform.store import PlatformStore
 
 SETTINGS_VARIABLE = "BORAGEWORKS_CONFIG"
+# The platform asks all instances for metrics at one port, which its own settings lack.
+METRICS_PORT_VARIABLE = "BORAGEWORKS_METRICS_PORT"
 DEFAULT_SETTINGS = "/etc/borageworks/settings.conf"
 EXIT_SETTINGS = 2
 
@@ -56,8 +59,11 @@
 
 def run(path: Path) -> None:
     """Run a gateway with the settings in a file; exit with 2 if it has faults."""
+    port = os.environ.get(METRICS_PORT_VARIABLE)
     try:
         settings = load_settings(path)
+        if port:
+            settings = replace(settings, metrics_port=parse_port(port))
     except SettingsInvalidError as error:
         for reason in error.reasons:
             sys.stderr.write(f"{path}: {reason}\n")
@@ -65,5 +71,6 @@
     run_loop(serve(path, settings))
 
 
-if __name__ == "__main__":
+def main() -> None:
+    """Run a gateway with the settings file that the environment names."""
     run(Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS)))
--- a/borageworks/platform/settings.py
+++ b/borageworks/platform/settings.py
@@ -11,6 +11,7 @@
 from borageworks.gateway.settings import GatewaySettings, HostPort
 
 MILLISECONDS_PER_SECOND = 1000.0
+HIGHEST_PORT = 65_535
 # The platform checks readiness each second and takes an instance out after two misses;
 # the rest covers a check that has just been passed and the way of a connection.
 BALANCER_LAG_S = 2.8
@@ -36,7 +37,7 @@
 
 class _HostPort(_Model):
     host: Annotated[str, Field(min_length=1)]
-    port: Annotated[int, Field(gt=0, le=65_535)]
+    port: Annotated[int, Field(gt=0, le=HIGHEST_PORT)]
 
 
 _Address = Annotated[_HostPort, BeforeValidator(_address)]
@@ -73,7 +74,7 @@
     zone: Annotated[str, Field(min_length=1)]
     listen: _Listen
     port_range: Annotated[
-        tuple[Annotated[int, Field(gt=0, le=65_535)], ...],
+        tuple[Annotated[int, Field(gt=0, le=HIGHEST_PORT)], ...],
         BeforeValidator(_addresses),
         Field(min_length=1),
     ]
@@ -115,6 +116,19 @@
     return _settings(model)
 
 
+def parse_port(text: str) -> int:
+    """Return a port.
+
+    Raises
+    ------
+    SettingsInvalidError
+        If the text is none.
+    """
+    if not text.isdecimal() or not 0 < int(text) <= HIGHEST_PORT:
+        raise SettingsInvalidError((f"{text!r} is no port",))
+    return int(text)
+
+
 def _tree(text: str) -> tuple[dict[str, object], list[str]]:
     tree: dict[str, object] = {}
     faults: list[str] = []
--- a/borageworks_emulator/soak/gateway_process.py
+++ b/borageworks_emulator/soak/gateway_process.py
@@ -8,8 +8,7 @@
 from borageworks_emulator.platform.harness import settings_text
 from borageworks_emulator.ports import HOST, free_ports
 from borageworks_emulator.process import Program
-
-STEP_VARIABLE = "BORAGEWORKS_SOAK_CLOCK_STEP_S"
+from borageworks_emulator.soak.stepped_clock import STEP_VARIABLE
 
 
 class GatewayProcess(Program):
--- a/borageworks_emulator/soak/regressions.py
+++ b/borageworks_emulator/soak/regressions.py
@@ -50,4 +50,11 @@
         cause="tracebacks of a store call that was given up; "
         "test_failure_of_a_watch_that_is_given_up_is_no_stray_error",
     ),
+    Regression(
+        seed=300,
+        minutes=0.4,
+        gateways=5,
+        cause="SIGHUP ended a process that was still starting; "
+        "test_announced_settings_do_not_end_a_process_that_starts",
+    ),
 )
--- a/borageworks_emulator/soak/stepped_clock.py
+++ b/borageworks_emulator/soak/stepped_clock.py
@@ -6,7 +6,7 @@
 import runpy
 import time
 
-from borageworks_emulator.soak.gateway_process import STEP_VARIABLE
+STEP_VARIABLE = "BORAGEWORKS_SOAK_CLOCK_STEP_S"
 
 
 def main() -> None:
@@ -14,7 +14,7 @@
     step_s = float(os.environ.get(STEP_VARIABLE, "0"))
     true_time = time.time
     time.time = lambda: true_time() + step_s
-    runpy.run_module("borageworks.platform.main", run_name="__main__")
+    runpy.run_module("borageworks.platform.start", run_name="__main__")
 
 
 if __name__ == "__main__":
