Show latency by kind of request and the ages of what is believed

Cause: histograms mixed all kinds of request, and no metric told how old the configuration, the store's news and each engine's report are.

Change: the whole time, the wait for an endpoint and the first event are kept by route; ages are gauges that are set when metrics are read.

--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -151,6 +151,11 @@
         """Service of the request."""
         return self._exchange.service
 
+    @property
+    def route(self) -> str:
+        """Name of the request's route, which tells its kind."""
+        return self._exchange.route.name
+
     async def run(self) -> None:
         """Run the request until its answer is with the caller.
 
@@ -236,7 +241,7 @@
                     raise AnswerLostError(str(error)) from error
                 raise
             waited = self._loop.time() - now
-            self._metrics.observe("placement_wait", waited)
+            self._metrics.observe("placement_wait", waited, exchange.route.name)
             emit(
                 Event.REQUEST_PLACED,
                 request_id=exchange.request.id,
@@ -368,7 +373,7 @@
                 self._placer.started(work.key)
                 if self.first_part_s is None:
                     self.first_part_s = self._loop.time() - self._exchange.received_at
-                    self._metrics.observe("first_event", self.first_part_s)
+                    self._metrics.observe("first_event", self.first_part_s, self.route)
             if not whole_events:
                 await self._sink.write(data)
                 continue
--- a/borageworks/gateway/follower.py
+++ b/borageworks/gateway/follower.py
@@ -80,7 +80,9 @@
         self._replica = StoreReplica()
         self._rng = random.Random()
         self._session: aiohttp.ClientSession | None = None
-        self._reached_store = False
+        self._vouched_at: float | None = None
+        self._configured_at: float | None = None
+        metrics.before_render(self._show_ages)
 
     @property
     def replica(self) -> StoreReplica:
@@ -92,7 +94,6 @@
         while True:
             try:
                 result = await self._store.range(EVERYTHING)
-                self._reached_store = True
                 self._take_from_store(result)
                 while True:
                     await self._watch()
@@ -119,6 +120,7 @@
         batch = self._feed.take(news, self._replica.revision)
         if batch is None:
             return
+        self._vouched_at = self._timers.now() - news.age_s
         keep_until = self._timers.now() + news.lapse_grace_s
         self._take(self._replica.apply(batch), keep_until)
 
@@ -179,6 +181,7 @@
 
     def _take_from_store(self, news: RangeResult | WatchBatch) -> None:
         """Take news of the store, and tell them to those that this instance feeds."""
+        self._vouched_at = self._timers.now()
         after = self._replica.revision
         match news:
             case RangeResult():
@@ -201,9 +204,21 @@
         if change.empty:
             return
         now = self._timers.now()
+        known = self._directory.deployment
         self._directory.apply(change, now, max(keep_until, self._keep_until(now)))
+        if self._directory.deployment is not known:
+            self._configured_at = now
         self._on_change(change)
 
+    def _show_ages(self) -> None:
+        now = self._timers.now()
+        if self._vouched_at is not None:
+            # Configuration and endpoints are known as of then.
+            self._metrics.gauge("store_news_age_s", round(now - self._vouched_at, 3))
+        if self._configured_at is not None:
+            age = round(now - self._configured_at, 3)
+            self._metrics.gauge("configuration_age_s", age)
+
 
 def _parse(data: bytes) -> RangeResult:
     try:
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -196,7 +196,9 @@
             self._metrics.count("callers_lost", "caller_left")
             raise
         self._metrics.observe(
-            "request", asyncio.get_running_loop().time() - received_at
+            "request",
+            asyncio.get_running_loop().time() - received_at,
+            runner.route,
         )
         self._log_end(call, received_at, "answered", runner)
         return sink.response
--- a/borageworks/gateway/memory_follower.py
+++ b/borageworks/gateway/memory_follower.py
@@ -37,6 +37,8 @@
         self._upstream = upstream
         self._metrics = metrics
         self._tasks: dict[tuple[Shard, str], asyncio.Task[None]] = {}
+        self._told_at: dict[str, float] = {}
+        metrics.before_render(self._show_ages)
 
     def update(self) -> None:
         """Follow the engines that this instance places requests on."""
@@ -60,6 +62,20 @@
             task.cancel()
         self._tasks.clear()
 
+    def _show_ages(self) -> None:
+        now = asyncio.get_running_loop().time()
+        followed = {
+            state.endpoint.id
+            for (shard, _) in self._tasks
+            for state in self._placer.dispatchers[shard].endpoints.values()
+        }
+        self._told_at = {
+            name: at for name, at in self._told_at.items() if name in followed
+        }
+        self._metrics.forget_gauges("engine_report_age_s")
+        for name, at in self._told_at.items():
+            self._metrics.gauge("engine_report_age_s", round(now - at, 3), name)
+
     async def _follow(self, shard: Shard, endpoint: Endpoint) -> None:
         since: int | None = None
         epoch = ""
@@ -79,6 +95,7 @@
             if not news.whole and (news.gap or news.epoch != epoch):
                 since = None
                 continue
+            self._told_at[endpoint.id] = asyncio.get_running_loop().time()
             self._placer.learn(shard, endpoint.id, news)
             since, epoch = news.next, news.epoch
             await asyncio.sleep(PAUSE_S)
--- a/borageworks/metrics.py
+++ b/borageworks/metrics.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from hdrh.histogram import HdrHistogram
 
@@ -14,8 +14,17 @@
 MICROSECONDS_PER_SECOND = 1_000_000
 
 
+# Names of labels where it is not the reason of what is counted.
+LABEL_NAMES = {
+    "engine_report_age_s": "endpoint",
+    "first_event": "route",
+    "placement_wait": "route",
+    "request": "route",
+}
+
+
 class Metrics:
-    """Counters by name and label, and histograms by name.
+    """Counters, gauges and histograms by name and label.
 
     Histograms hold microseconds with two significant digits.
     """
@@ -23,7 +32,8 @@
     def __init__(self) -> None:
         self._counters: Counter[tuple[str, str]] = Counter()
         self._gauges: dict[tuple[str, str], float] = {}
-        self._histograms: dict[str, HdrHistogram] = {}
+        self._histograms: dict[tuple[str, str], HdrHistogram] = {}
+        self._before_render: list[Callable[[], None]] = []
 
     @property
     def counters(self) -> Mapping[tuple[str, str], int]:
@@ -42,22 +52,31 @@
         """Set a gauge."""
         self._gauges[name, label] = value
 
-    def observe(self, name: str, seconds: float) -> None:
+    def before_render(self, update: Callable[[], None]) -> None:
+        """Have gauges that change with time, as ages do, set before each rendering."""
+        self._before_render.append(update)
+
+    def forget_gauges(self, name: str) -> None:
+        """Drop all values of a gauge, before its present ones are set."""
+        for key in [key for key in self._gauges if key[0] == name]:
+            del self._gauges[key]
+
+    def observe(self, name: str, seconds: float, label: str = "") -> None:
         """Record a duration in seconds."""
-        histogram = self._histograms.get(name)
+        histogram = self._histograms.get((name, label))
         if histogram is None:
             histogram = HdrHistogram(
                 LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
             )
-            self._histograms[name] = histogram
+            self._histograms[name, label] = histogram
         microseconds = int(seconds * MICROSECONDS_PER_SECOND)
         histogram.record_value(
             min(max(microseconds, LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS)
         )
 
-    def quantile(self, name: str, percent: float) -> float:
+    def quantile(self, name: str, percent: float, label: str = "") -> float:
         """Return a histogram's quantile in seconds, 0.0 if nothing was recorded."""
-        histogram = self._histograms.get(name)
+        histogram = self._histograms.get((name, label))
         if histogram is None:
             return 0.0
         value = histogram.get_value_at_percentile(percent)
@@ -65,18 +84,26 @@
 
     def render(self) -> str:
         """Return all metrics in the Prometheus text format."""
+        for update in self._before_render:
+            update()
         lines: list[str] = []
         self._render_values(lines, "counter", self._counters, "_total")
         self._render_values(lines, "gauge", self._gauges, "")
-        for name, histogram in sorted(self._histograms.items()):
-            lines.append(f"# TYPE borageworks_{name}_seconds summary")
-            lines.extend(
-                f'borageworks_{name}_seconds{{quantile="{percent / 100:g}"}} '
-                f"{self.quantile(name, percent):.6f}"
-                for percent in QUANTILES
-            )
+        previous = None
+        for (name, label), histogram in sorted(
+            self._histograms.items(), key=lambda item: item[0]
+        ):
+            if name != previous:
+                lines.append(f"# TYPE borageworks_{name}_seconds summary")
+                previous = name
+            for percent in QUANTILES:
+                quantile = {"quantile": f"{percent / 100:g}"}
+                labels = _labels({**_label(name, label), **quantile})
+                value = self.quantile(name, percent, label)
+                lines.append(f"borageworks_{name}_seconds{labels} {value:.6f}")
+            labels = _labels(_label(name, label))
             count = histogram.get_total_count()
-            lines.append(f"borageworks_{name}_seconds_count {count}")
+            lines.append(f"borageworks_{name}_seconds_count{labels} {count}")
         return "\n".join(lines) + "\n"
 
     def _render_values(
@@ -91,5 +118,14 @@
             if name != previous:
                 lines.append(f"# TYPE borageworks_{name}{suffix} {kind}")
                 previous = name
-            labels = f'{{reason="{label}"}}' if label else ""
+            labels = _labels(_label(name, label))
             lines.append(f"borageworks_{name}{suffix}{labels} {value!r}")
+
+
+def _label(name: str, label: str) -> dict[str, str]:
+    return {LABEL_NAMES.get(name, "reason"): label} if label else {}
+
+
+def _labels(labels: Mapping[str, str]) -> str:
+    pairs = ",".join(f'{name}="{value}"' for name, value in labels.items())
+    return f"{{{pairs}}}" if pairs else ""
