Learn which engines are slow

Cause: reading speed was learned for all engines of a service together, so that an engine that turned slow got as many prompts as the others, and its times made all look slower.

Change: each engine has a factor, learned from its first tokens against those that are expected. From 1.5 on it counts in costs, room and expected waits; it fades, so that the engine is tried again. Two load patterns test it; both fail without the factor.

Figures: 4 engines of which one turns 8 times slower, 320 requests: at least 298 in aim; fewer before.

--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -143,7 +143,7 @@
         state = self._endpoints[preferred]
         if not self._must_wait(work) and self._has_room(now, state, work):
             return [self._place(now, state, work)]
-        expires_at = now + self._longest_wait(state, work)
+        expires_at = now + self._longest_wait(now, state, work)
         tokens = _own_prompt_tokens(work)
         waiting = _Waiting(work, now, expires_at, preferred, now, tokens)
         if now + self._expected_wait(now, waiting) > expires_at:
@@ -175,8 +175,11 @@
         """Note the first sign of an answer."""
         state = self._endpoints.get(self._placed.get(key, ""))
         started = state.start(now, key) if state is not None else None
-        if started is not None and started.unread_tokens:
-            self._speed.record(started.backlog_tokens, now - started.placed_at)
+        if state is not None and started is not None and started.unread_tokens:
+            taken = now - started.placed_at
+            tokens = started.backlog_tokens
+            state.note_speed(now, taken, self._speed.seconds(tokens))
+            self._speed.record(tokens, taken / state.slowness(now))
         return self._serve(now, state)
 
     def end(self, now: float, key: WorkKey, outcome: WorkOutcome) -> list[Decision]:
@@ -323,6 +326,7 @@
             cost += settings.domain_penalty_s
         if work.prompt is None:
             return cost + crowding
+        pace *= state.slowness(now)
         unread = work.prompt.tokens - state.memory.kept_tokens(work.prompt)
         reread = max(unread - own, 0)
         ahead = state.backlog_tokens(now, pace)
@@ -345,7 +349,7 @@
             memory = engine.memory_tokens * self._settings.memory_ratio * self._share
             if state.memory_tokens + _own_tokens(work) > memory:
                 return False
-        pace = self._speed.seconds_per_token
+        pace = self._pace(now, state)
         backlog = state.backlog_tokens(now, pace)
         return backlog * pace <= self._settings.window_s * self._share
 
@@ -365,11 +369,12 @@
             self._fair.virtual_time(name) <= own for name in self._per_organisation
         )
 
-    def _longest_wait(self, state: EndpointState, work: Work) -> float:
+    def _longest_wait(self, now: float, state: EndpointState, work: Work) -> float:
         if work.prompt is None:
             return max(work.patience_s, 0.0)
         # Even with room, the engine first reads what it was given in advance.
-        reading = self._seconds(self._demand(state, work)) + self._settings.window_s
+        reading = self._demand(state, work) * self._pace(now, state)
+        reading += self._settings.window_s
         in_aim = work.aim_s - self._speed.start_s - reading
         return max(work.patience_s, in_aim, 0.0)
 
@@ -389,7 +394,7 @@
         until_slot = self._wait_for_slot(state, len(ahead), work.prompt is None)
         if work.prompt is None:
             return until_slot
-        pace = self._speed.seconds_per_token
+        pace = self._pace(now, state)
         tokens = sum(self._demand(state, item) for item in ahead)
         backlog = state.backlog_tokens(now, pace)
         room = self._settings.window_s * self._share
@@ -413,7 +418,7 @@
 
     def _note(self, now: float, state: EndpointState, work: Work) -> RunningWork:
         unread = self._demand(state, work)
-        backlog = state.backlog_tokens(now, self._speed.seconds_per_token)
+        backlog = state.backlog_tokens(now, self._pace(now, state))
         running = RunningWork(
             unread_tokens=unread,
             memory_tokens=_own_tokens(work),
@@ -455,8 +460,9 @@
         generated = GENERATED_WEIGHT * work.prompt.generated_tokens
         return self._demand(state, work) + generated
 
-    def _seconds(self, tokens: float) -> float:
-        return tokens * self._speed.seconds_per_token
+    def _pace(self, now: float, state: EndpointState) -> float:
+        """Return the seconds to read a token at an engine."""
+        return self._speed.seconds_per_token * state.slowness(now)
 
     def _count_waiting(self, now: float, waiting: _Waiting, change: int) -> None:
         organisation = waiting.work.organisation
--- a/borageworks/placement/endpoint_state.py
+++ b/borageworks/placement/endpoint_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from borageworks.gateway.endpoint import Endpoint
@@ -13,6 +14,15 @@
 FAILURE_GAIN = 0.15
 SUSPENSION_FIRST_S = 0.5
 SUSPENSION_LIMIT_S = 4.0
+# Part by which one more first token moves what is known of an engine's own speed.
+SLOWNESS_GAIN = 0.25
+# An engine counts as slow from this factor on; below it, prompts and neighbours differ
+# more than engines do.
+SLOW_FACTOR = 1.5
+SLOWEST_FACTOR = 16.0
+# An engine that gets few requests is taken to have recovered by half in this time,
+# so that it is tried again.
+SLOWNESS_HALF_LIFE_S = 4.0
 # An endpoint that refused for lack of room is asked again after a few requests' time.
 SHED_PAUSE_S = 0.05
 
@@ -68,6 +78,8 @@
     suspended_until: float = 0.0
     suspension_s: float = 0.0
     suspected: bool = False
+    _slowness: float = 1.0
+    _slowness_at: float = 0.0
 
     def add(self, now: float, key: WorkKey, work: RunningWork) -> None:
         """Note a placed request."""
@@ -107,6 +119,24 @@
         oldest = next(iter(self.reading.values()))
         return max(self.unread_tokens - min(read, oldest), 0.0)
 
+    def slowness(self, now: float) -> float:
+        """Return by which factor it reads more slowly than the service's engines do."""
+        if self._slowness == 1.0:
+            return 1.0
+        factor = self._faded_slowness(now)
+        return factor if factor >= SLOW_FACTOR else 1.0
+
+    def note_speed(self, now: float, taken_s: float, expected_s: float) -> None:
+        """Note how long a first token took, and how long it usually takes."""
+        ratio = min(max(taken_s / expected_s, 1.0), SLOWEST_FACTOR)
+        factor = self._faded_slowness(now)
+        self._slowness = factor + SLOWNESS_GAIN * (ratio - factor)
+        self._slowness_at = now
+
+    def _faded_slowness(self, now: float) -> float:
+        faded = math.pow(0.5, (now - self._slowness_at) / SLOWNESS_HALF_LIFE_S)
+        return 1.0 + (self._slowness - 1.0) * faded
+
     def usable(self, now: float) -> bool:
         """Return whether it may get a request; a suspected one gets one at a time."""
         if self.endpoint.leaving or now < self.suspended_until:
--- a/borageworks/placement/reading_speed.py
+++ b/borageworks/placement/reading_speed.py
@@ -54,6 +54,10 @@
         """Seconds to the first token when nothing is to be read."""
         return max(self._y - self._x * self.seconds_per_token, 0.0)
 
+    def seconds(self, tokens: float) -> float:
+        """Return the seconds to the first token behind so many tokens to read."""
+        return self.start_s + tokens * self.seconds_per_token
+
     def adopt(self, seconds_per_token: float, start_s: float) -> None:
         """Begin with what another instance has learned."""
         self._begin(seconds_per_token, start_s)
--- a/borageworks/placement/tests/builders.py
+++ b/borageworks/placement/tests/builders.py
@@ -72,7 +72,8 @@
 class Fleet:
     """Engines that read prompts in order of arrival, driven by a dispatcher.
 
-    Counts what became of requests by organisation.
+    Counts what became of requests by organisation. `slow` names engines that read more
+    slowly, by a factor.
     """
 
     dispatcher: Dispatcher
@@ -83,6 +84,7 @@
     served_tokens: dict[str, float] = field(default_factory=dict)
     read_tokens: float = 0.0
     busy_until: dict[str, float] = field(default_factory=dict)
+    slow: dict[str, float] = field(default_factory=dict)
     _works: dict[WorkKey, tuple[Work, float]] = field(default_factory=dict)
     _events: list[tuple[float, int, str, WorkKey]] = field(default_factory=list)
 
@@ -114,7 +116,7 @@
                 case Placed(endpoint=name, unread_tokens=unread):
                     self.read_tokens += unread
                     start = max(self.busy_until.get(name, 0.0), self.now)
-                    start += unread / READ_TOKENS_PER_S
+                    start += unread * self.slow.get(name, 1.0) / READ_TOKENS_PER_S
                     self.busy_until[name] = start
                     self._push(start, "start", decision.key)
                     self._push(start + GENERATE_S, "end", decision.key)
--- a/borageworks/placement/tests/test_load_patterns.py
+++ b/borageworks/placement/tests/test_load_patterns.py
@@ -136,6 +136,35 @@
         play(fleet, 5, lambda _step: [work(prompt(own=2000)) for _ in range(1)])
         self.assertTrue(fleet.in_aim["o"] - before["o"] > 90, fleet.in_aim)
 
+    def test_one_engine_turns_slow(self):
+        """What a slow engine cannot read in time goes to the others."""
+        fleet = Fleet(engine_dispatcher(count=4))
+
+        def arrivals(_step):
+            return [work(prompt(own=2000)) for _ in range(2)]
+
+        play(fleet, 3, arrivals)
+        fleet.slow["e0"] = 8.0
+        before = fleet.in_aim["o"]
+        play(fleet, 8, arrivals)
+        asked = 8 / 0.05 * 2
+        self.assertTrue(fleet.in_aim["o"] - before > 0.93 * asked, (fleet, asked))
+
+    def test_slow_engine_recovers(self):
+        """An engine that was slow for a while gets its part again."""
+        dispatcher = engine_dispatcher(count=2)
+        fleet = Fleet(dispatcher)
+
+        def arrivals(_step):
+            return [work(prompt(own=2000)) for _ in range(1)]
+
+        fleet.slow["e0"] = 8.0
+        play(fleet, 5, arrivals)
+        self.assertTrue(dispatcher.endpoints["e0"].slowness(fleet.now) > 1.0)
+        fleet.slow.clear()
+        play(fleet, 15, arrivals)
+        self.assertEqual(1.0, dispatcher.endpoints["e0"].slowness(fleet.now))
+
     def test_engines_that_return_are_used_again_without_a_stampede(self):
         """An engine that comes back empty gets its share, not all requests."""
         dispatcher = engine_dispatcher(count=2)
