--- a/borageworks/gateway/loop_lag.py
+++ b/borageworks/gateway/loop_lag.py
@@ -9,7 +9,7 @@
 from borageworks.metrics import Metrics
 from borageworks.timers import Subscription, Timers
 
-INTERVAL_S = 0.02
+INTERVAL_S = 0.05
 # The mean follows within about this time, however many measurements fall into it: an
 # overloaded loop measures seldom.
 MEMORY_S = 0.2
