Let a lasting overload send new callers elsewhere, judge slowness without bias

Cause: on the grown site callers gather at a few instances (one took 19 % of all requests of the first nine seconds); one of them said that it was ready and took no new connection for nine seconds.

Change: readiness fails while an overload lasts longer than a second. A measurement may also speak for an engine; a factor counts from 2 on.

--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -267,7 +267,11 @@
             self._runners.append(runner)
 
     async def _ready(self, _request: web.Request) -> web.StreamResponse:
-        ready = self._directory.deployment is not None and not self._shutdown.begun
+        ready = (
+            self._directory.deployment is not None
+            and not self._shutdown.begun
+            and not self._lag.lasting
+        )
         return web.Response(status=200 if ready else 503)
 
     async def _metrics_text(self, _request: web.Request) -> web.StreamResponse:
--- a/borageworks/gateway/loop_lag.py
+++ b/borageworks/gateway/loop_lag.py
@@ -13,6 +13,9 @@
 # The mean follows within about this time, however many measurements fall into it: an
 # overloaded loop measures seldom.
 MEMORY_S = 0.2
+# An overload of this length is no burst: callers stay on their connections, and only new
+# ones can be sent elsewhere.
+LASTING_S = 1.0
 # Overload ends when the mean lag has fallen to this part of its limit.
 RELEASE_RATIO = 0.5
 
@@ -35,6 +38,8 @@
         self._expected = 0.0
         self._mean = 0.0
         self._overloaded = False
+        self._overloaded_since: float | None = None
+        self._measured_at = 0.0
 
     @property
     def seconds(self) -> float:
@@ -46,6 +51,12 @@
         """Whether further requests would only slow down those that are running."""
         return self._overloaded
 
+    @property
+    def lasting(self) -> bool:
+        """Whether the overload has lasted, so that new callers should go elsewhere."""
+        since = self._overloaded_since
+        return since is not None and self._measured_at - since >= LASTING_S
+
     def start(self, timers: Timers) -> None:
         """Begin to measure."""
         self._expected = timers.now() + INTERVAL_S
@@ -69,8 +80,10 @@
             overloaded = True
         elif self._mean < RELEASE_RATIO * self._limit_s:
             overloaded = False
+        self._measured_at = now
         if overloaded != self._overloaded:
             self._overloaded = overloaded
+            self._overloaded_since = now if overloaded else None
             emit(
                 Event.OVERLOAD_BEGAN if overloaded else Event.OVERLOAD_ENDED,
                 lag_s=round(self._mean, 4),
--- a/borageworks/placement/endpoint_state.py
+++ b/borageworks/placement/endpoint_state.py
@@ -15,11 +15,13 @@
 SUSPENSION_FIRST_S = 0.5
 SUSPENSION_LIMIT_S = 4.0
 # Part by which one more first token moves what is known of an engine's own speed.
-SLOWNESS_GAIN = 0.25
+SLOWNESS_GAIN = 0.15
 # An engine counts as slow from this factor on; below it, prompts and neighbours differ
 # more than engines do.
-SLOW_FACTOR = 1.5
+SLOW_FACTOR = 2.0
+# Bounds of one measurement, so that a single late answer does not condemn an engine.
 SLOWEST_FACTOR = 16.0
+FASTEST_FACTOR = 0.25
 # An engine that gets few requests is taken to have recovered by half in this time,
 # so that it is tried again.
 SLOWNESS_HALF_LIFE_S = 4.0
@@ -128,7 +130,7 @@
 
     def note_speed(self, now: float, taken_s: float, expected_s: float) -> None:
         """Note how long a first token took, and how long it usually takes."""
-        ratio = min(max(taken_s / expected_s, 1.0), SLOWEST_FACTOR)
+        ratio = min(max(taken_s / expected_s, FASTEST_FACTOR), SLOWEST_FACTOR)
         factor = self._faded_slowness(now)
         self._slowness = factor + SLOWNESS_GAIN * (ratio - factor)
         self._slowness_at = now
