Accept callers' connections also by time, with a short queue

A trial that printed its sockets showed 271 connections, the same ones, from second 10 to 26, at a loop lag of 4 to 10 ms: the loop served these and left the listening socket out; when they ended, two seconds of abandoned requests followed from a queue of 1,024.

Change: an acceptor of the gateway's own reads the listening socket as the loop reports it and every 50 ms, 64 connections a turn; the queue holds 128, what a busy instance takes in the second that callers wait; a lack of descriptors pauses it for 0.1 s and is logged and counted. In a lasting overload a refusal closes its connection.

--- a/borageworks/events.py
+++ b/borageworks/events.py
@@ -22,6 +22,7 @@
     LOG_LINES_DROPPED = (105, "log_lines_dropped")
     OVERLOAD_BEGAN = (106, "overload_began")
     OVERLOAD_ENDED = (107, "overload_ended")
+    ACCEPT_FAILED = (108, "accept_failed")
     CATALOG_CHANGED = (201, "catalog_changed")
     CATALOG_BEHIND = (202, "catalog_behind")
     DEPLOYMENT_CHANGED = (203, "deployment_changed")
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -23,6 +23,7 @@
     RefusalError,
     RouteUnknownError,
 )
+from borageworks.gateway.acceptor import Acceptor
 from borageworks.gateway.caller_request import CallerRequest
 from borageworks.gateway.codec import Codec
 from borageworks.gateway.deployment import Deployment
@@ -37,7 +38,6 @@
 from borageworks.gateway.upstream import Upstream
 from borageworks.metrics import Metrics
 
-BACKLOG = 1024
 # Used until the operator's configuration states the bounds.
 FIRST_HEADER_BYTES = 65_536
 FIRST_IDLE_TIMEOUT_S = 15.0
@@ -90,7 +90,7 @@
         self._lag = lag
         self._rng = random.Random()
         self._server: web.Server | None = None
-        self._listener: asyncio.Server | None = None
+        self._acceptor: Acceptor | None = None
         self._running = 0
 
     @property
@@ -101,18 +101,14 @@
     async def start(self) -> None:
         """Listen for callers."""
         self._server = web.Server(self._handle, handler_cancellation=True)
-        self._listener = await asyncio.get_running_loop().create_server(
-            self._connect,
-            self._settings.callers.host,
-            self._settings.callers.port,
-            backlog=BACKLOG,
-        )
+        self._acceptor = Acceptor(self._settings.callers, self._connect, self._metrics)
+        self._acceptor.start()
 
     async def stop_accepting(self) -> None:
         """Close the listening socket; open connections go on."""
-        if self._listener is not None:
-            self._listener.close()
-            self._listener = None
+        if self._acceptor is not None:
+            self._acceptor.stop()
+            self._acceptor = None
 
     def close_idle(self) -> None:
         """Close connections on which no request is running or being received."""
@@ -261,11 +257,15 @@
             retry_after=OVERLOADED_RETRY_S,
         )
         self._count_refusal(refusal)
-        return web.Response(
+        response = web.Response(
             status=refusal.status,
             text=refusal.detail,
             headers={"Retry-After": f"{OVERLOADED_RETRY_S:.3f}"},
         )
+        if self._lag.lasting:
+            # The balancer sends the caller's next connection elsewhere.
+            response.force_close()
+        return response
 
     def _log_end(
         self,
