Keep the machine's speed out of two tests

Change: the first measures how long the lines took and holds what was dropped between both bounds, of which the upper is new. The second gives the store 20 s, as it is about conflicts and not about timeouts; its assertions stay.

--- a/borageworks/claims/tests/test_service.py
+++ b/borageworks/claims/tests/test_service.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from unittest import mock
 
 import testtools
 from testtools import ExpectedException
@@ -30,6 +31,8 @@
 
 SHARDS = ClaimSettings().shards
 STORE_TIMEOUT_S = 0.4
+# For tests in which the store answers: a slow machine is no store fault.
+PATIENT_TIMEOUT_S = 20.0
 BODY = body_hash(b"body")
 CLAIMED = (ClaimOutcome.CLAIMED, ClaimState.CLAIMED)
 
@@ -235,6 +238,7 @@
 
         asyncio.run(run())
 
+    @mock.patch(f"{__name__}.STORE_TIMEOUT_S", PATIENT_TIMEOUT_S)
     def test_two_instances_that_both_write_a_shard_claim_a_key_once(self):
         async def run():
             async with fleet("a", "b") as f:
--- a/borageworks/tests/test_logs.py
+++ b/borageworks/tests/test_logs.py
@@ -8,7 +8,7 @@
 from testtools import TestCase
 
 from borageworks.events import Event, emit
-from borageworks.logs import BURST_LINES, MAX_BUFFERED_LINES, LogWriter
+from borageworks.logs import BURST_LINES, LINES_PER_S, MAX_BUFFERED_LINES, LogWriter
 from borageworks.metrics import Metrics
 
 
@@ -28,10 +28,12 @@
             reader, writer = os.pipe()
             log = LogWriter(writer, metrics, "edge-1")
             log.start()
+            began = asyncio.get_running_loop().time()
             try:
                 for number in range(count):
                     emit(Event.REQUEST_ENDED, request_id=str(number), pad="x" * 500)
                 started = asyncio.get_running_loop().time()
+                self.emitted_s = started - began
                 await asyncio.sleep(0)
                 taken = asyncio.get_running_loop().time() - started
                 data = os.read(reader, 1 << 20) if read else b""
@@ -52,9 +54,12 @@
 
     def test_volume_is_bounded_and_the_rest_counted(self):
         """Guards against a storm of lines, and against lines that vanish untold."""
-        count = int(BURST_LINES) + 50
-        _, _, metrics = self.write(count, False)
-        self.assertTrue(metrics.value("log_lines_dropped") >= 45)
+        excess = 50
+        _, _, metrics = self.write(int(BURST_LINES) + excess, False)
+        dropped = metrics.value("log_lines_dropped")
+        # What the rate allows while the lines are emitted is not dropped.
+        allowed = LINES_PER_S * self.emitted_s + 1
+        self.assertTrue(excess - allowed <= dropped <= excess, (dropped, allowed))
         self.assertTrue(BURST_LINES < MAX_BUFFERED_LINES)
 
     def test_reader_that_stops_does_not_block(self):
