--- a/borageworks/gateway/acceptor.py
+++ b/borageworks/gateway/acceptor.py
@@ -14,8 +14,8 @@
 # A second's worth of a busy instance. Callers give up connections that wait longer, and
 # those are still accepted before newer ones.
 BACKLOG = 128
-# The loop's own listening sockets were left out for seconds while other sockets kept it
-# busy, so that the queue is also looked at by time.
+# A busy instance took no new connection for seconds although its loop was not late, so
+# that the queue is also looked at by time.
 INTERVAL_S = 0.05
 # Bounds one turn of the loop.
 ACCEPTS_PER_TURN = 64
