Log once a second what organisations were refused, by part

Cause: event 405 did not name the organisation, and refusals of an overloaded instance leave no line at all.

Change: event 409 sums up, once a second and only while something is refused, what each organisation asked for and was refused: requests at the entry, tokens at each shard of placement. Event 405 names the organisation.

No change of any decision.

--- a/borageworks/events.py
+++ b/borageworks/events.py
@@ -41,6 +41,7 @@
     REQUEST_ENDED = (405, "request_ended")
     ATTEMPT_FAILED = (406, "attempt_failed")
     REQUEST_PLACED = (408, "request_placed")
+    ORGANISATIONS_REFUSED = (409, "organisations_refused")
     ENDPOINT_DOWN = (501, "endpoint_down")
     ENDPOINT_UP = (502, "endpoint_up")
     ENDPOINT_OWNED = (503, "endpoint_owned")
--- a/borageworks/gateway/codec.py
+++ b/borageworks/gateway/codec.py
@@ -37,6 +37,10 @@
         """Return a caller's request."""
         ...
 
+    def caller_key(self, headers: CIMultiDictProxy[str]) -> str | None:
+        """Return the API key of a caller's request, or None."""
+        ...
+
     def forwarded_headers(
         self,
         request: CallerRequest,
--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -151,6 +151,11 @@
         """Service of the request."""
         return self._exchange.service
 
+    @property
+    def organisation(self) -> str | None:
+        """Organisation of the request, None on public routes."""
+        return self._exchange.organisation
+
     @property
     def route(self) -> str:
         """Name of the request's route, which tells its kind."""
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -30,6 +30,7 @@
 from borageworks.gateway.directory import Directory
 from borageworks.gateway.exchange import Exchange, ExchangeRunner
 from borageworks.gateway.loop_lag import LoopLag
+from borageworks.gateway.organisation_tally import NO_ORGANISATION, OrganisationTally
 from borageworks.gateway.placer import Placer
 from borageworks.gateway.retries import Retries
 from borageworks.gateway.route import Route
@@ -92,6 +93,7 @@
         self._server: web.Server | None = None
         self._acceptor: Acceptor | None = None
         self._running = 0
+        self._tally = OrganisationTally("callers", "requests")
 
     @property
     def running(self) -> int:
@@ -104,6 +106,10 @@
         self._acceptor = Acceptor(self._settings.callers, self._connect, self._metrics)
         self._acceptor.start()
 
+    def report(self) -> None:
+        """Log what organisations were refused since the last time."""
+        self._tally.report(lag_s=round(self._lag.seconds, 4), running=self._running)
+
     async def stop_accepting(self) -> None:
         """Close the listening socket; open connections go on."""
         if self._acceptor is not None:
@@ -154,8 +160,11 @@
     async def _answer(
         self, http: web.BaseRequest, received_at: float
     ) -> web.StreamResponse:
+        organisation = self._holder(http)
+        self._tally.ask(organisation)
         if self._lag.overloaded:
             # Before anything else is done for the request, since that costs as much.
+            self._tally.refuse(organisation)
             return self._shed()
         call = self._codec.request(http.method, http.raw_path, http.headers)
         sink = ResponseSink(http, call.id, last=self._shutdown.begun)
@@ -174,6 +183,7 @@
             )
             await runner.run()
         except RefusalError as refusal:
+            self._tally.refuse(organisation)
             self._log_end(call, received_at, refusal.code, runner, refusal)
             if sink.started:
                 self._metrics.count("answers_cut", refusal.code)
@@ -233,6 +243,15 @@
             deadline=received_at + patience,
         )
 
+    def _holder(self, http: web.BaseRequest) -> str:
+        """Return the organisation whose key a request bears."""
+        deployment = self._directory.deployment
+        if deployment is None or deployment.organisations is None:
+            return NO_ORGANISATION
+        key = self._codec.caller_key(http.headers)
+        holder = deployment.organisations.get(key) if key is not None else None
+        return NO_ORGANISATION if holder is None else holder.name
+
     def _pick_service(self, route: Route) -> str:
         if len(route.targets) == 1:
             return route.targets[0].service
@@ -282,6 +301,7 @@
             request_id=call.id,
             path=call.path,
             outcome=outcome,
+            organisation=runner.organisation if runner else None,
             taken_s=round(taken, 4),
             endpoint=runner.endpoint if runner else "",
             service=runner.service if runner else "",
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -33,6 +33,8 @@
 
 MILLISECONDS_PER_SECOND = 1000
 DRAIN_POLL_S = 0.05
+# Interval of the log lines that sum up refusals by organisation.
+REPORT_S = 1.0
 # Suspicions end without an event; ownership follows them at this interval.
 REVIEW_S = 0.25
 
@@ -155,6 +157,7 @@
             self._spawn(work)
         self._lag.start(timers)
         self._reviewing = timers.every(REVIEW_S, self._review)
+        self._reporting = timers.every(REPORT_S, self._report)
         emit(
             Event.INSTANCE_STARTED,
             instance=settings.instance,
@@ -187,6 +190,7 @@
     async def close(self) -> None:
         """Close all parts at once, with the connections of callers."""
         self._reviewing.cancel()
+        self._reporting.cancel()
         self._lag.stop()
         await self._frontend.stop_accepting()
         await self._frontend.stop()
@@ -235,6 +239,10 @@
         self._placer.review_owners()
         self._memory.update()
 
+    def _report(self, _now: float) -> None:
+        self._frontend.report()
+        self._placer.report()
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         task.add_done_callback(self._task_ended)
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -14,6 +14,7 @@
 from borageworks.gateway.asked import Asked
 from borageworks.gateway.directory import Directory
 from borageworks.gateway.fleet import Fleet
+from borageworks.gateway.organisation_tally import OrganisationTally
 from borageworks.gateway.place_messages import (
     decode_work,
     encode_decision,
@@ -92,6 +93,7 @@
         self._asked: dict[int, Asked] = {}
         self._numbers = itertools.count(1)
         self._ticking: Subscription | None = None
+        self._tallies: dict[Shard, OrganisationTally] = {}
 
     @property
     def dispatchers(self) -> dict[Shard, Dispatcher]:
@@ -214,6 +216,11 @@
                 del self._dispatchers[shard]
         self.review_owners()
 
+    def report(self) -> None:
+        """Log what organisations asked for and were refused since the last time."""
+        for (service, number), tally in self._tallies.items():
+            tally.report(service=service, shard=number)
+
     def review_owners(self) -> None:
         """Move running requests to owners that have changed."""
         for shard in self._dispatchers:
@@ -300,7 +307,8 @@
             self._decide([Refused(work.key, RefusalReason.NO_ENDPOINT, 0.2)])
             return
         dispatcher.set_share(1.0 if self.owns(shard) else 1.0 / self._fleet.count)
-        self._decide(dispatcher.submit(self._timers.now(), work))
+        self._tally(shard).ask(work.organisation, work.units)
+        self._decide(self._count(shard, dispatcher.submit(self._timers.now(), work)))
         self._keep_ticking()
 
     def _withdraw(self, asked: Asked) -> None:
@@ -338,7 +346,8 @@
             return
         work = decode_work(instance, request)
         dispatcher.set_share(1.0)
-        decisions = dispatcher.submit(self._timers.now(), work)
+        self._tally(shard).ask(work.organisation, work.units)
+        decisions = self._count(shard, dispatcher.submit(self._timers.now(), work))
         self._decide(decisions, dispatcher.speed)
         if all(decision.key != work.key for decision in decisions):
             self._fleet.send(instance, PlaceReply(request.number, PlaceState.WAITING))
@@ -416,6 +425,20 @@
             else:
                 self._fleet.send(decision.key[0], encode_decision(decision, speed))
 
+    def _tally(self, shard: Shard) -> OrganisationTally:
+        tally = self._tallies.get(shard)
+        if tally is None:
+            tally = self._tallies[shard] = OrganisationTally("placement", "tokens")
+        return tally
+
+    def _count(self, shard: Shard, decisions: list[Decision]) -> list[Decision]:
+        """Count refusals by organisation."""
+        for decision in decisions:
+            if isinstance(decision, Refused) and decision.work is not None:
+                work = decision.work
+                self._tally(shard).refuse(work.organisation, work.units)
+        return decisions
+
     def _resolve(self, decision: Decision) -> None:
         asked = self._asked.get(decision.key[1])
         if asked is None or asked.future.done():
@@ -435,9 +458,9 @@
 
     def _tick(self, now: float) -> None:
         waiting = 0
-        for dispatcher in list(self._dispatchers.values()):
+        for shard, dispatcher in list(self._dispatchers.items()):
             if dispatcher.waiting:
-                self._decide(dispatcher.tick(now))
+                self._decide(self._count(shard, dispatcher.tick(now)))
                 waiting += dispatcher.waiting
         if not waiting and self._ticking is not None:
             self._ticking.cancel()
--- a/borageworks/placement/decisions.py
+++ b/borageworks/placement/decisions.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import IntEnum
 
-from borageworks.placement.work import WorkKey
+from borageworks.placement.work import Work, WorkKey
 
 
 class RefusalReason(IntEnum):
@@ -33,11 +33,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """The request is to be refused; it may come back after `retry_after_s` seconds."""
+    """The request is to be refused; it may come back after `retry_after_s` seconds.
+
+    `work` is the request, None where another instance decided.
+    """
 
     key: WorkKey
     reason: RefusalReason
     retry_after_s: float
+    work: Work | None = field(default=None, compare=False)
 
 
 Decision = Placed | Refused
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -17,18 +17,13 @@
 from borageworks.placement.prompt_memory import PromptMemory
 from borageworks.placement.reading_speed import ReadingSpeed
 from borageworks.placement.settings import PlacementSettings
-from borageworks.placement.work import Work, WorkKey
+from borageworks.placement.work import GENERATED_WEIGHT, PLAIN_UNITS, Work, WorkKey
 from borageworks.routing.suspects import CrashSuspects, Verdict
 
-# Generated tokens cost an engine about twice as much as prompt tokens; the operator's
-# throughput figure counts them so.
-GENERATED_WEIGHT = 2.0
 # Speed of one engine until measured, where the operator states no throughput.
 DEFAULT_TOKENS_PER_S = 20_000.0
 # The throughput figure counts generated tokens too, so engines read faster than that.
 READING_PART = 0.5
-# Units that a request to a plain service costs an organisation.
-PLAIN_UNITS = 1.0
 # Part by which one more request moves the mean time in a slot.
 DURATION_GAIN = 0.05
 # Waiting requests that look for a better engine at each tick, in turn. A look compares
@@ -136,7 +131,8 @@
     def submit(self, now: float, work: Work) -> list[Decision]:
         """Place a request, let it wait, or refuse it."""
         if self._suspects.verdict(now, work.fingerprint) is Verdict.REFUSED:
-            return [Refused(work.key, RefusalReason.SUSPECTED, SUSPECT_RETRY_S)]
+            reason = RefusalReason.SUSPECTED
+            return [Refused(work.key, reason, SUSPECT_RETRY_S, work)]
         preferred = self._prefer(now, work)
         if preferred is None:
             return [self._refuse(now, work, RefusalReason.NO_ENDPOINT)]
@@ -447,6 +443,7 @@
             work.key,
             reason,
             min(max(wait, settings.retry_least_s), settings.retry_most_s),
+            work,
         )
 
     def _demand(self, state: EndpointState, work: Work) -> int:
--- a/borageworks/placement/work.py
+++ b/borageworks/placement/work.py
@@ -7,6 +7,11 @@
 from borageworks.gateway.caller_request import Prompt
 
 WorkKey = tuple[str, int]
+# Generated tokens cost an engine about twice as much as prompt tokens; the operator's
+# throughput figure counts them so.
+GENERATED_WEIGHT = 2.0
+# What a request to a plain service counts.
+PLAIN_UNITS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,3 +44,10 @@
     prompt: Prompt | None
     excluded: frozenset[str] = frozenset()
     fingerprint: bytes = b""
+
+    @property
+    def units(self) -> float:
+        """Tokens that it asks for, a generated one counted twice; 1 if plain."""
+        if self.prompt is None:
+            return PLAIN_UNITS
+        return self.prompt.tokens + GENERATED_WEIGHT * self.prompt.generated_tokens
--- a/borageworks/platform/codec.py
+++ b/borageworks/platform/codec.py
@@ -13,7 +13,7 @@
     events_target,
 )
 from borageworks.platform.entries import decode_entry
-from borageworks.platform.requests import decode_request, forwarded_headers
+from borageworks.platform.requests import caller_key, decode_request, forwarded_headers
 
 
 class PlatformCodec:
@@ -27,6 +27,7 @@
     configuration = staticmethod(decode_configuration)
     endpoint = staticmethod(decode_entry)
     request = staticmethod(decode_request)
+    caller_key = staticmethod(caller_key)
     forwarded_headers = staticmethod(forwarded_headers)
     answer = staticmethod(decode_answer)
     memory_events_target = staticmethod(events_target)
--- a/borageworks/platform/requests.py
+++ b/borageworks/platform/requests.py
@@ -52,7 +52,7 @@
         .strip()
         .lower(),
         path=target.partition("?")[0],
-        key=_key(headers.get("Authorization")),
+        key=caller_key(headers),
         patience_s=_seconds(headers.get(names.REMAINING_MS)),
         last_event=_whole(headers.get(names.LAST_EVENT)),
         prompt=_prompt(headers),
@@ -101,7 +101,9 @@
         yield names.LAST_EVENT, str(last_event)
 
 
-def _key(authorization: str | None) -> str | None:
+def caller_key(headers: CIMultiDictProxy[str]) -> str | None:
+    """Return the API key of a request, or None."""
+    authorization = headers.get("Authorization")
     if authorization is None or not authorization.lower().startswith(KEY_SCHEME):
         return None
     return authorization[len(KEY_SCHEME) :].strip()
