Hold organisations to a common limit while an instance lags

What callers saw: connected to an instance that one organisation floods, a small organisation was refused about half of its requests.

Cause: an instance whose loop lags refused every request, whoever sent it. Class: a shared limit that is enforced on whoever comes next, blind to who uses it up.

Change: while the loop lags, all organisations share one limit on requests a second, halved in 0.2 s and doubled in 0.5 s. Who asks for less loses nothing, the others get equal parts, the max-min share of what the instance can do. A pause of the process lowers it once at most.

--- a/borageworks/events.py
+++ b/borageworks/events.py
@@ -23,6 +23,8 @@
     OVERLOAD_BEGAN = (106, "overload_began")
     OVERLOAD_ENDED = (107, "overload_ended")
     ACCEPT_FAILED = (108, "accept_failed")
+    ADMISSION_LIMITED = (109, "admission_limited")
+    ADMISSION_OPENED = (110, "admission_opened")
     CATALOG_CHANGED = (201, "catalog_changed")
     CATALOG_BEHIND = (202, "catalog_behind")
     DEPLOYMENT_CHANGED = (203, "deployment_changed")
--- /dev/null
+++ b/borageworks/gateway/admission.py
@@ -0,0 +1,144 @@
+"""Decides which requests an overloaded instance takes."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from borageworks.events import Event, emit
+from borageworks.gateway.loop_lag import INTERVAL_S, LoopLag
+from borageworks.timers import Subscription, Timers
+
+# The limit is halved in this time while the loop lags, about as fast as the mean lag
+# follows, and doubled in this time while it does not: a limit that is too low costs
+# callers more than a short overshoot.
+HALVING_S = 0.2
+DOUBLING_S = 0.5
+# Rates are means over about this time, long enough to see organisations that ask for
+# one request a second.
+RATE_MEMORY_S = 1.0
+# Requests that an organisation may send at once, as a time at its limit. Those that
+# came while the loop was late are taken together.
+BURST_S = 0.5
+# No organisation is held to less, in requests a second.
+LEAST_LEVEL = 0.05
+# A limit that is this many times the largest rate asked for limits nobody.
+RELEASE_RATIO = 1.5
+# Organisations that ask for less, in requests a second, are forgotten.
+FORGOTTEN_RATE = 0.001
+
+
+@dataclass(slots=True)
+class _Use:
+    """Requests of one organisation: asked for lately, and what it may send at once."""
+
+    asked: float = 0.0
+    taken: float = 0.0
+    at: float = -math.inf
+    tokens: float = 1.0
+
+    def advance(self, now: float, level: float) -> None:
+        """Let time pass at a limit in requests a second."""
+        passed = now - self.at
+        faded = math.exp(-passed / RATE_MEMORY_S)
+        self.asked *= faded
+        self.taken *= faded
+        self.at = now
+        burst = max(level * BURST_S, 1.0)
+        refilled = level * passed if math.isfinite(level) else burst
+        self.tokens = min(self.tokens + refilled, burst)
+
+
+class Admission:
+    """Decides which requests an overloaded instance takes.
+
+    While the loop lags, all organisations share one limit on their requests a second,
+    which falls until the loop keeps up. An organisation that asks for less than the
+    limit loses nothing, the others get equal parts: the max-min share of what the
+    instance can do.
+
+    Parameters
+    ----------
+    lag
+        Measures the loop.
+    """
+
+    def __init__(self, lag: LoopLag) -> None:
+        self._lag = lag
+        self._level = math.inf
+        self._uses: dict[str, _Use] = {}
+        self._measured_at = -math.inf
+        self._subscription: Subscription | None = None
+
+    @property
+    def level(self) -> float:
+        """Requests a second that an organisation may send, infinite without limit."""
+        return self._level
+
+    @property
+    def crowded(self) -> bool:
+        """Whether the overload lasts, so that new callers should go elsewhere."""
+        return self._lag.lasting
+
+    def start(self, timers: Timers) -> None:
+        """Begin to follow the loop's lag."""
+        self._subscription = timers.every(INTERVAL_S, self.measure)
+
+    def stop(self) -> None:
+        """Stop following it."""
+        if self._subscription is not None:
+            self._subscription.cancel()
+
+    def admit(self, now: float, organisation: str) -> bool:
+        """Return whether a request is taken, and count it."""
+        use = self._uses.get(organisation)
+        if use is None:
+            use = self._uses[organisation] = _Use()
+        use.advance(now, self._level)
+        use.asked += 1.0
+        if math.isfinite(self._level):
+            if use.tokens < 1.0:
+                return False
+            use.tokens -= 1.0
+        use.taken += 1.0
+        return True
+
+    def measure(self, now: float) -> None:
+        """Adapt the limit to the loop's lag."""
+        # A pause of the whole process says little about what it can do.
+        passed = min(now - self._measured_at, HALVING_S)
+        self._measured_at = now
+        if self._lag.late:
+            self._lower(passed)
+        elif math.isfinite(self._level):
+            self._raise(passed)
+        for use in self._uses.values():
+            use.advance(now, self._level)
+        self._uses = {
+            name: use
+            for name, use in self._uses.items()
+            if use.asked > FORGOTTEN_RATE * RATE_MEMORY_S
+        }
+
+    def _lower(self, passed: float) -> None:
+        if not self._uses:
+            return
+        if math.isinf(self._level):
+            taken = {name: use.taken for name, use in self._uses.items()}
+            largest = max(taken, key=lambda name: taken[name])
+            self._level = taken[largest] / RATE_MEMORY_S
+            emit(
+                Event.ADMISSION_LIMITED,
+                level=round(self._level, 2),
+                lag_s=round(self._lag.seconds, 4),
+                largest=largest,
+                organisations=len(taken),
+            )
+        self._level = max(self._level * 0.5 ** (passed / HALVING_S), LEAST_LEVEL)
+
+    def _raise(self, passed: float) -> None:
+        self._level *= 2.0 ** (passed / DOUBLING_S)
+        asked = max((use.asked for use in self._uses.values()), default=0.0)
+        if self._level > RELEASE_RATIO * max(asked, 1.0) / RATE_MEMORY_S:
+            self._level = math.inf
+            emit(Event.ADMISSION_OPENED, lag_s=round(self._lag.seconds, 4))
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -24,12 +24,12 @@
     RouteUnknownError,
 )
 from borageworks.gateway.acceptor import Acceptor
+from borageworks.gateway.admission import Admission
 from borageworks.gateway.caller_request import CallerRequest
 from borageworks.gateway.codec import Codec
 from borageworks.gateway.deployment import Deployment
 from borageworks.gateway.directory import Directory
 from borageworks.gateway.exchange import Exchange, ExchangeRunner
-from borageworks.gateway.loop_lag import LoopLag
 from borageworks.gateway.organisation_tally import NO_ORGANISATION, OrganisationTally
 from borageworks.gateway.placer import Placer
 from borageworks.gateway.retries import Retries
@@ -62,8 +62,8 @@
         Decides what is still accepted while the process stops.
     store_silence
         Returns for how many seconds the store has not answered, 0 if it does.
-    lag
-        Tells whether this process is overloaded.
+    admission
+        Decides which requests this process takes.
     """
 
     def __init__(
@@ -77,7 +77,7 @@
         metrics: Metrics,
         shutdown: Shutdown,
         store_silence: Callable[[], float],
-        lag: LoopLag,
+        admission: Admission,
     ) -> None:
         self._settings = settings
         self._codec = codec
@@ -88,7 +88,7 @@
         self._metrics = metrics
         self._shutdown = shutdown
         self._store_silence = store_silence
-        self._lag = lag
+        self._admission = admission
         self._rng = random.Random()
         self._server: web.Server | None = None
         self._acceptor: Acceptor | None = None
@@ -108,7 +108,7 @@
 
     def report(self) -> None:
         """Log what organisations were refused since the last time."""
-        self._tally.report(lag_s=round(self._lag.seconds, 4), running=self._running)
+        self._tally.report(level=round(self._admission.level, 2), running=self._running)
 
     async def stop_accepting(self) -> None:
         """Close the listening socket; open connections go on."""
@@ -162,7 +162,7 @@
     ) -> web.StreamResponse:
         organisation = self._holder(http)
         self._tally.ask(organisation)
-        if self._lag.overloaded:
+        if not self._admission.admit(received_at, organisation):
             # Before anything else is done for the request, since that costs as much.
             self._tally.refuse(organisation)
             return self._shed()
@@ -272,7 +272,8 @@
 
     def _shed(self) -> web.Response:
         refusal = InstanceOverloadedError(
-            f"the instance lags by {self._lag.seconds:.3f} s",
+            f"the instance takes {self._admission.level:.1f} requests a second "
+            "of an organisation",
             retry_after=OVERLOADED_RETRY_S,
         )
         self._count_refusal(refusal)
@@ -281,7 +282,7 @@
             text=refusal.detail,
             headers={"Retry-After": f"{OVERLOADED_RETRY_S:.3f}"},
         )
-        if self._lag.lasting:
+        if self._admission.crowded:
             # The balancer sends the caller's next connection elsewhere.
             response.force_close()
         return response
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from borageworks.events import Event, emit
+from borageworks.gateway.admission import Admission
 from borageworks.gateway.codec import Codec
 from borageworks.gateway.directory import Directory
 from borageworks.gateway.feed import Feed
@@ -134,6 +135,7 @@
         )
         self._retries = Retries(settings, timers, lambda: self._instances.count)
         self._lag = LoopLag(settings, self._metrics)
+        self._admission = Admission(self._lag)
         self._frontend = Frontend(
             settings,
             self._codec,
@@ -144,7 +146,7 @@
             self._metrics,
             self._shutdown,
             self._store_silence,
-            self._lag,
+            self._admission,
         )
         await self._serve_status()
         await self._frontend.start()
@@ -156,6 +158,7 @@
         ):
             self._spawn(work)
         self._lag.start(timers)
+        self._admission.start(timers)
         self._reviewing = timers.every(REVIEW_S, self._review)
         self._reporting = timers.every(REPORT_S, self._report)
         emit(
@@ -192,6 +195,7 @@
         self._reviewing.cancel()
         self._reporting.cancel()
         self._lag.stop()
+        self._admission.stop()
         await self._frontend.stop_accepting()
         await self._frontend.stop()
         tasks = list(self._tasks)
@@ -278,7 +282,7 @@
         ready = (
             self._directory.deployment is not None
             and not self._shutdown.begun
-            and not self._lag.lasting
+            and not self._admission.crowded
         )
         return web.Response(status=200 if ready else 503)
 
--- a/borageworks/gateway/loop_lag.py
+++ b/borageworks/gateway/loop_lag.py
@@ -38,6 +38,7 @@
         self._expected = 0.0
         self._mean = 0.0
         self._overloaded = False
+        self._last = 0.0
         self._overloaded_since: float | None = None
         self._measured_at = 0.0
 
@@ -48,9 +49,14 @@
 
     @property
     def overloaded(self) -> bool:
-        """Whether further requests would only slow down those that are running."""
+        """Whether the loop has more work than it can do."""
         return self._overloaded
 
+    @property
+    def late(self) -> bool:
+        """Whether the loop lags, and still did when it was last measured."""
+        return self._mean > self._limit_s and self._last > RELEASE_RATIO * self._limit_s
+
     @property
     def lasting(self) -> bool:
         """Whether the overload has lasted, so that new callers should go elsewhere."""
@@ -80,6 +86,7 @@
             overloaded = True
         elif self._mean < RELEASE_RATIO * self._limit_s:
             overloaded = False
+        self._last = lag
         self._measured_at = now
         if overloaded != self._overloaded:
             self._overloaded = overloaded
