Count an overload as lasting while an instance keeps refusing

What callers saw: all callers of one organisation, connected to one instance with half a core, were refused for as long as they asked for more than it can do, while 75 other instances had room.

Cause: an instance left the balancer's rotation after one second of lag without a pause. Class: a controller that judges by the very signal which its own action suppresses.

Change: the overload lasts while the loop lags or 5 % of the requests are refused, with pauses up to a second. Then the instance says that it is not ready, and refusals close the connection, so that callers come back elsewhere.

--- a/borageworks/events.py
+++ b/borageworks/events.py
@@ -25,6 +25,8 @@
     ACCEPT_FAILED = (108, "accept_failed")
     ADMISSION_LIMITED = (109, "admission_limited")
     ADMISSION_OPENED = (110, "admission_opened")
+    CROWDING_BEGAN = (111, "crowding_began")
+    CROWDING_ENDED = (112, "crowding_ended")
     CATALOG_CHANGED = (201, "catalog_changed")
     CATALOG_BEHIND = (202, "catalog_behind")
     DEPLOYMENT_CHANGED = (203, "deployment_changed")
--- a/borageworks/gateway/admission.py
+++ b/borageworks/gateway/admission.py
@@ -24,6 +24,12 @@
 LEAST_LEVEL = 0.05
 # A limit that is this many times the largest rate asked for limits nobody.
 RELEASE_RATIO = 1.5
+# An overload or refusals of this length are no burst: only fewer callers help.
+LASTING_S = 1.0
+# Pauses up to this length do not end it: each refusal relieves the loop for a moment.
+CALM_S = 1.0
+# Refusing less than this part of the requests is no reason to send callers elsewhere.
+REFUSED_PART = 0.05
 # Organisations that ask for less, in requests a second, are forgotten.
 FORGOTTEN_RATE = 0.001
 
@@ -34,6 +40,7 @@
 
     asked: float = 0.0
     taken: float = 0.0
+    refused: float = 0.0
     at: float = -math.inf
     tokens: float = 1.0
 
@@ -43,6 +50,7 @@
         faded = math.exp(-passed / RATE_MEMORY_S)
         self.asked *= faded
         self.taken *= faded
+        self.refused *= faded
         self.at = now
         burst = max(level * BURST_S, 1.0)
         refilled = level * passed if math.isfinite(level) else burst
@@ -68,6 +76,11 @@
         self._level = math.inf
         self._uses: dict[str, _Use] = {}
         self._measured_at = -math.inf
+        # Refusals since the last measurement.
+        self._refused = 0
+        self._pressed_since: float | None = None
+        self._pressed_at = -math.inf
+        self._crowded = False
         self._subscription: Subscription | None = None
 
     @property
@@ -78,7 +91,7 @@
     @property
     def crowded(self) -> bool:
         """Whether the overload lasts, so that new callers should go elsewhere."""
-        return self._lag.lasting
+        return self._crowded
 
     def start(self, timers: Timers) -> None:
         """Begin to follow the loop's lag."""
@@ -98,6 +111,8 @@
         use.asked += 1.0
         if math.isfinite(self._level):
             if use.tokens < 1.0:
+                use.refused += 1.0
+                self._refused += 1
                 return False
             use.tokens -= 1.0
         use.taken += 1.0
@@ -114,6 +129,7 @@
             self._raise(passed)
         for use in self._uses.values():
             use.advance(now, self._level)
+        self._follow_pressure(now)
         self._uses = {
             name: use
             for name, use in self._uses.items()
@@ -142,3 +158,25 @@
         if self._level > RELEASE_RATIO * max(asked, 1.0) / RATE_MEMORY_S:
             self._level = math.inf
             emit(Event.ADMISSION_OPENED, lag_s=round(self._lag.seconds, 4))
+
+    def _follow_pressure(self, now: float) -> None:
+        asked = sum(use.asked for use in self._uses.values())
+        refused = sum(use.refused for use in self._uses.values())
+        refusing = self._refused > 0 and refused > REFUSED_PART * asked
+        self._refused = 0
+        if self._lag.late or refusing:
+            self._pressed_at = now
+            if self._pressed_since is None:
+                self._pressed_since = now
+        elif now - self._pressed_at > CALM_S:
+            self._pressed_since = None
+        since = self._pressed_since
+        crowded = since is not None and self._pressed_at - since >= LASTING_S
+        if crowded != self._crowded:
+            self._crowded = crowded
+            emit(
+                Event.CROWDING_BEGAN if crowded else Event.CROWDING_ENDED,
+                asked_per_s=round(asked / RATE_MEMORY_S, 1),
+                refused_per_s=round(refused / RATE_MEMORY_S, 1),
+                lag_s=round(self._lag.seconds, 4),
+            )
--- a/borageworks/gateway/loop_lag.py
+++ b/borageworks/gateway/loop_lag.py
@@ -13,9 +13,6 @@
 # The mean follows within about this time, however many measurements fall into it: an
 # overloaded loop measures seldom.
 MEMORY_S = 0.2
-# An overload of this length is no burst. Callers stay on their connections; only new
-# ones can be sent elsewhere.
-LASTING_S = 1.0
 # Overload ends when the mean lag has fallen to this part of its limit.
 RELEASE_RATIO = 0.5
 
@@ -39,8 +36,6 @@
         self._mean = 0.0
         self._overloaded = False
         self._last = 0.0
-        self._overloaded_since: float | None = None
-        self._measured_at = 0.0
 
     @property
     def seconds(self) -> float:
@@ -57,12 +52,6 @@
         """Whether the loop lags, and still did when it was last measured."""
         return self._mean > self._limit_s and self._last > RELEASE_RATIO * self._limit_s
 
-    @property
-    def lasting(self) -> bool:
-        """Whether the overload has lasted, so that new callers should go elsewhere."""
-        since = self._overloaded_since
-        return since is not None and self._measured_at - since >= LASTING_S
-
     def start(self, timers: Timers) -> None:
         """Begin to measure."""
         self._expected = timers.now() + INTERVAL_S
@@ -87,10 +76,8 @@
         elif self._mean < RELEASE_RATIO * self._limit_s:
             overloaded = False
         self._last = lag
-        self._measured_at = now
         if overloaded != self._overloaded:
             self._overloaded = overloaded
-            self._overloaded_since = now if overloaded else None
             emit(
                 Event.OVERLOAD_BEGAN if overloaded else Event.OVERLOAD_ENDED,
                 lag_s=round(self._mean, 4),
