Give up answers that never end

What happened: blank lines, interim answers and the framing of chunks kept a request until its deadline and the loop busy (800 MB to 1 GB taken in 3 s); the body of a refusal was read whole into memory (1.1 GB in 3 s, the limit of an instance is 200 to 552 MB); an event without end was searched from its beginning with each read; the list of what an engine keeps had no bound.

Cause, and class: reads bounded in time but not in bytes. The HTTP library bounds lines and the number of headers, nothing else.

Change: connections to endpoints end after 64 KiB that bring no answer closer, for the gateway and the product's own endpoint clients; events of a stream, bodies of refusals and news of engines' memory have bounds. A refusal stays a refusal, whatever its body does: its head has said so.

Looked for elsewhere: the rest of a plain answer and the callers' bodies were bounded already. The stores' clients and the copy from other instances are bounded in time only, which is left open: they are not engines.

--- a/borageworks/endpoints/failures.py
+++ b/borageworks/endpoints/failures.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from borageworks.endpoints.bounded import AnswerOverheadError
 from borageworks.exceptions import (
     EndpointDisconnectedError,
     EndpointReplyIncompleteError,
@@ -35,6 +36,8 @@
         raise EndpointTimeoutError(
             f"endpoint {endpoint!r}: no complete answer in time"
         ) from error
+    except AnswerOverheadError as error:
+        raise EndpointReplyMalformedError(f"endpoint {endpoint!r}: {error}") from error
     except aiohttp.ClientPayloadError as error:
         raise EndpointReplyIncompleteError(f"endpoint {endpoint!r}: {error}") from error
     except aiohttp.ClientResponseError as error:
--- a/borageworks/endpoints/limits.py
+++ b/borageworks/endpoints/limits.py
@@ -9,9 +9,18 @@
 MAX_ANSWER_BYTES = 64 * 1_048_576
 
 
-async def read_bounded(response: aiohttp.ClientResponse) -> bytes:
+async def read_bounded(
+    response: aiohttp.ClientResponse, limit: int = MAX_ANSWER_BYTES
+) -> bytes:
     """Return the whole body.
 
+    Parameters
+    ----------
+    response
+        Answer whose head has arrived.
+    limit
+        Largest body in bytes.
+
     Raises
     ------
     EndpointReplyMalformedError
@@ -21,8 +30,8 @@
     size = 0
     async for part in response.content.iter_any():
         size += len(part)
-        if size > MAX_ANSWER_BYTES:
+        if size > limit:
             response.close()
-            raise EndpointReplyMalformedError(f"answer over {MAX_ANSWER_BYTES} bytes")
+            raise EndpointReplyMalformedError(f"answer over {limit} bytes")
         parts.append(part)
     return b"".join(parts)
--- a/borageworks/endpoints/transport.py
+++ b/borageworks/endpoints/transport.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from borageworks.catalog.objects import Endpoint
+from borageworks.endpoints.bounded import BoundedConnector
 from borageworks.endpoints.call import Call
 from borageworks.endpoints.failures import typed_failures
 from borageworks.endpoints.progress import Progress
@@ -43,9 +44,9 @@
     async def start(self) -> None:
         """Create the client sessions on the running loop."""
         self._pooled = self._session(
-            aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
+            BoundedConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
         )
-        self._fresh = self._session(aiohttp.TCPConnector(limit=0, force_close=True))
+        self._fresh = self._session(BoundedConnector(limit=0, force_close=True))
 
     async def stop(self) -> None:
         """Close all connections."""
--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -11,6 +11,7 @@
 
 from borageworks.api.sink import ResponseSink
 from borageworks.endpoints.headers import end_to_end
+from borageworks.endpoints.limits import read_bounded
 from borageworks.events import Event, emit
 from borageworks.exceptions import (
     AnswerLostError,
@@ -46,6 +47,10 @@
 CONNECT_TRIES = 3
 # Answers up to this size are passed on only when they are whole.
 WHOLE_BYTES = 1 << 20
+# The body of a refusal tells callers nothing. A longer or later one is not worth the
+# connection that reading it keeps.
+REFUSAL_BYTES = 65_536
+REFUSAL_BODY_S = 0.1
 BUSY_RETRY_S = 0.2
 OK_STATUSES = range(200, 300)
 SERVER_ERRORS = range(500, 600)
@@ -323,7 +328,7 @@
     async def _refused(
         self, endpoint: Endpoint, head: AnswerHead, response: aiohttp.ClientResponse
     ) -> None:
-        await response.read()
+        await self._drop_body(endpoint, response)
         self._metrics.count("endpoint_refusals", str(head.status))
         if head.other_endpoint:
             self._directory.mark_gone(endpoint.id)
@@ -337,6 +342,24 @@
                 f"endpoint {endpoint.id!r} has no room", retry_after=BUSY_RETRY_S
             )
 
+    async def _drop_body(
+        self, endpoint: Endpoint, response: aiohttp.ClientResponse
+    ) -> None:
+        """Read the rest of a refusal, so that its connection can be used again.
+
+        Its head has said that the request did not run, whatever follows.
+        """
+        try:
+            async with asyncio.timeout(REFUSAL_BODY_S):
+                await read_bounded(response, REFUSAL_BYTES)
+        except (
+            aiohttp.ClientError,
+            EndpointReplyMalformedError,
+            TimeoutError,
+        ) as error:
+            response.close()
+            self._metrics.count("endpoint_refusals_unread", type(error).__name__)
+
     async def _pass_whole(
         self, response: aiohttp.ClientResponse, head: AnswerHead, work: Work
     ) -> bool:
@@ -379,15 +402,16 @@
                 if self.first_part_s is None:
                     self.first_part_s = self._loop.time() - self._exchange.received_at
                     self._metrics.observe("first_event", self.first_part_s, self.route)
+            events = splitter.feed(data)
             if not whole_events:
                 await self._sink.write(data)
                 continue
-            for event in splitter.feed(data):
+            for event in events:
                 if event.id is not None:
                     self._check_order(endpoint, event.id)
                     self._last_event = event.id
                 await self._sink.write(event.data)
-        if splitter.rest:
+        if whole_events and splitter.rest:
             raise EndpointReplyIncompleteError(
                 f"endpoint {endpoint.id!r} stopped inside an event"
             )
--- a/borageworks/gateway/memory_follower.py
+++ b/borageworks/gateway/memory_follower.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from borageworks.endpoints.limits import read_bounded
 from borageworks.exceptions import EndpointFailedError, EndpointReplyMalformedError
 from borageworks.gateway.codec import Codec
 from borageworks.gateway.endpoint import Endpoint
@@ -17,6 +18,8 @@
 WAIT_MS = 1000
 CALL_TIMEOUT_S = 1.6
 RETRY_S = 0.5
+# Several times the list of an engine whose whole memory is kept parts.
+MAX_NEWS_BYTES = 4 * 1_048_576
 OK = 200
 
 
@@ -108,7 +111,7 @@
                 endpoint, "GET", target, headers, None, fresh=False
             ) as response,
         ):
-            data = await response.read()
+            data = await read_bounded(response, MAX_NEWS_BYTES)
             if response.status != OK:
                 raise EndpointReplyMalformedError(
                     f"endpoint {endpoint.id!r}: status {response.status}"
--- a/borageworks/gateway/upstream.py
+++ b/borageworks/gateway/upstream.py
@@ -8,6 +8,7 @@
 import aiohttp
 import yarl
 
+from borageworks.endpoints.bounded import BoundedConnector
 from borageworks.endpoints.failures import typed_failures
 from borageworks.endpoints.single_attempt import SingleAttempt
 from borageworks.endpoints.sockets import open_socket
@@ -38,12 +39,12 @@
     def start(self) -> None:
         """Create the client sessions on the running loop."""
         self._kept = _session(
-            aiohttp.TCPConnector(
+            BoundedConnector(
                 limit=0, keepalive_timeout=KEEPALIVE_S, socket_factory=open_socket
             )
         )
         self._fresh = _session(
-            aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=open_socket)
+            BoundedConnector(limit=0, force_close=True, socket_factory=open_socket)
         )
 
     async def stop(self) -> None:
