Flood the gateway from a process of its own

The test of a small organisation beside a flood failed once in four runs beside eight busy processes. Traced: its endpoints shared a process with 600 callers of the flood, so the gateway could not connect to them within 1.2 s and refused with 'no endpoint is usable' (18 of 60); none of these refusals came from admission. The flood now runs in its own process; checks and bounds are unchanged.

--- a/borageworks_emulator/platform/tests/test_entry_overload.py
+++ b/borageworks_emulator/platform/tests/test_entry_overload.py
@@ -1,7 +1,6 @@
 """Tests of one gateway process that gets more requests than it can handle."""
 
 import asyncio
-import re
 import tempfile
 from pathlib import Path
 
@@ -12,16 +11,9 @@
 from borageworks_emulator.platform.engine import Behaviour, EmulatedEndpoint
 from borageworks_emulator.platform.harness import DESK, HOST, configuration
 from borageworks_emulator.platform.store import EmulatedPlatformStore
+from borageworks_emulator.process import Program
 from borageworks_emulator.soak.gateway_process import GatewayProcess
 
-FLOOD_REQUEST = (
-    "GET /look/%d HTTP/1.1\r\n"
-    f"Host: {HOST}\r\n"
-    "Authorization: Token flood\r\n"
-    "X-Borageworks-Attempt-Id: f%d-%d\r\n"
-    "X-Borageworks-Deadline-Remaining: 3000\r\n\r\n"
-)
-LENGTH = re.compile(rb"content-length: (\d+)", re.IGNORECASE)
 READY_LIMIT_S = 20.0
 POLL_S = 0.1
 # Callers of the flood ask again at once; so many keep any instance busy.
@@ -106,73 +98,19 @@
             return 0, {}
 
 
-class FloodCaller(asyncio.Protocol):
-    """Connection that asks again as soon as it has an answer.
-
-    It costs a small part of what the gateway does for a request, so that the gateway is
-    the first to have more work than it can do, however busy the machine is.
-    """
-
-    def __init__(self, number):
-        self.transport = None
-        self.closed = asyncio.Event()
-        self._number = number
-        self._asked = 0
-        self._received = b""
-
-    def connection_made(self, transport):
-        self.transport = transport
-        self._ask()
-
-    def connection_lost(self, _error):
-        self.closed.set()
-
-    def data_received(self, data):
-        self._received += data
-        head, end, body = self._received.partition(b"\r\n\r\n")
-        length = LENGTH.search(head)
-        if end and length and len(body) >= int(length[1]):
-            self._received = b""
-            self._ask()
-
-    def _ask(self):
-        self._asked += 1
-        request = FLOOD_REQUEST % (self._asked, self._number, self._asked)
-        assert self.transport is not None
-        self.transport.write(request.encode())
-
-
-async def keep_flooding(site, number):
-    """Keep one connection of the flood open."""
-    loop = asyncio.get_running_loop()
-    host, port = "127.0.0.1", site.gateway.ports[0]
-    while True:
-        try:
-            transport, caller = await loop.create_connection(
-                lambda: FloodCaller(number), host, port
-            )
-        except OSError:
-            await asyncio.sleep(POLL_S)
-            continue
-        try:
-            await caller.closed.wait()
-        finally:
-            transport.abort()
-
-
-async def flooded(site, during):
+async def flooded(site, directory, during):
     """Run `during` while one organisation floods the gateway."""
-    flood = [
-        asyncio.ensure_future(keep_flooding(site, number))
-        for number in range(FLOOD_CALLERS)
-    ]
+    arguments = [site.gateway.ports[0], FLOOD_CALLERS, HOST, "/look/", "flood"]
+    flood = Program(
+        ["-m", "borageworks_emulator.platform.flood", *map(str, arguments)],
+        directory / "flood.out",
+    )
+    await flood.start()
     try:
         await asyncio.sleep(WARM_UP_S)
         return await during
     finally:
-        for caller in flood:
-            caller.cancel()
-        await asyncio.gather(*flood, return_exceptions=True)
+        await flood.end()
 
 
 class EntryOverloadTest(TestCase):
@@ -180,7 +118,7 @@
         async def play():
             with tempfile.TemporaryDirectory() as directory:
                 async with Site(Path(directory)) as site:
-                    return await flooded(site, scenario(site))
+                    return await flooded(site, Path(directory), scenario(site))
 
         return asyncio.run(play())
 
