Keep log lines about the process when those about requests are too many

What on-call saw: of the 18 changes of overload of an instance in 34 s, and of the limits and crowding that follow from them, single lines were missing from its log, left out among some hundred lines a second about requests.

Cause: one budget for all lines.

Change: 100 further lines that only events about the process itself may use.

Test: LogWriterTest.test_lines_about_the_process_survive_a_storm, which failed before (last line 405 instead of 106).

--- a/borageworks/logs.py
+++ b/borageworks/logs.py
@@ -18,13 +18,30 @@
 # About twice the lines of an instance at its usual load; bounds the cost of a storm.
 LINES_PER_S = 200.0
 BURST_LINES = 600.0
+# Further lines that only those about the process itself may use. Lines about single
+# requests come by the hundred when something is wrong and would crowd them out.
+RESERVED_LINES = 100.0
+REQUEST_EVENTS = frozenset(
+    event.number
+    for event in (
+        Event.REQUEST_REFUSED,
+        Event.REQUEST_RETRIED,
+        Event.ANSWER_DROPPED,
+        Event.ANSWER_CUT,
+        Event.REQUEST_ENDED,
+        Event.ATTEMPT_FAILED,
+        Event.REQUEST_PLACED,
+        Event.PLACED_ALONE,
+    )
+)
 
 
 class LogWriter:
     """Destination of log messages that never waits.
 
-    Lines over the rate, or beyond the buffer, are dropped and counted; the next line
-    that is written is preceded by one with their number.
+    Lines over the rate, or beyond the buffer, are dropped and counted, those about
+    single requests first; the next line that is written is preceded by one with their
+    number.
 
     Parameters
     ----------
@@ -41,7 +58,7 @@
         self._descriptor = descriptor
         self._metrics = metrics
         self._lines: deque[bytes] = deque()
-        self._tokens = BURST_LINES
+        self._tokens = BURST_LINES + RESERVED_LINES
         self._refilled_at = 0.0
         self._dropped = 0
         self._scheduled = False
@@ -64,10 +81,12 @@
         assert self._loop is not None
         now = self._loop.time()
         self._tokens = min(
-            self._tokens + (now - self._refilled_at) * LINES_PER_S, BURST_LINES
+            self._tokens + (now - self._refilled_at) * LINES_PER_S,
+            BURST_LINES + RESERVED_LINES,
         )
         self._refilled_at = now
-        if self._tokens < 1.0 or len(self._lines) >= MAX_BUFFERED_LINES:
+        reserved = RESERVED_LINES if message.get("event") in REQUEST_EVENTS else 0.0
+        if self._tokens < 1.0 + reserved or len(self._lines) >= MAX_BUFFERED_LINES:
             self._dropped += 1
             self._metrics.count("log_lines_dropped")
             return
--- a/borageworks/tests/test_logs.py
+++ b/borageworks/tests/test_logs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import tempfile
 
 import eliot
 import orjson
@@ -62,6 +63,26 @@
         self.assertTrue(excess - allowed <= dropped <= excess, (dropped, allowed))
         self.assertTrue(BURST_LINES < MAX_BUFFERED_LINES)
 
+    def test_lines_about_the_process_survive_a_storm(self):
+        """Guards against an incident in which the change of state has no line."""
+
+        async def main(file):
+            log = LogWriter(file.fileno(), Metrics(), "edge-1")
+            log.start()
+            try:
+                for number in range(2 * int(BURST_LINES)):
+                    emit(Event.REQUEST_ENDED, request_id=str(number))
+                emit(Event.OVERLOAD_BEGAN)
+            finally:
+                log.stop()
+
+        with tempfile.TemporaryFile() as file:
+            asyncio.run(main(file))
+            file.seek(0)
+            events = [orjson.loads(row)["event"] for row in file.read().splitlines()]
+        self.assertEqual(Event.OVERLOAD_BEGAN.number, events[-1])
+        self.assertIn(Event.LOG_LINES_DROPPED.number, events)
+
     def test_reader_that_stops_does_not_block(self):
         """Guards against a loop that waits for whoever reads the log."""
         _, taken, _ = self.write(int(BURST_LINES), False)
