Let the soak's balancer pick gateways by a hash of the caller

Now an address keeps its gateway while that is in rotation, as on the platform, and the flood at the end of each soak comes from one address.

--- a/borageworks_emulator/soak/balancer.py
+++ b/borageworks_emulator/soak/balancer.py
@@ -8,6 +8,8 @@
 
 import aiohttp
 
+from borageworks.routing.rendezvous import rendezvous
+
 CHECK_INTERVAL_S = 1.0
 MISSES_UNTIL_OUT = 2
 
@@ -20,18 +22,24 @@
     status_urls
         Address for readiness by gateway.
     rng
-        Source of choices.
+        Draws the salt of the hash.
     """
 
     def __init__(self, status_urls: Mapping[str, str], rng: random.Random) -> None:
         self._urls = status_urls
-        self._rng = rng
+        self._salt = rng.random()
         self._misses = dict.fromkeys(status_urls, MISSES_UNTIL_OUT)
 
-    def pick(self) -> str:
-        """Return a gateway in rotation, or any if none is."""
+    def pick(self, address: str) -> str:
+        """Return a caller's gateway, by a hash of its address.
+
+        It is one of those in rotation, or of all if none is. An address keeps its
+        gateway while that stays in rotation.
+        """
         ready = [name for name, count in self._misses.items() if not self._out(count)]
-        return self._rng.choice(ready or list(self._misses))
+        gateway = rendezvous(f"{self._salt}/{address}", ready or self._misses)
+        assert gateway is not None
+        return gateway
 
     async def run(self) -> None:
         """Check all gateways once a second until cancelled."""
--- a/borageworks_emulator/soak/caller.py
+++ b/borageworks_emulator/soak/caller.py
@@ -61,6 +61,8 @@
     ----------
     name
         Prefix of the ids of its requests.
+    address
+        What the balancer picks its gateway by; callers may share one.
     habit
         How it behaves.
     urls
@@ -72,6 +74,7 @@
     def __init__(
         self,
         name: str,
+        address: str,
         habit: Habit,
         urls: Mapping[str, str],
         balancer: Balancer,
@@ -79,6 +82,7 @@
         rng: random.Random,
     ) -> None:
         self._name = name
+        self._address = address
         self._habit = habit
         self._urls = urls
         self._balancer = balancer
@@ -89,7 +93,7 @@
     async def run(self) -> None:
         """Send requests until cancelled."""
         while True:
-            gateway = self._balancer.pick()
+            gateway = self._balancer.pick(self._address)
             async with _session() as session:
                 for _ in range(self._rng.randint(1, REQUESTS_PER_CONNECTION)):
                     leaves = self._rng.random() < LEAVING_RATIO
--- a/borageworks_emulator/soak/soak.py
+++ b/borageworks_emulator/soak/soak.py
@@ -41,6 +41,7 @@
 ROUTES = {"resume": 5.0, "once": 2.0, "book": 2.0, "look": 1.0, "open": 1.0}
 PAUSE_S = 0.25
 FLOOD_PAUSE_S = 0.1
+FLOOD_ADDRESS = "flood"
 # Time that the gateways need to learn of the last changes before the flood begins.
 SETTLE_S = 1.0
 
@@ -188,9 +189,10 @@
                 habit = Habit(organisation, key, ROUTES, PAUSE_S, number % 2 == 0)
                 self._spawn(self._caller(f"{organisation}-{number}", habit).run())
 
-    def _caller(self, name: str, habit: Habit) -> Caller:
+    def _caller(self, name: str, habit: Habit, address: str | None = None) -> Caller:
         return Caller(
             name,
+            address or name,
             habit,
             {name: gateway.url for name, gateway in self._gateways.items()},
             self._balancer,
@@ -221,14 +223,18 @@
         return loop.time() - ended_at
 
     async def _flood(self) -> None:
-        """Let one organisation flood the engines, and check what the others get."""
+        """Let one organisation flood the engines, and check what the others get.
+
+        All its callers are behind one address, so that they reach one gateway.
+        """
         organisation, key = next(iter(self._keys.items()))
         since = self._clock()
         for number in range(self._settings.flooding):
             habit = Habit(
                 organisation, key, {"resume": 1.0}, FLOOD_PAUSE_S, number % 2 == 0
             )
-            self._spawn(self._caller(f"flood-{number}", habit).run())
+            caller = self._caller(f"flood-{number}", habit, FLOOD_ADDRESS)
+            self._spawn(caller.run())
         await asyncio.sleep(self._settings.calm_s)
         unfair = unfair_organisations(
             self._promises.calls, self._ran, since, self._clock()
