Let no organisation use up the retries of an instance

An organisation whose requests keep failing used all retries to a service, and a request of another one that broke off once got an error.

Change: where several organisations ask, one may use half of the budget, or its part of the requests if that is more. The budget as a whole is the same.

Tests: test_failures_of_one_organisation_leave_retries_to_others; on the code before, the failing organisation gets all 15 retries of that test and the other one none. test_single_organisation_has_the_whole_budget.

Looked at besides: placement takes turns by organisation; the routers' queue has a bound for each organisation; the queue of new connections (128) and the bytes of bodies in memory know no organisation and stay as they are.

--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -179,7 +179,7 @@
                 self._placer,
                 self._upstream,
                 self._metrics,
-                lambda: self._retries.take(exchange.service),
+                lambda: self._retries.take(exchange.service, organisation),
             )
             await runner.run()
         except RefusalError as refusal:
@@ -230,7 +230,7 @@
         if call.patience_s is not None:
             patience = min(patience, call.patience_s)
         service = self._pick_service(route)
-        self._retries.record_request(service)
+        self._retries.record_request(service, organisation or NO_ORGANISATION)
         return Exchange(
             request=call,
             host_header=http.headers.get("Host", ""),
--- a/borageworks/gateway/retries.py
+++ b/borageworks/gateway/retries.py
@@ -38,13 +38,14 @@
                 settings.retry_window_s, settings.retry_ratio, settings.retry_extra
             )
 
-    def record_request(self, service: str) -> None:
+    def record_request(self, service: str, organisation: str) -> None:
         """Count a caller's request to a service."""
-        self._window(service).record_request(self._timers.now())
+        self._window(service).record_request(self._timers.now(), organisation)
 
-    def take(self, service: str) -> bool:
-        """Count one more attempt if the budget allows it."""
-        return self._window(service).take(self._timers.now(), self._instances())
+    def take(self, service: str, organisation: str) -> bool:
+        """Count one more attempt for an organisation if the budget allows it."""
+        window = self._window(service)
+        return window.take(self._timers.now(), self._instances(), organisation)
 
     def _window(self, service: str) -> RetryWindow:
         window = self._windows.get(service)
--- a/borageworks/placement/tests/test_parts.py
+++ b/borageworks/placement/tests/test_parts.py
@@ -121,6 +121,24 @@
 
         check()
 
+    def test_failures_of_one_organisation_leave_retries_to_others(self):
+        """Guards against a budget that whoever fails first uses up for all."""
+        window = RetryWindow(10.0, 0.2, 20.0)
+        for number in range(100):
+            window.record_request(0.01 * number, "failing" if number % 2 else "other")
+        taken = sum(window.take(2.0, 4, "failing") for _ in range(100))
+        allowed = SAFETY * (0.2 * 100 + 5.0)
+        self.assertEqual(int(allowed / 2), taken)
+        self.assertTrue(window.take(2.0, 4, "other"))
+
+    def test_single_organisation_has_the_whole_budget(self):
+        """Guards against retries that are kept for nobody."""
+        window = RetryWindow(10.0, 0.2, 20.0)
+        for number in range(100):
+            window.record_request(0.01 * number, "only")
+        taken = sum(window.take(2.0, 4, "only") for _ in range(100))
+        self.assertEqual(int(SAFETY * (0.2 * 100 + 5.0)), taken)
+
 
 class ShardsTest(TestCase):
     def test_every_endpoint_is_in_one_shard_and_shards_are_even(self):
