Keep the pool's virtual time behind organisations that still wait

Cause: placement picks by engine, so requests are not served in the order of their virtual times. Each service moved the pool's virtual time to the tag of the organisation served, past those that waited for other engines. Whoever came back re-entered at that time, behind the backlog of the floods. Class: a common clock that is advanced by work done out of order.

Change: service without take moves the clock no further than the least tag that waits.

A failed try, reverted: letting the request that is next at its engine wait until its aim.

--- a/borageworks/fair/queue.py
+++ b/borageworks/fair/queue.py
@@ -108,9 +108,14 @@
         """Note that a request of the organisation is served without `take`.
 
         For callers that pick by `virtual_time`, since not every waiting request fits
-        the place that is free.
+        the place that is free. The pool's virtual time stays behind organisations that
+        still wait: one that comes back must not queue behind them.
         """
-        self._virtual_time = max(self._virtual_time, self.virtual_time(organisation))
+        tag = self.virtual_time(organisation)
+        behind = self._heap.least()
+        if behind is not None:
+            tag = min(tag, self._accounts[behind].virtual_time)
+        self._virtual_time = max(self._virtual_time, tag)
 
     def charge(self, organisation: str, units: float) -> None:
         """Add service units to an organisation; a refund is negative.
--- a/borageworks/fair/tests/test_queue.py
+++ b/borageworks/fair/tests/test_queue.py
@@ -207,3 +207,17 @@
     def test_share_must_be_positive(self):
         """Guards against a division by zero on the next charge."""
         self.assertRaises(ValueError, FairQueue().set_share, "a", 0.0)
+
+
+class ServedOutOfOrderTest(testtools.TestCase):
+    def test_service_out_of_order_does_not_put_newcomers_behind_those_that_wait(self):
+        """Guards against a pool whose virtual time outruns its backlog."""
+        queue = FairQueue()
+        queue.charge("large", 1000.0)
+        queue.set_demand(0.0, "e1", "waiting", 1)
+        queue.serve("large")
+        queue.charge("waiting", 10.0)
+        self.assertTrue(
+            queue.virtual_time("newcomer") < queue.virtual_time("waiting"),
+            (queue.virtual_time("newcomer"), queue.virtual_time("waiting")),
+        )
--- a/borageworks/placement/tests/builders.py
+++ b/borageworks/placement/tests/builders.py
@@ -85,6 +85,7 @@
     read_tokens: float = 0.0
     busy_until: dict[str, float] = field(default_factory=dict)
     slow: dict[str, float] = field(default_factory=dict)
+    read_tokens_per_s: float = READ_TOKENS_PER_S
     _works: dict[WorkKey, tuple[Work, float]] = field(default_factory=dict)
     _events: list[tuple[float, int, str, WorkKey]] = field(default_factory=list)
 
@@ -116,7 +117,7 @@
                 case Placed(endpoint=name, unread_tokens=unread):
                     self.read_tokens += unread
                     start = max(self.busy_until.get(name, 0.0), self.now)
-                    start += unread * self.slow.get(name, 1.0) / READ_TOKENS_PER_S
+                    start += unread * self.slow.get(name, 1.0) / self.read_tokens_per_s
                     self.busy_until[name] = start
                     self._push(start, "start", decision.key)
                     self._push(start + GENERATE_S, "end", decision.key)
--- a/borageworks/placement/tests/test_load_patterns.py
+++ b/borageworks/placement/tests/test_load_patterns.py
@@ -1,6 +1,7 @@
 """Tests of placement under the loads that hurt most, one pattern each."""
 
 import random
+from collections import Counter
 
 from testtools import TestCase
 
@@ -14,8 +15,10 @@
     work,
 )
 
+STEP_S = 0.05
 
-def play(fleet, seconds, arrivals, step_s=0.05):
+
+def play(fleet, seconds, arrivals, step_s=STEP_S):
     """Submit what `arrivals(step)` returns, every step."""
     for step in range(int(seconds / step_s)):
         for request in arrivals(step):
@@ -178,3 +181,36 @@
             fleet.submit(work(prompt(own=3000), aim_s=2.0))
         counts = sorted(len(s.running) for s in dispatcher.endpoints.values())
         self.assertTrue(counts[-1] <= 3, counts)
+
+    def test_many_small_organisations_beside_floods_of_requests_of_all_sizes(self):
+        """Guards against small organisations that queue behind those that flood."""
+        rng = random.Random(1)
+        dispatcher = engine_dispatcher(14, 444_000, 60_000)
+        fleet = Fleet(dispatcher, read_tokens_per_s=60_000.0)
+        small = [f"small-{number}" for number in range(20)]
+        rates = {"flood": 345, "flood2": 70, "a": 20, "b": 14, "c": 9}
+        rates |= dict.fromkeys(small, 1)
+        asked: Counter[str] = Counter()
+
+        def request(organisation):
+            asked[organisation] += 1
+            own = int(min(max(rng.lognormvariate(7.7, 1.0), 100), 50_000))
+            generated = int(min(rng.expovariate(0.01) + 5, 480))
+            shared = rng.choice((350, 6300, 13_300))
+            about = f"{shared}-p{rng.randrange(350)}"
+            return work(prompt(own, shared, about, generated), organisation)
+
+        def arrivals(_step):
+            return [
+                request(name)
+                for name, rate in rates.items()
+                for _ in range(rate)
+                if rng.random() < STEP_S
+            ]
+
+        play(fleet, 10, arrivals)
+        self.assertTrue(fleet.refused["flood"] > 0.5 * asked["flood"], asked)
+        wanted = sum(asked[name] for name in small)
+        refused = sum(fleet.refused.get(name, 0) for name in small)
+        # They ask for less than their share, which they are owed whole.
+        self.assertTrue(refused <= 0.1 * wanted, (refused, wanted))
