--- a/borageworks_emulator/platform/endless.py
+++ b/borageworks_emulator/platform/endless.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from borageworks_emulator.platform.engine import REQUEST_ID, SEAL
+from borageworks_emulator.platform.engine import REQUEST_ID, SEAL, endpoint_entry
 
 BLOCK_BYTES = 64 * 1024
 HEAD_END = b"\r\n\r\n"
@@ -89,18 +89,7 @@
 
     def entry(self, service: str) -> bytes:
         """Return the entry with which it registers itself."""
-        return orjson.dumps(
-            {
-                "service": service,
-                "address": f"{self.address[0]}:{self.address[1]}",
-                "zone": "zone-a",
-                "version": "v1",
-                "slots": 8,
-                "state": "ready",
-                "cold_ms": 0,
-                "seq": 1,
-            }
-        )
+        return endpoint_entry(self.address, service)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/borageworks_emulator/platform/engine.py
+++ b/borageworks_emulator/platform/engine.py
@@ -130,18 +130,7 @@
 
     def entry(self, service: str, *, state: str = "ready", slots: int = 8) -> bytes:
         """Return the entry with which it registers itself."""
-        return orjson.dumps(
-            {
-                "service": service,
-                "address": f"{self.address[0]}:{self.address[1]}",
-                "zone": "zone-a",
-                "version": "v1",
-                "slots": slots,
-                "state": state,
-                "cold_ms": 0,
-                "seq": 1,
-            }
-        )
+        return endpoint_entry(self.address, service, state, slots)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == "/kv-list":
@@ -236,6 +225,24 @@
     transport.abort()
 
 
+def endpoint_entry(
+    address: tuple[str, int], service: str, state: str = "ready", slots: int = 8
+) -> bytes:
+    """Return the entry with which an endpoint registers itself."""
+    return orjson.dumps(
+        {
+            "service": service,
+            "address": f"{address[0]}:{address[1]}",
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": slots,
+            "state": state,
+            "cold_ms": 0,
+            "seq": 1,
+        }
+    )
+
+
 def event_bytes(event: int, identity: str = "") -> bytes:
     """Return one event of a stream."""
     return f"id: {event}\ndata: {event}{identity}\n\n".encode()
