--- a/borageworks/endpoints/bounded.py
+++ b/borageworks/endpoints/bounded.py
@@ -24,8 +24,6 @@
     bound blank lines and interim answers before an answer, nor the framing of chunks.
     """
 
-    # Unlike its parent it has a dictionary, for the two attributes below.
-
     def __init__(self, loop: Any) -> None:
         super().__init__(loop)
         self._overhead = 0
