Close idle connections of callers before descriptors run out

Cause: the connection of a refused request stays open beside that of its retry, so an instance came to 4,016 of its 4,100 descriptors with nothing to do. Change: the settings' descriptor limit bounds the connections of callers, half of what the links leave, so that each request finds a descriptor for its endpoint. Beyond it the longest idle connection is closed; from three quarters on, responses close theirs; with nine tenths in use by requests the instance reports not ready.

--- a/borageworks/api/connection.py
+++ b/borageworks/api/connection.py
@@ -17,6 +17,7 @@
 KEEP_ALIVE_TIMEOUT_S = 3630.0
 
 RefusalCounter = Callable[[RefusalError], None]
+LostCallback = Callable[["CallerConnection"], None]
 
 
 class CallerConnection(web.RequestHandler):
@@ -26,7 +27,7 @@
     the same problem details as for every other refusal, and counts the refusal.
     """
 
-    __slots__ = ("_count_refusal", "request_in_progress")
+    __slots__ = ("_count_refusal", "_on_lost", "request_in_progress")
 
     def __init__(
         self,
@@ -36,6 +37,7 @@
         *,
         max_line_bytes: int = MAX_LINE_BYTES,
         idle_timeout_s: float = KEEP_ALIVE_TIMEOUT_S,
+        on_lost: LostCallback | None = None,
     ) -> None:
         super().__init__(
             server,
@@ -47,8 +49,15 @@
             auto_decompress=False,
         )
         self._count_refusal = count_refusal
+        self._on_lost = on_lost
         self.request_in_progress = False
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Handle the end of the connection."""
+        super().connection_lost(exc)
+        if self._on_lost is not None:
+            self._on_lost(self)
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress on it."""
         if not self.request_in_progress and self.transport is not None:
--- /dev/null
+++ b/borageworks/gateway/connection_limit.py
@@ -0,0 +1,94 @@
+"""Keeps the callers' connections of an instance within its file descriptors."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Hashable
+from typing import Generic, TypeVar
+
+# Files and sockets that are not connections: the platform keeps 200 for files, and the
+# process listens on four addresses.
+RESERVED_DESCRIPTORS = 204
+# A request needs a connection to its caller and one to an endpoint.
+DESCRIPTORS_PER_REQUEST = 2
+# Above this fraction of the limit, callers are told to close their connections.
+CLOSE_RATIO = 0.75
+# Above this fraction of the limit in use by requests, new callers are sent elsewhere.
+FULL_RATIO = 0.9
+
+Connection = TypeVar("Connection", bound=Hashable)
+
+
+def max_caller_connections(max_descriptors: int, instances: int) -> int:
+    """Return how many connections of callers fit beside all other descriptors.
+
+    Parameters
+    ----------
+    max_descriptors
+        Open files that the process may have.
+    instances
+        Number of instances, each of which has a link to this one.
+    """
+    free = max_descriptors - RESERVED_DESCRIPTORS - instances
+    return max(free // DESCRIPTORS_PER_REQUEST, 1)
+
+
+class ConnectionLimit(Generic[Connection]):
+    """Decides which callers' connections are closed when descriptors run short.
+
+    Callers may keep idle connections open for a long time, and those of a refused
+    request stay open beside the connection of its retry. Idle connections are closed
+    first, the longest idle one before the others.
+
+    Parameters
+    ----------
+    limit
+        Connections that may be open.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._idle: OrderedDict[Connection, None] = OrderedDict()
+        self._busy: set[Connection] = set()
+
+    @property
+    def count(self) -> int:
+        """Number of open connections."""
+        return len(self._idle) + len(self._busy)
+
+    @property
+    def closing(self) -> bool:
+        """Whether connections are to be closed after their next response."""
+        return self.count > CLOSE_RATIO * self._limit
+
+    @property
+    def full(self) -> bool:
+        """Whether nearly all connections are in use by requests."""
+        return len(self._busy) > FULL_RATIO * self._limit
+
+    def set_limit(self, limit: int) -> None:
+        """Set the number of connections that may be open."""
+        self._limit = limit
+
+    def open(self, connection: Connection) -> list[Connection]:
+        """Add a connection and return the idle ones to close for it."""
+        self._idle[connection] = None
+        excess = min(self.count - self._limit, len(self._idle) - 1)
+        return [self._idle.popitem(last=False)[0] for _ in range(excess)]
+
+    def begin_request(self, connection: Connection) -> None:
+        """Record that a request has arrived on an open connection."""
+        if connection in self._idle:
+            del self._idle[connection]
+            self._busy.add(connection)
+
+    def end_request(self, connection: Connection) -> None:
+        """Record that the response to a connection's request has been sent."""
+        if connection in self._busy:
+            self._busy.remove(connection)
+            self._idle[connection] = None
+
+    def close(self, connection: Connection) -> None:
+        """Remove a closed connection."""
+        self._idle.pop(connection, None)
+        self._busy.discard(connection)
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -27,6 +27,7 @@
 from borageworks.gateway.admission import Admission
 from borageworks.gateway.caller_request import CallerRequest
 from borageworks.gateway.codec import Codec
+from borageworks.gateway.connection_limit import ConnectionLimit
 from borageworks.gateway.deployment import Deployment
 from borageworks.gateway.directory import Directory
 from borageworks.gateway.exchange import Exchange, ExchangeRunner
@@ -64,6 +65,8 @@
         Returns the seconds since the store stopped replying, 0 while it replies.
     admission
         Decides which requests are admitted under overload.
+    connection_limit
+        Decides which connections of callers are closed to free descriptors.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         shutdown: Shutdown,
         store_outage_s: Callable[[], float],
         admission: Admission,
+        connection_limit: ConnectionLimit[CallerConnection],
     ) -> None:
         self._settings = settings
         self._codec = codec
@@ -89,6 +93,7 @@
         self._shutdown = shutdown
         self._store_outage_s = store_outage_s
         self._admission = admission
+        self._connection_limit = connection_limit
         self._rng = random.Random()
         self._server: web.Server | None = None
         self._acceptor: Acceptor | None = None
@@ -137,13 +142,18 @@
         assert self._server is not None
         deployment = self._directory.deployment
         limits = deployment.limits if deployment is not None else None
-        return CallerConnection(
+        connection = CallerConnection(
             self._server,
             asyncio.get_running_loop(),
             self._count_refusal,
             max_line_bytes=limits.header_bytes if limits else INITIAL_MAX_HEADER_BYTES,
             idle_timeout_s=limits.idle_timeout_s if limits else INITIAL_IDLE_TIMEOUT_S,
+            on_lost=self._connection_limit.close,
         )
+        for idle in self._connection_limit.open(connection):
+            self._metrics.count("connections_closed", "descriptors")
+            idle.close_if_idle()
+        return connection
 
     def _count_refusal(self, refusal: RefusalError) -> None:
         self._metrics.count("refusals", refusal.code)
@@ -155,10 +165,12 @@
         protocol = http_request.protocol
         assert isinstance(protocol, CallerConnection)
         protocol.request_in_progress = True
+        self._connection_limit.begin_request(protocol)
         try:
             return await self._respond(http_request, received_at)
         finally:
             protocol.request_in_progress = False
+            self._connection_limit.end_request(protocol)
             self._running -= 1
 
     async def _respond(
@@ -173,7 +185,11 @@
         request = self._codec.decode_request(
             http_request.method, http_request.raw_path, http_request.headers
         )
-        sink = ResponseSink(http_request, request.id, close_after=self._shutdown.begun)
+        sink = ResponseSink(
+            http_request,
+            request.id,
+            close_after=self._shutdown.begun or self._connection_limit.closing,
+        )
         runner: ExchangeRunner | None = None
         try:
             exchange = await self._prepare_exchange(http_request, request, received_at)
@@ -279,8 +295,12 @@
         return response
 
     def _close_unless_serving(self, response: web.Response) -> None:
-        """Close the connection if the next one would reach another instance."""
-        if self._shutdown.begun or self._admission.overloaded:
+        """Close the connection if the instance wants to have fewer of them."""
+        if (
+            self._shutdown.begun
+            or self._admission.overloaded
+            or self._connection_limit.closing
+        ):
             response.force_close()
 
     def _refuse_overloaded(self) -> web.Response:
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -9,10 +9,12 @@
 
 from aiohttp import web
 
+from borageworks.api.connection import CallerConnection
 from borageworks.events import Event, emit
 from borageworks.gateway.admission import Admission
 from borageworks.gateway.cache_follower import CacheFollower
 from borageworks.gateway.codec import Codec
+from borageworks.gateway.connection_limit import ConnectionLimit, max_caller_connections
 from borageworks.gateway.directory import Directory
 from borageworks.gateway.feed import Feed
 from borageworks.gateway.fleet import LINK_KEY, Fleet
@@ -138,6 +140,9 @@
         )
         self._loop_lag = LoopLag(settings, self._metrics)
         self._admission = Admission(self._loop_lag)
+        self._connection_limit = ConnectionLimit[CallerConnection](
+            self._max_caller_connections()
+        )
         self._frontend = Frontend(
             settings,
             self._codec,
@@ -149,6 +154,7 @@
             self._shutdown,
             self._store_outage_s,
             self._admission,
+            self._connection_limit,
         )
         await self._start_http_servers()
         await self._frontend.start()
@@ -226,11 +232,17 @@
                 if name is not None:
                     self._fleet.schedule_close(name)
             self._fleet.update()
+            self._connection_limit.set_limit(self._max_caller_connections())
         if self._key_name in change.puts:
             self._spawn(self._fleet.apply(change))
         self._placer.update()
         self._cache_follower.update()
 
+    def _max_caller_connections(self) -> int:
+        return max_caller_connections(
+            self._settings.max_descriptors, self._instances.count
+        )
+
     def _store_outage_s(self) -> float:
         failing = self._store.failing_since
         if failing is None:
@@ -288,6 +300,7 @@
             self._directory.deployment is not None
             and not self._shutdown.begun
             and not self._admission.overloaded
+            and not self._connection_limit.full
         )
         return web.Response(status=200 if ready else 503)
 
--- a/borageworks/gateway/settings.py
+++ b/borageworks/gateway/settings.py
@@ -32,6 +32,8 @@
         Address of the platform's store.
     capacity
         Processor capacity of the instance, in cores.
+    max_descriptors
+        Files and sockets that the process may have open.
     config_apply_s
         Maximum time until a new configuration is applied.
     recovery_grace_s
@@ -60,6 +62,7 @@
     seeds: tuple[HostPort, ...]
     store_address: HostPort
     capacity: float
+    max_descriptors: int
     config_apply_s: float
     recovery_grace_s: float
     shutdown_timeout_s: float
--- a/borageworks/gateway/tests/test_components.py
+++ b/borageworks/gateway/tests/test_components.py
@@ -37,6 +37,7 @@
     seeds=(),
     store_address=HOST,
     capacity=1.0,
+    max_descriptors=1024,
     config_apply_s=2.0,
     recovery_grace_s=3.0,
     shutdown_timeout_s=8.0,
--- /dev/null
+++ b/borageworks/gateway/tests/test_connection_limit.py
@@ -0,0 +1,50 @@
+"""Load pattern: callers whose refused requests leave idle connections behind."""
+
+from testtools import TestCase
+
+from borageworks.gateway.connection_limit import ConnectionLimit, max_caller_connections
+
+
+class ConnectionLimitTest(TestCase):
+    def test_refused_callers_that_return_on_new_connections(self):
+        """Guards against running out of descriptors through idle connections."""
+        limit = ConnectionLimit[int](100)
+        open_connections = set()
+        for number in range(1000):
+            closed = limit.open(number)
+            open_connections.add(number)
+            for connection in closed:
+                open_connections.remove(connection)
+            limit.begin_request(number)
+            limit.end_request(number)
+            self.assertTrue(len(open_connections) <= 100)
+        # The connections used last are the ones that callers use again.
+        self.assertEqual(set(range(900, 1000)), open_connections)
+
+    def test_connections_with_requests_are_not_closed(self):
+        """Guards against cutting accepted requests to make room for new ones."""
+        limit = ConnectionLimit[int](10)
+        for number in range(10):
+            limit.open(number)
+            limit.begin_request(number)
+        self.assertEqual([], limit.open(10))
+        self.assertTrue(limit.full)
+        limit.end_request(3)
+        self.assertEqual([10, 3], limit.open(11))
+
+    def test_callers_are_warned_before_the_limit(self):
+        """Guards against closing connections that callers are about to use."""
+        limit = ConnectionLimit[int](100)
+        for number in range(75):
+            limit.open(number)
+        self.assertFalse(limit.closing)
+        limit.open(75)
+        self.assertTrue(limit.closing)
+        limit.close(75)
+        self.assertFalse(limit.closing)
+
+    def test_descriptors_of_endpoints_and_instances_are_reserved(self):
+        """Guards against callers that use up the descriptors of other connections."""
+        callers = max_caller_connections(4100, instances=195)
+        self.assertTrue(2 * callers + 195 + 200 < 4100, callers)
+        self.assertEqual(1, max_caller_connections(100, instances=195))
--- a/borageworks/platform/settings.py
+++ b/borageworks/platform/settings.py
@@ -19,6 +19,8 @@
 # A higher mean lag adds noticeably to the shortest target latencies of callers, and
 # shows that the event loop is never idle.
 LOOP_LAG_LIMIT_S = 0.03
+# Common limit of open files of a process, if the settings state none.
+DEFAULT_MAX_DESCRIPTORS = 1024
 
 
 def _split_address(text: object) -> object:
@@ -54,6 +56,7 @@
 class _Limits(_Model):
     cpu_share: Positive = 1.0
     cores: Positive = 1.0
+    max_fds: Annotated[int, Field(gt=0)] = DEFAULT_MAX_DESCRIPTORS
 
 
 class _Bounds(_Model):
@@ -166,6 +169,7 @@
         seeds=tuple(_host_port(seed) for seed in model.seeds),
         store_address=_host_port(model.platform.address),
         capacity=model.limits.cpu_share * model.limits.cores,
+        max_descriptors=model.limits.max_fds,
         config_apply_s=bounds.config_apply_ms / MILLISECONDS_PER_SECOND,
         recovery_grace_s=bounds.contact_ms / MILLISECONDS_PER_SECOND,
         shutdown_timeout_s=bounds.grace_s,
--- a/borageworks_emulator/platform/harness.py
+++ b/borageworks_emulator/platform/harness.py
@@ -114,6 +114,8 @@
         Store of another harness, which also runs the endpoints; None starts a new one.
     grace_s
         Seconds between the stop request and the kill.
+    max_descriptors
+        Open files that the gateway may have.
     """
 
     def __init__(
@@ -123,12 +125,14 @@
         name: str = "edge-1",
         store: EmulatedPlatformStore | None = None,
         grace_s: float = 8,
+        max_descriptors: int = 1024,
     ) -> None:
         self.endpoints = endpoints
         self.store = store or EmulatedPlatformStore()
         self._owns_store = store is None
         self._name = name
         self._grace_s = grace_s
+        self._max_descriptors = max_descriptors
         self.metrics = Metrics()
         self.ports: list[int] = []
         self._request_number = 0
@@ -148,7 +152,9 @@
         )
         # All components share one event loop, so its lag does not show how loaded the
         # gateway is.
-        settings = replace(settings, lag_limit_s=math.inf)
+        settings = replace(
+            settings, lag_limit_s=math.inf, max_descriptors=self._max_descriptors
+        )
         self.platform_store = PlatformStore(settings, self.metrics)
         self.gateway = Gateway(
             settings, PlatformCodec(), self.platform_store, self.metrics
