Compare few endpoints for each request where a service has many

Cause: the owner of a shard compared all endpoints for each selection, 350 us of a core for 64 endpoints, so a shard could not hold more than 16 of them. Change: an order by load, renewed each 5 ms or four placements, and an index of cached parts yield at most 24 endpoints to compare; up to 16 endpoints nothing changes.

--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import heapq
-import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -14,10 +13,18 @@
 from borageworks.placement.decisions import Decision, Placed, RefusalReason, Refused
 from borageworks.placement.endpoint_state import EndpointState, RunningWork
 from borageworks.placement.outcome import WorkOutcome
+from borageworks.placement.part_index import PartIndex
 from borageworks.placement.prefill_speed import PrefillSpeed
 from borageworks.placement.prompt_cache import PromptCache
+from borageworks.placement.selection import EndpointSelector
 from borageworks.placement.settings import PlacementSettings
-from borageworks.placement.work import GENERATED_WEIGHT, PLAIN_UNITS, Work, WorkKey
+from borageworks.placement.work import (
+    GENERATED_WEIGHT,
+    PLAIN_UNITS,
+    Work,
+    WorkKey,
+    own_prompt_tokens,
+)
 from borageworks.routing.suspects import CrashSuspects, Verdict
 
 # Prior for the prefill speed of an engine if the operator states no throughput.
@@ -68,12 +75,15 @@
     ) -> None:
         self._service = service
         self._settings = settings
-        self._domain = domain
         self._endpoints: dict[str, EndpointState] = {}
         self._placed: dict[WorkKey, str] = {}
         self._waiting: dict[WorkKey, _WaitingWork] = {}
         self._waiting_tokens: dict[str, float] = {}
         self._waiting_per_organisation: dict[str, int] = {}
+        self._part_index = PartIndex()
+        self._selector = EndpointSelector(
+            self._endpoints, self._waiting_tokens, self._part_index, settings, domain
+        )
         self._fair_queue = FairQueue()
         self._prefill_speed = PrefillSpeed(DEFAULT_TOKENS_PER_S)
         self._capacity_ratio = 1.0
@@ -127,9 +137,11 @@
                 state = None
             if state is None:
                 capacity = engine.memory_tokens if engine is not None else 0
-                self._endpoints[name] = EndpointState(endpoint, PromptCache(capacity))
+                cache = PromptCache(capacity, name, self._part_index)
+                self._endpoints[name] = EndpointState(endpoint, cache)
             else:
                 state.endpoint = endpoint
+        self._selector.invalidate()
         return self._place_waiting(now)
 
     def submit(self, now: float, work: Work) -> list[Decision]:
@@ -144,7 +156,7 @@
         if not self._is_behind_others(work) and self._has_room(now, state, work):
             return [self._place(now, state, work)]
         expires_at = now + self._max_wait_s(now, state, work)
-        tokens = _own_prompt_tokens(work)
+        tokens = own_prompt_tokens(work)
         waiting = _WaitingWork(work, now, expires_at, preferred, now, tokens)
         if now + self._expected_wait_s(now, waiting) > expires_at:
             return [self._place_elsewhere(now, waiting)]
@@ -278,7 +290,6 @@
         if any(item.preferred != waiting.preferred for item in self._waiting.values()):
             return self._refuse(now, work, RefusalReason.NO_CAPACITY)
         seconds_per_token = self._prefill_speed.seconds_per_token
-        own_tokens = _own_prompt_tokens(work)
         cheapest = min(
             (
                 state
@@ -288,8 +299,8 @@
                 and not self._waiting_tokens.get(name)
                 and self._has_room(now, state, work)
             ),
-            key=lambda state: self._cost_s(
-                now, state, work, own_tokens, seconds_per_token
+            key=lambda state: self._selector.cost_s(
+                now, state, work, seconds_per_token
             ),
             default=None,
         )
@@ -304,56 +315,7 @@
         self._count_waiting_tokens(waiting, 1)
 
     def _select_endpoint(self, now: float, work: Work) -> str | None:
-        seconds_per_token = self._prefill_speed.seconds_per_token
-        own_tokens = _own_prompt_tokens(work)
-        best: str | None = None
-        min_cost_s = math.inf
-        for name, state in self._endpoints.items():
-            if name in work.excluded or not state.usable(now):
-                continue
-            cost_s = self._cost_s(now, state, work, own_tokens, seconds_per_token)
-            if best is None or cost_s < min_cost_s:
-                best, min_cost_s = name, cost_s
-        return best
-
-    def _cost_s(
-        self,
-        now: float,
-        state: EndpointState,
-        work: Work,
-        own_tokens: int,
-        seconds_per_token: float,
-    ) -> float:
-        """Return the cost of a placement to this request and to others, in seconds.
-
-        Parameters
-        ----------
-        now, state, work
-            Time, endpoint and request.
-        own_tokens
-            Prompt tokens that only this request or its session uses.
-        seconds_per_token
-            Prefill time of a token.
-        """
-        settings = self._settings
-        # A request waits for a free slot as it does for the prefill of others.
-        occupancy = len(state.running) / state.endpoint.slots
-        cost_s = settings.failure_penalty_s * state.failure_rate
-        if state.endpoint.domain != self._domain:
-            cost_s += settings.domain_penalty_s
-        if work.prompt is None:
-            return cost_s + occupancy
-        seconds_per_token *= state.slowdown(now)
-        uncached = work.prompt.tokens - state.cache.cached_tokens(work.prompt)
-        recomputed = max(uncached - own_tokens, 0)
-        ahead = state.backlog_tokens(now, seconds_per_token)
-        ahead += self._waiting_tokens.get(state.endpoint.id, 0.0)
-        return (
-            cost_s
-            + seconds_per_token
-            * (ahead + uncached + settings.recompute_weight * recomputed)
-            + occupancy * settings.prefill_ahead_s
-        )
+        return self._selector.select(now, work, self._prefill_speed.seconds_per_token)
 
     def _has_room(self, now: float, state: EndpointState, work: Work) -> bool:
         if len(state.running) >= self._slot_limit(state):
@@ -460,6 +422,7 @@
         if work.prompt is not None:
             state.cache.record_use(work.prompt)
         self._placed[work.key] = state.endpoint.id
+        self._selector.record_placement()
         return running
 
     def _refuse(self, now: float, work: Work, reason: RefusalReason) -> Refused:
@@ -541,6 +504,7 @@
 
     def _remove_endpoint(self, name: str) -> None:
         state = self._endpoints.pop(name)
+        state.cache.clear()
         self._waiting_tokens.pop(name, None)
         for key in state.running:
             self._placed.pop(key, None)
@@ -549,15 +513,8 @@
                 waiting.preferred = None
 
 
-def _own_prompt_tokens(work: Work) -> int:
-    """Return the prompt tokens that only this request or its session uses."""
-    if work.prompt is None:
-        return 0
-    return work.prompt.parts[-1].tokens if work.prompt.parts else work.prompt.tokens
-
-
 def _memory_tokens(work: Work) -> int:
     """Return the tokens of engine memory that a request takes beyond shared parts."""
     if work.prompt is None:
         return 0
-    return _own_prompt_tokens(work) + work.prompt.generated_tokens
+    return own_prompt_tokens(work) + work.prompt.generated_tokens
--- a/borageworks/placement/prompt_cache.py
+++ b/borageworks/placement/prompt_cache.py
@@ -6,8 +6,7 @@
 
 from borageworks.gateway.caller_request import Prompt
 from borageworks.placement.cache_update import CacheUpdate
-
-_PartKey = tuple[str, str]
+from borageworks.placement.part_index import PartIndex, PartKey
 
 
 class PromptCache:
@@ -21,11 +20,17 @@
     ----------
     capacity_tokens
         Total tokens cached by the engine.
+    endpoint
+        Id of the engine.
+    index
+        Index of the parts that all engines have cached.
     """
 
-    def __init__(self, capacity_tokens: int) -> None:
+    def __init__(self, capacity_tokens: int, endpoint: str, index: PartIndex) -> None:
         self._capacity_tokens = capacity_tokens
-        self._parts: OrderedDict[_PartKey, int] = OrderedDict()
+        self._endpoint = endpoint
+        self._index = index
+        self._parts: OrderedDict[PartKey, int] = OrderedDict()
         self._tokens = 0
         self._epoch: str | None = None
 
@@ -58,8 +63,7 @@
     def apply(self, update: CacheUpdate) -> None:
         """Apply an update from the engine."""
         if update.complete or update.epoch != self._epoch:
-            self._parts.clear()
-            self._tokens = 0
+            self._remove_all()
         self._epoch = update.epoch
         for cached in update.parts:
             key = cached.model, cached.part
@@ -71,17 +75,26 @@
 
     def clear(self) -> None:
         """Remove all parts, after a restart of the engine."""
+        self._remove_all()
+        self._epoch = None
+
+    def _remove_all(self) -> None:
+        for key in self._parts:
+            self._index.discard(key, self._endpoint)
         self._parts.clear()
         self._tokens = 0
-        self._epoch = None
 
-    def _insert(self, key: _PartKey, tokens: int) -> None:
+    def _insert(self, key: PartKey, tokens: int) -> None:
+        if key not in self._parts:
+            self._index.add(key, self._endpoint)
         self._tokens += tokens - self._parts.get(key, 0)
         self._parts[key] = tokens
         self._parts.move_to_end(key)
 
-    def _remove(self, key: _PartKey) -> None:
-        self._tokens -= self._parts.pop(key, 0)
+    def _remove(self, key: PartKey) -> None:
+        if key in self._parts:
+            self._tokens -= self._parts.pop(key)
+            self._index.discard(key, self._endpoint)
 
     def _evict(self) -> None:
         while self._tokens > self._capacity_tokens and self._parts:
--- /dev/null
+++ b/borageworks/placement/selection.py
@@ -0,0 +1,169 @@
+"""Selects the endpoint that a request costs least at."""
+
+from __future__ import annotations
+
+import itertools
+import math
+from collections.abc import Iterable, Mapping
+
+from borageworks.placement.endpoint_state import EndpointState
+from borageworks.placement.part_index import PartIndex
+from borageworks.placement.settings import PlacementSettings
+from borageworks.placement.work import Work, own_prompt_tokens
+
+# Up to this number, all endpoints are compared for each request.
+MAX_COMPARED_ENDPOINTS = 16
+# Compared for a request if there are more endpoints: so many of the least loaded ones,
+# and of those that have cached the shared part.
+CANDIDATES = 8
+# The order by load is renewed when it is older, or when this many requests were placed
+# since: each of them makes one of the least loaded endpoints busier.
+MAX_ORDER_AGE_S = 0.005
+MAX_ORDER_PLACEMENTS = CANDIDATES // 2
+
+
+class EndpointSelector:
+    """Selects the endpoint that a request costs least at.
+
+    Comparing all endpoints takes too long where a service has many of them. Only two
+    groups can be the cheapest: the least loaded endpoints, and the least loaded of
+    those that have cached the parts which the request shares with others.
+
+    Parameters
+    ----------
+    endpoints
+        State by endpoint id.
+    waiting_tokens
+        Prompt tokens of the waiting requests that prefer an endpoint, by its id.
+    index
+        Index of the parts that the endpoints have cached.
+    settings
+        Settings of placement.
+    domain
+        Failure domain of the instance.
+    """
+
+    def __init__(
+        self,
+        endpoints: Mapping[str, EndpointState],
+        waiting_tokens: Mapping[str, float],
+        index: PartIndex,
+        settings: PlacementSettings,
+        domain: str,
+    ) -> None:
+        self._endpoints = endpoints
+        self._waiting_tokens = waiting_tokens
+        self._index = index
+        self._settings = settings
+        self._domain = domain
+        self._order: list[str] = []
+        self._ordered_at = -math.inf
+        self._placements = 0
+
+    def invalidate(self) -> None:
+        """Discard the order by load, after a change of the list of endpoints."""
+        self._ordered_at = -math.inf
+
+    def record_placement(self) -> None:
+        """Record that an endpoint has become busier."""
+        self._placements += 1
+
+    def select(self, now: float, work: Work, seconds_per_token: float) -> str | None:
+        """Return the endpoint with the lowest cost, None if none is usable.
+
+        Parameters
+        ----------
+        now
+            Time in seconds.
+        work
+            The request.
+        seconds_per_token
+            Prefill time of a token at an engine that is not slow.
+        """
+        best: str | None = None
+        min_cost_s = math.inf
+        for name in self._candidates(now, work, seconds_per_token):
+            state = self._endpoints[name]
+            if name in work.excluded or not state.usable(now):
+                continue
+            cost_s = self.cost_s(now, state, work, seconds_per_token)
+            if best is None or cost_s < min_cost_s:
+                best, min_cost_s = name, cost_s
+        return best
+
+    def cost_s(
+        self, now: float, state: EndpointState, work: Work, seconds_per_token: float
+    ) -> float:
+        """Return the cost of a placement to this request and to others, in seconds.
+
+        Parameters
+        ----------
+        now, state, work
+            Time, endpoint and request.
+        seconds_per_token
+            Prefill time of a token at an engine that is not slow.
+        """
+        settings = self._settings
+        # A request waits for a free slot as it does for the prefill of others.
+        occupancy = len(state.running) / state.endpoint.slots
+        cost_s = settings.failure_penalty_s * state.failure_rate
+        if state.endpoint.domain != self._domain:
+            cost_s += settings.domain_penalty_s
+        if work.prompt is None:
+            return cost_s + occupancy
+        seconds_per_token *= state.slowdown(now)
+        uncached = work.prompt.tokens - state.cache.cached_tokens(work.prompt)
+        recomputed = max(uncached - own_prompt_tokens(work), 0)
+        ahead = state.backlog_tokens(now, seconds_per_token)
+        ahead += self._waiting_tokens.get(state.endpoint.id, 0.0)
+        return (
+            cost_s
+            + seconds_per_token
+            * (ahead + uncached + settings.recompute_weight * recomputed)
+            + occupancy * settings.prefill_ahead_s
+        )
+
+    def _candidates(
+        self, now: float, work: Work, seconds_per_token: float
+    ) -> Iterable[str]:
+        if len(self._endpoints) <= MAX_COMPARED_ENDPOINTS or work.prompt is None:
+            return self._endpoints
+        if (
+            now - self._ordered_at > MAX_ORDER_AGE_S
+            or self._placements >= MAX_ORDER_PLACEMENTS
+        ):
+            self._renew_order(now, seconds_per_token)
+        usable = [name for name in self._order if name not in work.excluded]
+        candidates = dict.fromkeys(usable[:CANDIDATES])
+        parts = work.prompt.parts
+        # The last part may be that of a session, which an engine has cached as well.
+        for part in parts[-2:]:
+            holders = self._index.holders((work.prompt.model, part.id))
+            if holders:
+                cached = (name for name in usable if name in holders)
+                candidates.update(dict.fromkeys(itertools.islice(cached, CANDIDATES)))
+        return candidates
+
+    def _renew_order(self, now: float, seconds_per_token: float) -> None:
+        loads = {
+            name: self._load_s(now, state, seconds_per_token)
+            for name, state in self._endpoints.items()
+            if state.usable(now)
+        }
+        self._order = sorted(loads, key=loads.__getitem__)
+        self._ordered_at = now
+        self._placements = 0
+
+    def _load_s(
+        self, now: float, state: EndpointState, seconds_per_token: float
+    ) -> float:
+        """Return the part of an endpoint's cost that is the same for all requests."""
+        settings = self._settings
+        load_s = settings.failure_penalty_s * state.failure_rate
+        load_s += len(state.running) / state.endpoint.slots * settings.prefill_ahead_s
+        if state.endpoint.domain != self._domain:
+            load_s += settings.domain_penalty_s
+        seconds_per_token *= state.slowdown(now)
+        ahead = state.backlog_tokens(now, seconds_per_token)
+        ahead += self._waiting_tokens.get(state.endpoint.id, 0.0)
+        return load_s + seconds_per_token * ahead
--- a/borageworks/placement/tests/test_components.py
+++ b/borageworks/placement/tests/test_components.py
@@ -6,6 +6,7 @@
 
 from borageworks.gateway.caller_request import Prompt, PromptPart
 from borageworks.placement.cache_update import CachedPart, CacheUpdate
+from borageworks.placement.part_index import PartIndex
 from borageworks.placement.prefill_speed import PrefillSpeed
 from borageworks.placement.prompt_cache import PromptCache
 from borageworks.placement.retry_window import SAFETY_RATIO, RetryWindow
@@ -35,7 +36,7 @@
         @SETTINGS
         @given(st.lists(PARTS, max_size=30))
         def check(prompts):
-            cache = PromptCache(120)
+            cache = PromptCache(120, "e", PartIndex())
             expected: list[tuple[str, int]] = []
             for parts in prompts:
                 cache.record_use(build_prompt(parts))
@@ -53,7 +54,7 @@
 
     def test_only_the_longest_prefix_counts(self):
         """Guards against counting cached parts behind an uncached one."""
-        cache = PromptCache(1000)
+        cache = PromptCache(1000, "e", PartIndex())
         cache.record_use(build_prompt([("a", 10), ("c", 30)]))
         self.assertEqual(10, cache.cached_tokens(build_prompt([("a", 10), ("b", 5)])))
         cached = cache.cached_tokens(build_prompt([("a", 10), ("b", 5), ("c", 30)]))
@@ -61,7 +62,7 @@
 
     def test_update_after_a_restart_replaces_all_parts(self):
         """Guards against cached parts that outlive a restart of the engine."""
-        cache = PromptCache(1000)
+        cache = PromptCache(1000, "e", PartIndex())
         cache.apply(CacheUpdate("1", 1, False, True, (CachedPart("a", 10, "m"),)))
         cache.apply(CacheUpdate("2", 1, False, False, (CachedPart("b", 5, "m"),)))
         self.assertEqual(5, cache.tokens)
--- a/borageworks/placement/work.py
+++ b/borageworks/placement/work.py
@@ -51,3 +51,10 @@
         if self.prompt is None:
             return PLAIN_UNITS
         return self.prompt.tokens + GENERATED_WEIGHT * self.prompt.generated_tokens
+
+
+def own_prompt_tokens(work: Work) -> int:
+    """Return the prompt tokens that only this request or its session uses."""
+    if work.prompt is None:
+        return 0
+    return work.prompt.parts[-1].tokens if work.prompt.parts else work.prompt.tokens
