Take the throughput of an engine from all engines of its service

Cause: a shard that was created while few engines were known divided the stated throughput by their number, and the measured speed is bounded by that prior. The owner took its engines for several times as fast as they are, for good. Change: the prior follows the largest number of engines known.

--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -89,6 +89,7 @@
         self._settings = settings
         self._dispatchers: dict[Shard, Dispatcher] = {}
         self._service_shards: dict[str, ServiceShards] = {}
+        self._most_endpoints: dict[str, int] = {}
         self._owners: dict[Shard, str] = {}
         self._requests: dict[int, PendingPlacement] = {}
         self._numbers = itertools.count(1)
@@ -193,6 +194,10 @@
             if not endpoints and name not in self._service_shards:
                 continue
             service_shards = self._service_shards.get(name)
+            # The stated throughput is that of all engines, some of which may be unknown
+            # yet or have left.
+            most_endpoints = max(self._most_endpoints.get(name, 1), len(endpoints))
+            self._most_endpoints[name] = most_endpoints
             endpoint_ids = tuple(sorted(endpoint.id for endpoint in endpoints))
             if service_shards is None or service_shards.endpoints != endpoint_ids:
                 service_shards = self._service_shards[name] = ServiceShards(
@@ -204,12 +209,9 @@
                 dispatcher = self._dispatchers.get(shard)
                 if dispatcher is None:
                     dispatcher = Dispatcher(profile, self._settings, self._fleet.domain)
-                    if profile.engine is not None and deployment.tokens_per_s:
-                        # Initial value only; measured speed soon outweighs it.
-                        dispatcher.set_throughput(
-                            deployment.tokens_per_s / max(len(endpoints), 1)
-                        )
                     self._dispatchers[shard] = dispatcher
+                if profile.engine is not None and deployment.tokens_per_s:
+                    dispatcher.set_throughput(deployment.tokens_per_s / most_endpoints)
                 self._deliver(
                     dispatcher.set_endpoints(
                         now,
--- /dev/null
+++ b/borageworks/gateway/tests/test_placer.py
@@ -0,0 +1,87 @@
+"""Tests of the placement of requests for other instances."""
+
+import asyncio
+from types import SimpleNamespace
+from unittest import mock
+
+from testtools import TestCase
+
+from borageworks.gateway.deployment import EngineProfile, ServiceProfile
+from borageworks.gateway.endpoint import Endpoint
+from borageworks.gateway.placer import Placer
+from borageworks.metrics import Metrics
+from borageworks.placement.settings import PlacementSettings
+from borageworks.placement.tests.builders import engines
+from borageworks.timers import Timers
+
+TOKENS_PER_S = 200_000.0
+ENGINES = 16
+
+
+def owner_of_all(directory):
+    """Return a placer that owns every shard."""
+    fleet = mock.Mock(instance="i", domain="a", count=1)
+    fleet.owner.return_value = "i"
+    return Placer(fleet, directory, Timers(), Metrics(), PlacementSettings())
+
+
+class ThroughputTest(TestCase):
+    def test_engines_that_become_known_one_after_the_other(self):
+        """Guards against taking the first engine known for the fastest possible.
+
+        The operator states the throughput of all engines together. An instance that
+        knew only one of them at first overestimated each by their number, and placed
+        more than they could prefill in time.
+        """
+
+        async def main():
+            listed: list[Endpoint] = []
+            directory = SimpleNamespace(
+                deployment=SimpleNamespace(
+                    services={
+                        "engines": ServiceProfile("engines", EngineProfile(8, 400_000))
+                    },
+                    tokens_per_s=TOKENS_PER_S,
+                ),
+                endpoints_of=lambda _service: listed,
+            )
+            placer = owner_of_all(directory)
+            for endpoint in engines(ENGINES):
+                listed.append(endpoint)
+                placer.update()
+            return placer.dispatchers["engines", 0].prefill_speed
+
+        speed = asyncio.run(main())
+        expected = 0.5 * ENGINES / TOKENS_PER_S
+        self.assertAlmostEqual(expected, speed.seconds_per_token, delta=expected / 10)
+        for number in range(400):
+            tokens = 1000.0 + number % 7 * 2000.0
+            speed.record(tokens, 0.05 + 5.0 * expected * tokens)
+        self.assertAlmostEqual(
+            5.0 * expected, speed.seconds_per_token, delta=expected / 2
+        )
+
+    def test_engines_that_leave_keep_their_speed(self):
+        """Guards against taking the engines that remain for faster ones."""
+
+        async def main():
+            listed = engines(ENGINES)
+            directory = SimpleNamespace(
+                deployment=SimpleNamespace(
+                    services={
+                        "engines": ServiceProfile("engines", EngineProfile(8, 400_000))
+                    },
+                    tokens_per_s=TOKENS_PER_S,
+                ),
+                endpoints_of=lambda _service: listed,
+            )
+            placer = owner_of_all(directory)
+            placer.update()
+            before = placer.dispatchers["engines", 0].prefill_speed.seconds_per_token
+            del listed[2:]
+            placer.update()
+            after = placer.dispatchers["engines", 0].prefill_speed.seconds_per_token
+            return before, after
+
+        before, after = asyncio.run(main())
+        self.assertEqual(before, after)
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -119,7 +119,7 @@
 
     def set_throughput(self, tokens_per_s: float) -> None:
         """Set the stated throughput of one engine, the prior of its prefill speed."""
-        self._prefill_speed = PrefillSpeed(tokens_per_s / PREFILL_THROUGHPUT_RATIO)
+        self._prefill_speed.set_prior(tokens_per_s / PREFILL_THROUGHPUT_RATIO)
 
     def set_endpoints(
         self, now: float, endpoints: Iterable[Endpoint]
--- a/borageworks/placement/prefill_speed.py
+++ b/borageworks/placement/prefill_speed.py
@@ -59,6 +59,12 @@
         """Return the seconds to the first token behind `tokens` tokens to prefill."""
         return self.start_s + tokens * self.seconds_per_token
 
+    def set_prior(self, tokens_per_s: float) -> None:
+        """Change the prior; an estimate from samples is kept within its new bounds."""
+        self._prior_s = 1.0 / tokens_per_s
+        if not self.learned:
+            self._reset(self._prior_s, PRIOR_START_S)
+
     def adopt(self, seconds_per_token: float, start_s: float) -> None:
         """Start from the estimate of another instance."""
         self._reset(seconds_per_token, start_s)
