--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -145,6 +145,7 @@
         self._failure_response: BufferedResponse | None = None
         self.endpoint = ""
         self.first_event_s: float | None = None
+        self.longest_pause_s = 0.0
 
     @property
     def attempts(self) -> int:
@@ -409,14 +410,17 @@
         await self._sink.start(response.status, end_to_end(response.headers.items()))
         splitter = EventSplitter()
         resumable = self._exchange.route.retry_policy is RetryPolicy.RESUME
-        first = True
+        received_at: float | None = None
         async for data in read_body(response):
-            if first:
-                first = False
+            now = self._loop.time()
+            if received_at is None:
                 self._placer.record_start(work.key)
                 if self.first_event_s is None:
-                    self.first_event_s = self._loop.time() - self._exchange.received_at
+                    self.first_event_s = now - self._exchange.received_at
                     self._metrics.observe("first_event", self.first_event_s, self.route)
+            else:
+                self.longest_pause_s = max(self.longest_pause_s, now - received_at)
+            received_at = now
             events = splitter.feed(data)
             if not resumable:
                 await self._sink.write(data)
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -341,6 +341,7 @@
             store_silent_s=self._store_outage_s(),
             attempts=runner.attempts if runner else 0,
             first_event_s=_rounded(runner.first_event_s if runner else None),
+            longest_pause_s=_rounded(runner.longest_pause_s if runner else None),
             detail=refusal.detail if refusal else "",
             retry_after_s=refusal.retry_after if refusal else None,
         )
