Do not order processes of an instance by the time of day

Cause: the incarnation of a gateway came from the clock, and links rejected one below that of an older link. An instance that lost power and started again behind a clock that had gone back was not reachable until the old link timed out, up to six seconds. Change: the incarnation is random and has no order. The link that became ready last is used: its handshake proves that the peer answered just now.

--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import time
+import secrets
 from collections.abc import Coroutine
 from typing import Any
 
@@ -34,7 +34,8 @@
 from borageworks.timers import Timers
 from borageworks.wire.messages import Message, ReplicaNews
 
-MILLISECONDS_PER_SECOND = 1000
+# Fits the field of the links' Hello.
+INCARNATION_BITS = 63
 DRAIN_POLL_INTERVAL_S = 0.05
 # Interval of the log lines that summarise refusals by organisation.
 REPORT_INTERVAL_S = 1.0
@@ -68,7 +69,7 @@
         self._codec = codec
         self._store = store
         self._metrics = metrics
-        self._incarnation = int(time.time() * MILLISECONDS_PER_SECOND)
+        self._incarnation = secrets.randbits(INCARNATION_BITS)
         self._shutdown = Shutdown(settings)
         self._tasks: list[asyncio.Task[None]] = []
         self._runners: list[web.AppRunner] = []
--- a/borageworks/wire/links.py
+++ b/borageworks/wire/links.py
@@ -82,7 +82,10 @@
     settings
         Own name, address to listen on, and shared keys.
     incarnation
-        Number that distinguishes this process from earlier ones of the instance.
+        Number that distinguishes this process from other ones of the instance. It has
+        no order: the clock of a restarted instance may be behind that of its former
+        process. The link that became ready last is that of the running process, since
+        the handshake proves that its peer answered just now.
     timers
         Timers of the process.
     metrics
@@ -280,10 +283,6 @@
             return
         peer = self._peer(instance)
         old = peer.link
-        if old is not None and _incarnation(old) > _incarnation(link):
-            self._reject(link, "older_incarnation")
-            link.close()
-            return
         link.ready_at = self._timers.now()
         if peer.pending_link is not None:
             pending_link, peer.pending_link = peer.pending_link, None
--- a/borageworks/wire/tests/test_links.py
+++ b/borageworks/wire/tests/test_links.py
@@ -110,6 +110,24 @@
 
         self.run_scenario(scenario, ("a",), ("b",))
 
+    def test_restarted_instance_whose_clock_went_back(self):
+        """Guards against rejecting a new process until the old one's link times out."""
+
+        async def scenario(old, new, b):
+            old.set_address_of(b)
+            old.links.send("b", Demand("p", "o", 1))
+            await wait_until(lambda: len(b.messages) == 1)
+            # The old process lost power: its link is neither closed nor answering.
+            new.set_address_of(b)
+            new.links.send("b", Demand("p", "o", 2))
+            await wait_until(lambda: len(b.messages) == 2)
+            self.assertEqual(["+a", "-a", "+a"], b.events)
+            self.assertEqual(0, b.metrics.value("peer_links_rejected"))
+
+        self.run_scenario(
+            scenario, ("a", (OLD_KEY,), 2000), ("a", (OLD_KEY,), 1000), ("b",)
+        )
+
     def test_deferrable_messages_arrive_with_others_or_after_a_delay(self):
         """Guards against deferrable messages that are never sent."""
 
