Never close a connection whose request may be on its way

Cause, introduced by the limit on callers' connections: a new connection counted as idle and was closed for the next one before its request was read; and without limits.max_fds the settings assumed 1,024 descriptors, fewer than the flood's callers need. Change: only connections idle for a second are closed; the default is the limit of the operating system. test_connections waits that second.

--- a/borageworks/gateway/connection_limit.py
+++ b/borageworks/gateway/connection_limit.py
@@ -13,6 +13,8 @@
 DESCRIPTORS_PER_REQUEST = 2
 # Above this fraction of the limit, callers are told to close their connections.
 CLOSE_RATIO = 0.75
+# The request of a connection that has just been opened or used may be on its way.
+MIN_IDLE_S = 1.0
 # Above this fraction of the limit in use by requests, new callers are sent elsewhere.
 FULL_RATIO = 0.9
 
@@ -37,8 +39,9 @@
     """Decides which callers' connections are closed when descriptors run short.
 
     Callers may keep idle connections open for a long time, and those of a refused
-    request stay open beside the connection of its retry. Idle connections are closed
-    first, the longest idle one before the others.
+    request stay open beside the connection of its retry. Above the limit the longest
+    idle connections are closed. One in use, or idle for a moment only, is not: the
+    limit leaves room for those until the callers are sent elsewhere.
 
     Parameters
     ----------
@@ -48,7 +51,8 @@
 
     def __init__(self, limit: int) -> None:
         self._limit = limit
-        self._idle: OrderedDict[Connection, None] = OrderedDict()
+        # Times since which they are idle, in their order.
+        self._idle: OrderedDict[Connection, float] = OrderedDict()
         self._busy: set[Connection] = set()
 
     @property
@@ -70,11 +74,17 @@
         """Set the number of connections that may be open."""
         self._limit = limit
 
-    def open(self, connection: Connection) -> list[Connection]:
+    def open(self, now: float, connection: Connection) -> list[Connection]:
         """Add a connection and return the idle ones to close for it."""
-        self._idle[connection] = None
-        excess = min(self.count - self._limit, len(self._idle) - 1)
-        return [self._idle.popitem(last=False)[0] for _ in range(excess)]
+        self._idle[connection] = now
+        to_close: list[Connection] = []
+        while self.count > self._limit:
+            longest_idle, since = next(iter(self._idle.items()))
+            if now - since < MIN_IDLE_S:
+                break
+            del self._idle[longest_idle]
+            to_close.append(longest_idle)
+        return to_close
 
     def begin_request(self, connection: Connection) -> None:
         """Record that a request has arrived on an open connection."""
@@ -82,11 +92,11 @@
             del self._idle[connection]
             self._busy.add(connection)
 
-    def end_request(self, connection: Connection) -> None:
+    def end_request(self, now: float, connection: Connection) -> None:
         """Record that the response to a connection's request has been sent."""
         if connection in self._busy:
             self._busy.remove(connection)
-            self._idle[connection] = None
+            self._idle[connection] = now
 
     def close(self, connection: Connection) -> None:
         """Remove a closed connection."""
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -150,7 +150,8 @@
             idle_timeout_s=limits.idle_timeout_s if limits else INITIAL_IDLE_TIMEOUT_S,
             on_lost=self._connection_limit.close,
         )
-        for idle in self._connection_limit.open(connection):
+        now = asyncio.get_running_loop().time()
+        for idle in self._connection_limit.open(now, connection):
             self._metrics.count("connections_closed", "descriptors")
             idle.close_if_idle()
         return connection
@@ -170,7 +171,8 @@
             return await self._respond(http_request, received_at)
         finally:
             protocol.request_in_progress = False
-            self._connection_limit.end_request(protocol)
+            now = asyncio.get_running_loop().time()
+            self._connection_limit.end_request(now, protocol)
             self._running -= 1
 
     async def _respond(
--- a/borageworks/gateway/tests/test_connection_limit.py
+++ b/borageworks/gateway/tests/test_connection_limit.py
@@ -11,12 +11,13 @@
         limit = ConnectionLimit[int](100)
         open_connections = set()
         for number in range(1000):
-            closed = limit.open(number)
+            now = number * 0.05
+            closed = limit.open(now, number)
             open_connections.add(number)
             for connection in closed:
                 open_connections.remove(connection)
             limit.begin_request(number)
-            limit.end_request(number)
+            limit.end_request(now + 0.01, number)
             self.assertTrue(len(open_connections) <= 100)
         # The connections used last are the ones that callers use again.
         self.assertEqual(set(range(900, 1000)), open_connections)
@@ -25,20 +26,27 @@
         """Guards against cutting accepted requests to make room for new ones."""
         limit = ConnectionLimit[int](10)
         for number in range(10):
-            limit.open(number)
+            limit.open(0.0, number)
             limit.begin_request(number)
-        self.assertEqual([], limit.open(10))
+        self.assertEqual([], limit.open(2.0, 10))
         self.assertTrue(limit.full)
-        limit.end_request(3)
-        self.assertEqual([10, 3], limit.open(11))
+        limit.end_request(2.5, 3)
+        self.assertEqual([10], limit.open(3.4, 11))
+        self.assertEqual([3], limit.open(3.6, 12))
+
+    def test_connections_whose_request_may_be_on_its_way_are_not_closed(self):
+        """Guards against closing a new connection before its request arrives."""
+        limit = ConnectionLimit[int](10)
+        for number in range(30):
+            self.assertEqual([], limit.open(number * 0.01, number))
 
     def test_callers_are_warned_before_the_limit(self):
         """Guards against closing connections that callers are about to use."""
         limit = ConnectionLimit[int](100)
         for number in range(75):
-            limit.open(number)
+            limit.open(0.0, number)
         self.assertFalse(limit.closing)
-        limit.open(75)
+        limit.open(0.0, 75)
         self.assertTrue(limit.closing)
         limit.close(75)
         self.assertFalse(limit.closing)
--- a/borageworks/platform/settings.py
+++ b/borageworks/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 from pathlib import Path
 from typing import Annotated
 
@@ -19,8 +20,6 @@
 # A higher mean lag adds noticeably to the shortest target latencies of callers, and
 # shows that the event loop is never idle.
 LOOP_LAG_LIMIT_S = 0.03
-# Common limit of open files of a process, if the settings state none.
-DEFAULT_MAX_DESCRIPTORS = 1024
 
 
 def _split_address(text: object) -> object:
@@ -53,10 +52,15 @@
     control: _Address
 
 
+def _descriptor_limit() -> int:
+    """Return the limit of open files that the operating system sets."""
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+
+
 class _Limits(_Model):
     cpu_share: Positive = 1.0
     cores: Positive = 1.0
-    max_fds: Annotated[int, Field(gt=0)] = DEFAULT_MAX_DESCRIPTORS
+    max_fds: Annotated[int, Field(gt=0)] = Field(default_factory=_descriptor_limit)
 
 
 class _Bounds(_Model):
--- a/borageworks_emulator/platform/tests/test_connections.py
+++ b/borageworks_emulator/platform/tests/test_connections.py
@@ -5,7 +5,7 @@
 import aiohttp
 from testtools import TestCase
 
-from borageworks.gateway.connection_limit import max_caller_connections
+from borageworks.gateway.connection_limit import MIN_IDLE_S, max_caller_connections
 from borageworks_emulator.platform.endpoint import Behaviour, EmulatedEndpoint
 from borageworks_emulator.platform.harness import PLAIN_SERVICE, Harness
 
@@ -27,6 +27,7 @@
                     await asyncio.open_connection("127.0.0.1", harness.ports[0])
                     for _ in range(CONNECTIONS)
                 ]
+                await asyncio.sleep(MIN_IDLE_S)
                 async with (
                     aiohttp.ClientSession(url) as session,
                     session.get("/look/1", headers=harness.request_headers()) as reply,
