Keep the state of an owner when links are reset

Cause: the end of a link counted as the end of the instance. The owner forgot its running requests, so it placed too many at once, and the entry excluded the owner for a second. Change: at the end of a link, both sides repeat on a new one what the other has to know; the owner drops only what is not confirmed within 0.25 s. An instance is lost if no link can be opened. A request submitted again keeps its decision.

--- a/borageworks/gateway/fleet.py
+++ b/borageworks/gateway/fleet.py
@@ -64,8 +64,10 @@
         Services of the process.
     on_message
         Called with the sender and the message.
+    on_interrupted
+        Called with an instance whose link has ended, although it may still run.
     on_lost
-        Called with an instance whose link has ended.
+        Called with an instance that is not reachable after its link has ended.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         timers: Timers,
         metrics: Metrics,
         on_message: Callable[[str, Message], None],
+        on_interrupted: Callable[[str], None],
         on_lost: Callable[[str], None],
     ) -> None:
         self._settings = settings
@@ -88,6 +91,7 @@
         self._timers = timers
         self._metrics = metrics
         self._on_message = on_message
+        self._on_interrupted = on_interrupted
         self._on_lost = on_lost
         self._links: PeerLinks | None = None
         self._key: str | None = None
@@ -149,6 +153,7 @@
             self._on_message,
             self._connected,
             self._disconnected,
+            on_unreachable=self._lost,
         )
         self._links = links
         await links.start()
@@ -295,5 +300,19 @@
             self._candidates = None
 
     def _disconnected(self, instance: str) -> None:
+        """Handle the end of a link; its instance may run and accept a new one."""
+        self._on_interrupted(instance)
+        links = self._links
+        if links is not None and links.has_queued(instance):
+            self._timers.after(
+                PEER_TIMEOUT_S, lambda _now: self._check_reconnected(instance)
+            )
+
+    def _check_reconnected(self, instance: str) -> None:
+        if self._links is not None and instance not in self._links.connected:
+            self._lost(instance)
+
+    def _lost(self, instance: str) -> None:
+        """Handle an instance to which no link could be opened."""
         self.suspect(instance)
         self._on_lost(instance)
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -114,6 +114,7 @@
             timers,
             self._metrics,
             self._receive,
+            self._link_interrupted,
             self._instance_lost,
         )
         self._placer = Placer(
@@ -250,6 +251,9 @@
             return 0.0
         return round(asyncio.get_running_loop().time() - failing, 2)
 
+    def _link_interrupted(self, instance: str) -> None:
+        self._placer.link_interrupted(instance)
+
     def _instance_lost(self, instance: str) -> None:
         self._placer.instance_lost(instance)
         self._cache_follower.update()
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -50,6 +50,8 @@
 MAX_ACK_TIMEOUT_S = 0.1
 # Loop iterations after which data that has already arrived has been processed.
 READ_LOOP_ITERATIONS = 3
+# Time for an instance to open a new link and to confirm its requests.
+CONFIRMATION_TIMEOUT_S = 0.25
 # Extra time for the owner's decision to arrive after the request's maximum wait.
 DECISION_MARGIN_S = 0.1
 
@@ -261,6 +263,33 @@
             case _:
                 self._metrics.count("peer_messages_unused", type(message).__name__)
 
+    def link_interrupted(self, instance: str) -> None:
+        """Restore what was lost with a link if its instance still runs.
+
+        Messages sent on the link may be lost. This instance repeats what the other one
+        has to know of its requests; the other one does the same for its own, and what
+        it does not confirm within a moment has ended.
+        """
+        for dispatcher in self._dispatchers.values():
+            dispatcher.unconfirm_instance(instance)
+        self._timers.after(
+            CONFIRMATION_TIMEOUT_S, lambda now: self._drop_unconfirmed(now, instance)
+        )
+        for pending in self._requests.values():
+            if pending.owner != instance:
+                continue
+            request = encode_work(pending.shard, pending.work)
+            if pending.endpoint is not None:
+                self._fleet.send(
+                    instance, WorkRunning(request, pending.endpoint, pending.started)
+                )
+            elif not pending.future.done():
+                self._fleet.send(instance, request)
+
+    def _drop_unconfirmed(self, now: float, instance: str) -> None:
+        for dispatcher in list(self._dispatchers.values()):
+            self._deliver(dispatcher.drop_unconfirmed(now, instance))
+
     def instance_lost(self, instance: str) -> None:
         """Drop the requests of a lost instance and stop waiting for its decisions."""
         now = self._timers.now()
--- a/borageworks/gateway/tests/test_fleet.py
+++ b/borageworks/gateway/tests/test_fleet.py
@@ -49,6 +49,7 @@
         Metrics(),
         None,
         None,
+        None,
     )
     fleet = Fleet(*arguments)
     fleet._links = cast(Any, SimpleNamespace())
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -89,6 +89,7 @@
         self._capacity_ratio = 1.0
         self._mean_duration_s = 0.0
         self._suspects = CrashSuspects()
+        self._unconfirmed: set[WorkKey] = set()
 
     @property
     def endpoints(self) -> dict[str, EndpointState]:
@@ -145,7 +146,17 @@
         return self._place_waiting(now)
 
     def submit(self, now: float, work: Work) -> list[Decision]:
-        """Place, queue or refuse a request."""
+        """Place, queue or refuse a request.
+
+        A request that is submitted again gets the decision that it has.
+        """
+        self._unconfirmed.discard(work.key)
+        if work.key in self._waiting:
+            return []
+        state = self._endpoints.get(self._placed.get(work.key, ""))
+        if state is not None:
+            running = state.running[work.key]
+            return [Placed(work.key, state.endpoint.id, running.uncached_tokens)]
         if self._suspects.verdict(now, work.fingerprint) is Verdict.REFUSED:
             reason = RefusalReason.SUSPECTED
             return [Refused(work.key, reason, SUSPECT_RETRY_AFTER_S, work)]
@@ -178,14 +189,18 @@
         If it has started, its times are no sample of the endpoint's speed, since this
         instance did not observe its start.
         """
+        self._unconfirmed.discard(work.key)
         state = self._endpoints.get(endpoint)
-        if state is not None and work.key not in self._placed:
+        if state is None:
+            return
+        if work.key not in self._placed:
             self._add_running(now, state, work)
-            if started:
-                state.start(now, work.key)
+        if started:
+            state.start(now, work.key)
 
     def start(self, now: float, key: WorkKey) -> list[Decision]:
         """Record the first output of a request."""
+        self._unconfirmed.discard(key)
         state = self._endpoints.get(self._placed.get(key, ""))
         started = state.start(now, key) if state is not None else None
         if state is not None and started is not None and started.uncached_tokens:
@@ -199,6 +214,7 @@
 
     def end(self, now: float, key: WorkKey, outcome: WorkOutcome) -> list[Decision]:
         """Record the end of a placed request."""
+        self._unconfirmed.discard(key)
         state = self._endpoints.get(self._placed.pop(key, ""))
         if state is not None:
             ended = state.remove(key)
@@ -210,12 +226,28 @@
                 state.cache.clear()
         return self._place_waiting(now, state)
 
+    def unconfirm_instance(self, instance: str) -> None:
+        """Await that an instance confirms its requests after its link was lost."""
+        self._unconfirmed.update(key for key in self._waiting if key[0] == instance)
+        self._unconfirmed.update(key for key in self._placed if key[0] == instance)
+
+    def drop_unconfirmed(self, now: float, instance: str) -> list[Decision]:
+        """Remove the requests that an instance has not confirmed."""
+        keys = [key for key in self._unconfirmed if key[0] == instance]
+        return self._drop(now, keys)
+
     def drop_instance(self, now: float, instance: str) -> list[Decision]:
         """Remove all requests of an instance that was lost."""
-        for key in [key for key in self._waiting if key[0] == instance]:
-            self._count_waiting(now, self._waiting.pop(key), -1)
-        for key in [key for key in self._placed if key[0] == instance]:
-            state = self._endpoints.get(self._placed.pop(key))
+        keys = [key for key in (*self._waiting, *self._placed) if key[0] == instance]
+        return self._drop(now, keys)
+
+    def _drop(self, now: float, keys: Iterable[WorkKey]) -> list[Decision]:
+        for key in keys:
+            self._unconfirmed.discard(key)
+            waiting = self._waiting.pop(key, None)
+            if waiting is not None:
+                self._count_waiting(now, waiting, -1)
+            state = self._endpoints.get(self._placed.pop(key, ""))
             if state is not None:
                 state.remove(key)
         return self._place_waiting(now)
--- a/borageworks/placement/tests/test_load_patterns.py
+++ b/borageworks/placement/tests/test_load_patterns.py
@@ -239,3 +239,38 @@
         refused = sum(simulation.refused.get(name, 0) for name in small)
         # They send less than their fair rate, so their requests have to be served.
         self.assertTrue(refused <= 0.1 * expected, (refused, expected))
+
+    def test_links_of_many_instances_that_are_reset_at_once(self):
+        """Guards against an owner that forgets running requests and places too many."""
+        dispatcher = engine_dispatcher(count=4, slots=8)
+        running = []
+        for number in range(40):
+            request = work(prompt(own=200), instance=f"i{number % 20}")
+            if dispatcher.submit(0.0, request):
+                running.append(request)
+            dispatcher.start(0.1, request.key)
+        for number in range(20):
+            dispatcher.unconfirm_instance(f"i{number}")
+        placed = [dispatcher.submit(0.2, work(prompt(own=200))) for _ in range(20)]
+        self.assertTrue(sum(map(bool, placed)) < 4, placed)
+        counts = [len(state.running) for state in dispatcher.endpoints.values()]
+        self.assertTrue(max(counts) <= 8, counts)
+        # Half of the instances have opened new links; the others have stopped.
+        for request in running[::2]:
+            endpoint = dispatcher._placed[request.key]
+            dispatcher.adopt(0.25, request, endpoint, started=True)
+        for number in range(20):
+            dispatcher.drop_unconfirmed(0.45, f"i{number}")
+        left = [request for request in running if request.key in dispatcher._placed]
+        self.assertEqual(running[::2], left)
+
+    def test_request_that_is_submitted_again_keeps_its_endpoint(self):
+        """Guards against placing a request twice when the reply was lost."""
+        dispatcher = engine_dispatcher(count=4)
+        request = work(prompt(own=200))
+        first = dispatcher.submit(0.0, request)
+        dispatcher.unconfirm_instance("i")
+        self.assertEqual(first, dispatcher.submit(0.1, request))
+        dispatcher.drop_unconfirmed(0.4, "i")
+        counts = [len(state.running) for state in dispatcher.endpoints.values()]
+        self.assertEqual(1, sum(counts))
--- a/borageworks/wire/links.py
+++ b/borageworks/wire/links.py
@@ -99,6 +99,8 @@
         Called with an instance when the connection to it has ended.
     rng
         Random source of the reconnect jitter.
+    on_unreachable
+        Called with an instance when connecting to it has failed.
     """
 
     def __init__(
@@ -111,6 +113,7 @@
         on_connected: Callable[[str], None],
         on_disconnected: Callable[[str], None],
         rng: random.Random | None = None,
+        on_unreachable: Callable[[str], None] | None = None,
     ) -> None:
         self._settings = settings
         self._timers = timers
@@ -118,6 +121,7 @@
         self._on_message = on_message
         self._on_connected = on_connected
         self._on_disconnected = on_disconnected
+        self._on_unreachable = on_unreachable
         self._rng = rng or random.Random(incarnation)
         self._hello = Hello(settings.instance, incarnation, settings.domain, b"")
         self._authenticator = Authenticator(settings.keys)
@@ -195,6 +199,11 @@
                 peer.retry_timer.cancel()
                 peer.retry_timer = None
 
+    def has_queued(self, instance: str) -> bool:
+        """Return whether messages to an instance wait for a connection."""
+        peer = self._peers.get(instance)
+        return peer is not None and bool(peer.queue)
+
     def remove(self, instance: str) -> None:
         """Close the links to an instance and discard its address."""
         peer = self._peers.pop(instance, None)
@@ -477,6 +486,8 @@
         peer.backoff_s = min(max(peer.backoff_s * 2, INITIAL_BACKOFF_S), MAX_BACKOFF_S)
         delay_s = peer.backoff_s * self._rng.uniform(0.5, 1.0)
         peer.retry_timer = self._timers.after(delay_s, lambda _now: self._retry(peer))
+        if not peer.queue_while_retrying and self._on_unreachable is not None:
+            self._on_unreachable(peer.instance)
 
     def _retry(self, peer: _Peer) -> None:
         peer.retry_timer = None
