Do not reuse a connection on which a late copy of a response arrived

Operators of similar systems saw a second copy of an answer, late, on a connection in use again. Here: the copy was read while the connection was pooled and kept for the next request, which failed with 502 since the copy bears another id; the caller never got it. Cause: the HTTP library looks at a pooled connection's state, not at bytes received. Change: bytes on a pooled connection abort it. A copy that arrives after the next request has been sent is told by its id, as before.

--- a/borageworks/endpoints/bounded_connector.py
+++ b/borageworks/endpoints/bounded_connector.py
@@ -28,14 +28,24 @@
         super().__init__(loop)
         self._overhead_bytes = 0
         self._last_progress: tuple[object, int] = (None, 0)
+        self._pooled = False
+
+    def set_pooled(self) -> None:
+        """Record that no response is expected until the next request."""
+        self._pooled = True
 
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the response to the next request."""
         self._overhead_bytes = 0
+        self._pooled = False
         super().set_response_params(**params)
 
     def data_received(self, data: bytes) -> None:
         """Process bytes received from the endpoint."""
+        if self._pooled and data:
+            # A late copy of a response would be taken for the next one.
+            self.abort()
+            return
         super().data_received(data)
         payload = self._payload
         progress = payload, 0 if payload is None else payload.total_bytes
@@ -59,10 +69,17 @@
 
 
 class BoundedConnector(aiohttp.TCPConnector):
-    """Connector whose connections are aborted on excessive overhead."""
+    """Connector whose connections are aborted on excessive or unexpected bytes."""
 
     def __init__(self, **options: Any) -> None:
         super().__init__(**options)
         # The library has no public way to choose the protocol of its connections.
         protocol = functools.partial(BoundedResponseHandler, loop=self._loop)
         self._factory = cast(functools.partial[ResponseHandler], protocol)
+
+    def _release(
+        self, key: Any, protocol: ResponseHandler, *, should_close: bool = False
+    ) -> None:
+        super()._release(key, protocol, should_close=should_close)
+        if isinstance(protocol, BoundedResponseHandler):
+            protocol.set_pooled()
--- a/borageworks_emulator/platform/endpoint.py
+++ b/borageworks_emulator/platform/endpoint.py
@@ -50,6 +50,9 @@
         Whether body and events contain the request id.
     response_delay_s
         Seconds before the response, or the first event of a stream.
+    copy_delay_s
+        Seconds after a plain response until a copy of it is sent on the same
+        connection, None for no copy.
     """
 
     status: int = 200
@@ -65,6 +68,7 @@
     plain_body: bool = False
     with_request_id: bool = False
     response_delay_s: float = 0.0
+    copy_delay_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,6 +200,11 @@
         )
         if behaviour.status != 200 or behaviour.plain_body:
             text = plain_body_text(self.name, request_id)
+            if behaviour.copy_delay_s is not None:
+                copy = _encode_response(headers, text)
+                asyncio.get_running_loop().call_later(
+                    behaviour.copy_delay_s, request.transport.write, copy
+                )
             return web.Response(status=behaviour.status, headers=headers, text=text)
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
@@ -226,6 +235,12 @@
         return response
 
 
+def _encode_response(headers: dict[str, str], text: str) -> bytes:
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    head = "\r\n".join(["HTTP/1.1 200 OK", *lines, f"Content-Length: {len(text)}"])
+    return f"{head}\r\n\r\n{text}".encode()
+
+
 def _reset(request: web.BaseRequest) -> None:
     """Reset the connection of a request, so that the peer sees no orderly close."""
     transport = request.transport
