Cut a stream that its engine closed within an event

Callers saw: an event stream without length whose engine closed the connection in an orderly way, in the middle of an event, as a complete success, on routes whose streams are not resumable. Cause: only resumable streams were checked for half an event. Change: the check holds for all streams; line ends behind the last event are allowed. Two tests show that the other fault cannot happen: a stream with pauses of 0.5 s is complete, and one that sends a byte every 0.2 s ends at the caller's deadline.

--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -430,7 +430,7 @@
                     self._check_event_order(endpoint, event.id)
                     self._last_event_id = event.id
                 await self._sink.write(event.data)
-        if resumable and splitter.incomplete:
+        if splitter.incomplete.strip():
             raise EndpointReplyIncompleteError(
                 f"stream of endpoint {endpoint.id!r} ended within an event"
             )
--- a/borageworks_emulator/platform/endpoint.py
+++ b/borageworks_emulator/platform/endpoint.py
@@ -40,10 +40,14 @@
         Whether the response carries the seal header.
     without_length
         Whether the response has neither length nor chunks and ends by a reset.
+    closes_orderly
+        Whether a response without length ends by an orderly close instead.
     events
         Number of events of a stream.
     event_interval_s
         Seconds between events.
+    dribbles
+        Whether a stream consists of single bytes of one event without end.
     plain_body
         Whether the response has a plain body instead of an event stream.
     with_request_id
@@ -63,8 +67,10 @@
     stated_request_id: str | None = None
     sealed: bool = True
     without_length: bool = False
+    closes_orderly: bool = False
     events: int = 5
     event_interval_s: float = 0.0
+    dribbles: bool = False
     plain_body: bool = False
     with_request_id: bool = False
     response_delay_s: float = 0.0
@@ -215,11 +221,18 @@
                 b"HTTP/1.1 200 OK\r\n"
                 + b"".join(f"{k}: {v}\r\n".encode() for k, v in headers.items())
                 + b"\r\nid: 0\ndata: 0\n\n"
+                + (b"id: 1\nda" if behaviour.ends_mid_event else b"")
             )
             await asyncio.sleep(0.05)
-            _reset(request)
+            if behaviour.closes_orderly:
+                request.transport.close()
+            else:
+                _reset(request)
             return response
         await response.prepare(request)
+        while behaviour.dribbles:
+            await response.write(b":")
+            await asyncio.sleep(behaviour.event_interval_s)
         first = int(request.headers.get("Last-Event-Id", "-1")) + 1
         for sent, event in enumerate(range(first, behaviour.events)):
             if sent == behaviour.reset_after_events:
--- a/borageworks_emulator/platform/tests/test_responses.py
+++ b/borageworks_emulator/platform/tests/test_responses.py
@@ -192,6 +192,47 @@
 
         self.assertEqual("cut", self.run_scenario(ENGINE_SERVICE, endpoints, scenario))
 
+    def test_stream_that_is_closed_within_an_event_is_truncated(self):
+        """Guards against an orderly close that makes half an event look complete."""
+        for path in ("/once/", "/resume/"):
+            with self.assertRaises(aiohttp.ClientPayloadError):
+                self.send_request(
+                    ENGINE_SERVICE,
+                    lambda _request: Behaviour(
+                        without_length=True, closes_orderly=True, ends_mid_event=True
+                    ),
+                    path,
+                )
+
+    def test_slow_stream_with_long_pauses_is_complete(self):
+        """Guards against cutting a slow but sound stream."""
+        status, _, body, _ = self.send_request(
+            ENGINE_SERVICE, lambda _request: Behaviour(event_interval_s=0.5), "/once/"
+        )
+        self.assertEqual((200, COMPLETE_STREAM), (status, body))
+
+    def test_stalled_stream_that_sends_a_byte_now_and_then_ends(self):
+        """Guards against a stream that never ends because it is never silent."""
+
+        async def scenario(harness):
+            started = asyncio.get_running_loop().time()
+            try:
+                await harness.send_request(
+                    "/once/", X_Borageworks_Deadline_Remaining="1000"
+                )
+            except aiohttp.ClientPayloadError:
+                return asyncio.get_running_loop().time() - started
+            return None
+
+        duration_s = self.run_scenario(
+            ENGINE_SERVICE,
+            endpoint_pair(
+                lambda _request: Behaviour(event_interval_s=0.2, dribbles=True)
+            ),
+            scenario,
+        )
+        self.assertTrue(0.9 < duration_s < 1.5, duration_s)
+
     def test_hanging_request_ends_at_the_callers_deadline(self):
         """Guards against responding after the caller's deadline."""
         status, *_ = self.send_request(
