Answer requests that arrive while a gateway stops

Operators of similar systems saw requests that had just been accepted cut off at a planned stop. Here: a connection whose request had been read, but not yet handed to its handler, counted as idle and was closed; connections in the accept queue were reset when the listening socket closed, and those accepted last had no time to send their request. Change: a connection on which bytes have arrived is not idle; the acceptor empties its queue before it closes; a stop ends 0.2 s after that, when all requests have been answered.

--- a/borageworks/api/connection.py
+++ b/borageworks/api/connection.py
@@ -27,7 +27,7 @@
     the same problem details as for every other refusal, and counts the refusal.
     """
 
-    __slots__ = ("_count_refusal", "_on_lost", "request_in_progress")
+    __slots__ = ("_count_refusal", "_on_lost", "_receiving", "_request_in_progress")
 
     def __init__(
         self,
@@ -50,7 +50,24 @@
         )
         self._count_refusal = count_refusal
         self._on_lost = on_lost
-        self.request_in_progress = False
+        self._request_in_progress = False
+        self._receiving = False
+
+    @property
+    def request_in_progress(self) -> bool:
+        """Whether a request is being handled."""
+        return self._request_in_progress
+
+    @request_in_progress.setter
+    def request_in_progress(self, value: bool) -> None:
+        self._request_in_progress = value
+        if not value:
+            self._receiving = False
+
+    def data_received(self, data: bytes) -> None:
+        """Process bytes received from the caller."""
+        self._receiving = True
+        super().data_received(data)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Handle the end of the connection."""
@@ -59,8 +76,10 @@
             self._on_lost(self)
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is in progress on it."""
-        if not self.request_in_progress and self.transport is not None:
+        """Close the connection unless a request is handled or being received."""
+        # A request that has been read is handled in the next iteration of the loop.
+        busy = self._request_in_progress or self._receiving or self._messages
+        if not busy and self.transport is not None:
             self.transport.close()
 
     def handle_error(
--- a/borageworks/gateway/acceptor.py
+++ b/borageworks/gateway/acceptor.py
@@ -60,9 +60,11 @@
         self._poll_timer = Timers().every(POLL_INTERVAL_S, lambda _now: self._accept())
 
     def stop(self) -> None:
-        """Close the listening socket; open connections stay open."""
+        """Close the listening socket; open and queued connections stay open."""
         if self._socket is None:
             return
+        for _ in range(-(-LISTEN_BACKLOG // MAX_ACCEPTS_PER_POLL)):
+            self._accept()
         if self._poll_timer is not None:
             self._poll_timer.cancel()
         self._loop.remove_reader(self._socket)
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -37,6 +37,8 @@
 # Fits the field of the links' Hello.
 INCARNATION_BITS = 63
 DRAIN_POLL_INTERVAL_S = 0.05
+# Time in which the requests of the connections accepted last arrive.
+LAST_REQUESTS_S = 0.2
 # Interval of the log lines that summarise refusals by organisation.
 REPORT_INTERVAL_S = 1.0
 # The end of a suspicion raises no event, so ownership is re-evaluated periodically.
@@ -193,12 +195,20 @@
         self._review(loop.time())
         await self._instances.leave()
         await asyncio.sleep(self._settings.balancer_lag_s)
+        await self._drain()
+        await self._frontend.stop_accepting()
+        await asyncio.sleep(LAST_REQUESTS_S)
+        await self._drain()
+        await self.close()
+        emit(Event.INSTANCE_STOPPED, instance=self._settings.instance)
+
+    async def _drain(self) -> None:
+        """Wait for running requests until the deadline, closing idle connections."""
+        loop = asyncio.get_running_loop()
         self._frontend.close_idle()
         while self._frontend.running and loop.time() < self._shutdown.drain_deadline:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
             self._frontend.close_idle()
-        await self.close()
-        emit(Event.INSTANCE_STOPPED, instance=self._settings.instance)
 
     async def close(self) -> None:
         """Close all components immediately, including connections of callers."""
--- /dev/null
+++ b/borageworks_emulator/platform/tests/test_planned_stop.py
@@ -0,0 +1,147 @@
+"""Tests of requests that arrive while a gateway closes its connections."""
+
+import asyncio
+from unittest import mock
+
+from testtools import TestCase
+
+from borageworks.api.connection import CallerConnection
+from borageworks.gateway.frontend import Frontend
+from borageworks_emulator.platform.endpoint import Behaviour, EmulatedEndpoint
+from borageworks_emulator.platform.harness import (
+    ENGINE_SERVICE,
+    PLAIN_SERVICE,
+    Harness,
+)
+
+CALLERS = 60
+
+
+class PlannedStopTest(TestCase):
+    def run_scenario(self, scenario):
+        desk = EmulatedEndpoint("d", lambda _: Behaviour(plain_body=True))
+
+        async def main():
+            endpoints = {
+                PLAIN_SERVICE: [desk],
+                ENGINE_SERVICE: [EmulatedEndpoint("e")],
+            }
+            async with Harness(endpoints) as harness:
+                await harness.register(desk, PLAIN_SERVICE, slots=2 * CALLERS)
+                await harness.wait_until_current()
+                return await scenario(harness)
+
+        return asyncio.run(main())
+
+    def test_request_read_just_before_idle_connections_are_closed(self):
+        """Guards against closing a connection whose request has been read."""
+        read = set()
+        frontends: list[Frontend] = []
+        receive = CallerConnection.data_received
+
+        def record(connection, data):
+            read.add(connection.transport.get_extra_info("peername")[1])
+            receive(connection, data)
+            # At the earliest moment after the bytes have been read.
+            frontends[0].close_idle()
+            asyncio.get_running_loop().call_soon(frontends[0].close_idle)
+
+        async def send(harness, head, part):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", harness.ports[0]
+            )
+            port = writer.get_extra_info("sockname")[1]
+            try:
+                writer.write(head[:part])
+                await asyncio.sleep(0.01)
+                writer.write(head[part:])
+                return port, await reader.readline()
+            except OSError:
+                return port, b""
+            finally:
+                writer.close()
+
+        async def scenario(harness):
+            frontends.append(harness.gateway._frontend)
+            headers = harness.request_headers()
+            lines = [f"{name}: {value}" for name, value in headers.items()]
+            head = "\r\n".join(["GET /look/ HTTP/1.1", *lines, "", ""]).encode()
+            calls = [
+                asyncio.ensure_future(send(harness, head, len(head) * n // CALLERS))
+                for n in range(CALLERS)
+            ]
+            return await asyncio.gather(*calls)
+
+        with mock.patch.object(CallerConnection, "data_received", record):
+            responses = self.run_scenario(scenario)
+        cut = [port for port, data in responses if port in read and not data]
+        self.assertEqual([], cut)
+        self.assertTrue(read)
+
+    def test_connections_in_the_accept_queue_when_the_gateway_stops(self):
+        """Guards against resetting callers that wait to be accepted."""
+
+        async def scenario(harness):
+            acceptor = harness.gateway._frontend._acceptor
+            loop = asyncio.get_running_loop()
+            # The loop does not accept, as if it had been busy at this moment.
+            loop.remove_reader(acceptor._socket)
+            acceptor._poll_timer.cancel()
+            calls = [
+                asyncio.ensure_future(harness.send_request("/look/", "GET"))
+                for _ in range(CALLERS)
+            ]
+            await asyncio.sleep(0.3)
+            await harness.gateway._frontend.stop_accepting()
+            return [(await call)[0] for call in calls]
+
+        self.assertEqual([200] * CALLERS, self.run_scenario(scenario))
+
+    def test_callers_that_connect_until_a_gateway_has_stopped(self):
+        """Guards against cutting requests that a balancer sends until the end."""
+        read, answered = set(), set()
+        receive = CallerConnection.data_received
+
+        def record(connection, data):
+            read.add(connection.transport.get_extra_info("peername")[1])
+            receive(connection, data)
+
+        async def send(port, head):
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            except OSError:
+                return False
+            caller = writer.get_extra_info("sockname")[1]
+            try:
+                writer.write(head)
+                if await reader.readline():
+                    answered.add(caller)
+            except OSError:
+                pass
+            finally:
+                writer.close()
+            return True
+
+        async def keep_sending(port, head):
+            while await send(port, head):
+                pass
+
+        async def scenario(harness):
+            headers = harness.request_headers()
+            lines = [f"{name}: {value}" for name, value in headers.items()]
+            head = "\r\n".join(["GET /look/ HTTP/1.1", *lines, "", ""]).encode()
+            callers = [
+                asyncio.ensure_future(keep_sending(harness.ports[0], head))
+                for _ in range(8)
+            ]
+            await asyncio.sleep(0.2)
+            await harness.gateway.stop()
+            await asyncio.gather(*callers)
+
+        with (
+            mock.patch.object(CallerConnection, "data_received", record),
+            mock.patch("borageworks.platform.settings.BALANCER_LAG_S", 0.5),
+        ):
+            self.run_scenario(scenario)
+        self.assertTrue(len(answered) > 100, len(answered))
+        self.assertEqual(set(), read - answered)
