Confirm the configuration after a pause of the process

Operators of similar systems saw a process that had been paused act on a permission that had run out. Here: a gateway that was stopped, or whose machine was suspended, accepted requests by its old configuration until its watch had been read; a withdrawn key was used. Requests then wait until the store has been read, 0.5 s at most.

--- a/borageworks/gateway/follower.py
+++ b/borageworks/gateway/follower.py
@@ -33,6 +33,8 @@
 RELAY_AFTER_S = 0.5
 RELAY_INTERVAL_S = 0.4
 RELAY_TIMEOUT_S = 0.4
+# After a pause, requests wait at most this long for the store to confirm the replica.
+CONFIRMATION_TIMEOUT_S = 0.5
 # Matches the configuration, the endpoint entries and the gateway's own keys.
 ALL_KEYS_PREFIX = ""
 
@@ -82,6 +84,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._confirmed_at: float | None = None
         self._configured_at: float | None = None
+        self._confirmation: asyncio.Task[None] | None = None
         metrics.before_render(self._update_age_gauges)
 
     @property
@@ -104,6 +107,28 @@
                 self._metrics.count("replica_reloads", error.code)
                 await asyncio.sleep(RETRY_DELAY_S)
 
+    def require_confirmation(self) -> None:
+        """Read the store anew, since the replica may be behind after a pause."""
+        if self._confirmation is None or self._confirmation.done():
+            loop = asyncio.get_running_loop()
+            self._confirmation = loop.create_task(self._confirm())
+
+    async def wait_until_confirmed(self) -> None:
+        """Wait until the store has confirmed the replica, or did not reply in time."""
+        if self._confirmation is not None and not self._confirmation.done():
+            await asyncio.shield(self._confirmation)
+
+    async def _confirm(self) -> None:
+        try:
+            async with asyncio.timeout(CONFIRMATION_TIMEOUT_S):
+                self._apply_from_store(await self._store.range(ALL_KEYS_PREFIX))
+        except (
+            StoreUnavailableError,
+            StoreReplyMalformedError,
+            TimeoutError,
+        ) as error:
+            self._metrics.count("confirmation_failures", type(error).__name__)
+
     async def _watch(self) -> None:
         """Watch the store until readers forward its changes."""
         changes = self._store.watch_with_progress(
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
@@ -67,6 +67,8 @@
         Decides which requests are admitted under overload.
     connection_limit
         Decides which connections of callers are closed to free descriptors.
+    wait_until_current
+        Waits while the configuration may be out of date after a pause.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         store_outage_s: Callable[[], float],
         admission: Admission,
         connection_limit: ConnectionLimit[CallerConnection],
+        wait_until_current: Callable[[], Awaitable[None]],
     ) -> None:
         self._settings = settings
         self._codec = codec
@@ -94,6 +97,7 @@
         self._store_outage_s = store_outage_s
         self._admission = admission
         self._connection_limit = connection_limit
+        self._wait_until_current = wait_until_current
         self._rng = random.Random()
         self._server: web.Server | None = None
         self._acceptor: Acceptor | None = None
@@ -236,6 +240,7 @@
     async def _prepare_exchange(
         self, http_request: web.BaseRequest, request: CallerRequest, received_at: float
     ) -> Exchange:
+        await self._wait_until_current()
         deployment = self._directory.deployment
         if deployment is None:
             raise InstanceNotReadyError(
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -22,6 +22,7 @@
 from borageworks.gateway.frontend import Frontend
 from borageworks.gateway.instances import Instances
 from borageworks.gateway.loop_lag import LoopLag
+from borageworks.gateway.pause import PauseDetector
 from borageworks.gateway.placer import Placer
 from borageworks.gateway.replica import ReplicaChange
 from borageworks.gateway.retry_budgets import RetryBudgets
@@ -142,6 +143,7 @@
         self._retry_budgets = RetryBudgets(
             settings, timers, lambda: self._instances.count
         )
+        self._pause_detector = PauseDetector(self._follower.require_confirmation)
         self._loop_lag = LoopLag(settings, self._metrics)
         self._admission = Admission(self._loop_lag)
         self._connection_limit = ConnectionLimit[CallerConnection](
@@ -159,6 +161,7 @@
             self._store_outage_s,
             self._admission,
             self._connection_limit,
+            self._confirm_after_pause,
         )
         await self._start_http_servers()
         await self._frontend.start()
@@ -169,6 +172,7 @@
             self._fleet.create_key(),
         ):
             self._spawn(coroutine)
+        self._pause_detector.start(timers)
         self._loop_lag.start(timers)
         self._admission.start(timers)
         self._review_timer = timers.every(OWNER_REVIEW_INTERVAL_S, self._review)
@@ -214,6 +218,7 @@
         """Close all components immediately, including connections of callers."""
         self._review_timer.cancel()
         self._report_timer.cancel()
+        self._pause_detector.stop()
         self._loop_lag.stop()
         self._admission.stop()
         await self._frontend.stop_accepting()
@@ -250,6 +255,11 @@
         self._placer.update()
         self._cache_follower.update()
 
+    async def _confirm_after_pause(self) -> None:
+        """Wait for the store if the configuration may be out of date after a pause."""
+        self._pause_detector.check()
+        await self._follower.wait_until_confirmed()
+
     def _max_caller_connections(self) -> int:
         return max_caller_connections(
             self._settings.max_descriptors, self._instances.count
