Use idle engines when requests wait for several busy ones

Cause: a request whose preferred engine would be late was placed on another one only if all waiting requests preferred the same engine. With one owner for all engines some request always waits for another hot part, so requests were refused beside idle engines. Change: an idle engine that no request waits for is used in any case.

--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -315,12 +315,13 @@
         """Place a request on another engine than the preferred one, or refuse it.
 
         The preferred engine would miss the target latency. Another one has to prefill
-        the shared part again, which delays no other request only if that engine has
-        room and all waiting requests prefer the same engine as this one.
+        the shared part again, which delays no other request if no request waits for
+        that engine, and it is idle or all waiting requests prefer the same one.
         """
         work = waiting.work
-        if any(item.preferred != waiting.preferred for item in self._waiting.values()):
-            return self._refuse(now, work, RefusalReason.NO_CAPACITY)
+        same_preferred = all(
+            item.preferred == waiting.preferred for item in self._waiting.values()
+        )
         seconds_per_token = self._prefill_speed.seconds_per_token
         cheapest = min(
             (
@@ -328,6 +329,7 @@
                 for name, state in self._endpoints.items()
                 if name not in work.excluded
                 and state.usable(now)
+                and (same_preferred or not state.prefilling)
                 and not self._waiting_tokens.get(name)
                 and self._has_room(now, state, work)
             ),
--- a/borageworks/placement/tests/test_load_patterns.py
+++ b/borageworks/placement/tests/test_load_patterns.py
@@ -111,6 +111,20 @@
         simulation.advance(2.0)
         self.assertEqual({}, simulation.refused)
 
+    def test_two_busy_preferred_engines_beside_idle_engines(self):
+        """Guards against refusals because others wait for another busy engine."""
+        simulation = EngineSimulation(engine_dispatcher(count=8))
+        for number in range(24):
+            simulation.submit(
+                work(
+                    prompt(own=3000, shared=6000, shared_id=f"hot-{number % 2}"),
+                    remaining_target_s=0.6,
+                )
+            )
+        simulation.advance(2.0)
+        self.assertEqual({}, simulation.refused)
+        self.assertEqual({}, simulation.late)
+
     def test_many_shared_parts_are_prefilled_about_once(self):
         """Shared parts that fit into all engines together are not prefilled again."""
         rng = random.Random(3)
