Refuse requests with less work at the owner

Cause: each refusal added up the prompt tokens ahead of all endpoints for its Retry-After. Change: the sum is at most 20 ms old; endpoints with work are passed over first; the literal Retry-After of a request whose service has left is the setting.

--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -353,7 +353,8 @@
     def _submit(self, shard: Shard, work: Work) -> None:
         dispatcher = self._dispatchers.get(shard)
         if dispatcher is None:
-            self._deliver([Refused(work.key, RefusalReason.NO_ENDPOINT, 0.2)])
+            retry_after_s = self._settings.min_retry_after_s
+            self._deliver([Refused(work.key, RefusalReason.NO_ENDPOINT, retry_after_s)])
             return
         dispatcher.set_capacity_ratio(
             1.0 if self.owns(shard) else 1.0 / self._fleet.count
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -37,6 +38,7 @@
 # selection compares all engines; doing it for all requests of a flood would saturate a
 # core.
 SELECTIONS_PER_TICK = 16
+PREFILL_WAIT_MAX_AGE_S = 0.02
 # Requests that crash endpoints stay refused, so an early retry is useless.
 SUSPECT_RETRY_AFTER_S = 60.0
 # The single entry under which the fair queue counts all demand.
@@ -90,6 +92,8 @@
         self._mean_duration_s = 0.0
         self._suspects = CrashSuspects()
         self._unconfirmed: set[WorkKey] = set()
+        self._last_prefill_wait_s = 0.0
+        self._prefill_wait_computed_at = -math.inf
 
     @property
     def endpoints(self) -> dict[str, EndpointState]:
@@ -327,9 +331,9 @@
             (
                 state
                 for name, state in self._endpoints.items()
-                if name not in work.excluded
+                if (same_preferred or not state.prefilling)
+                and name not in work.excluded
                 and state.usable(now)
-                and (same_preferred or not state.prefilling)
                 and not self._waiting_tokens.get(name)
                 and self._has_room(now, state, work)
             ),
@@ -464,16 +468,7 @@
         if work.prompt is None:
             wait_s = settings.min_retry_after_s
         else:
-            seconds_per_token = self._prefill_speed.seconds_per_token
-            usable = [state for state in self._endpoints.values() if state.usable(now)]
-            tokens = sum(self._waiting_tokens.values()) + sum(
-                state.backlog_tokens(now, seconds_per_token) for state in usable
-            )
-            wait_s = (
-                tokens * seconds_per_token / len(usable)
-                if usable
-                else settings.min_retry_after_s
-            )
+            wait_s = self._prefill_wait_s(now)
         return Refused(
             work.key,
             reason,
@@ -481,6 +476,22 @@
             work,
         )
 
+    def _prefill_wait_s(self, now: float) -> float:
+        """Return the seconds in which the endpoints prefill all that is ahead.
+
+        Computed at most once in `PREFILL_WAIT_MAX_AGE_S`, since a flood of refusals
+        needs it for each request.
+        """
+        if now - self._prefill_wait_computed_at > PREFILL_WAIT_MAX_AGE_S:
+            seconds_per_token = self._prefill_speed.seconds_per_token
+            usable = [state for state in self._endpoints.values() if state.usable(now)]
+            tokens = sum(self._waiting_tokens.values()) + sum(
+                state.backlog_tokens(now, seconds_per_token) for state in usable
+            )
+            self._last_prefill_wait_s = tokens * seconds_per_token / max(len(usable), 1)
+            self._prefill_wait_computed_at = now
+        return self._last_prefill_wait_s
+
     def _uncached_tokens(self, state: EndpointState, work: Work) -> int:
         if work.prompt is None:
             return 0
