Let a replaced owner forget the requests that it does not own any more

Cause: when ownership moves and comes back, requests that end meanwhile are reported to the other owner, so the first one counts them as running for good. And ownership moved because replies that were late while a link was being replaced counted as silence. Change: the previous owner is told to forget a request that is reported to a new one; the end of a link and the handshake of the next one do not count as silence.

--- a/borageworks/gateway/fleet.py
+++ b/borageworks/gateway/fleet.py
@@ -291,7 +291,8 @@
             await self._links.stop()
 
     def _connected(self, instance: str) -> None:
-        self._clear(instance)
+        """Record the handshake, which proves like a message that an instance runs."""
+        self.record_message(instance)
 
     def _clear(self, instance: str) -> None:
         """End the suspicion of an instance."""
@@ -300,7 +301,11 @@
             self._candidates = None
 
     def _disconnected(self, instance: str) -> None:
-        """Handle the end of a link; its instance may run and accept a new one."""
+        """Handle the end of a link; its instance may run and accept a new one.
+
+        Replies that are late until a new link is open do not show that it is silent.
+        """
+        self._last_message_at[instance] = self._timers.now()
         self._on_interrupted(instance)
         links = self._links
         if links is not None and links.has_queued(instance):
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -463,7 +463,10 @@
         return owner
 
     def _report_running(self, shard: Shard, owner: str) -> None:
-        """Report running requests of a shard to its new owner."""
+        """Report running requests of a shard to its new owner.
+
+        The previous owner forgets them, as the end of a request is told to one only.
+        """
         for pending in self._requests.values():
             if (
                 pending.shard != shard
@@ -471,6 +474,7 @@
                 or pending.owner == owner
             ):
                 continue
+            self._withdraw(pending)
             request = encode_work(shard, pending.work)
             if owner == self._instance:
                 self._adopt(owner, request, pending.endpoint, pending.started)
--- a/borageworks/gateway/tests/test_fleet.py
+++ b/borageworks/gateway/tests/test_fleet.py
@@ -93,6 +93,25 @@
             self.assertIn("a", self.owners(fleet))
             suspicion_s *= 2
 
+    def test_reply_that_is_late_because_its_link_was_lost(self):
+        """Guards against ownership that moves when links are reset."""
+        fleet = self.fleet(a=1.0)
+        fleet.record_message("a")
+        self.timers.time += 10 * PEER_TIMEOUT_S
+        fleet._on_interrupted = lambda _instance: None
+        fleet._links.has_queued = lambda _instance: False
+        fleet._disconnected("a")
+        self.timers.time += PEER_TIMEOUT_S / 2
+        fleet.record_timeout("a")
+        self.assertIn("a", self.owners(fleet))
+        fleet._connected("a")
+        self.timers.time += PEER_TIMEOUT_S / 2
+        fleet.record_timeout("a")
+        self.assertIn("a", self.owners(fleet))
+        self.timers.time += PEER_TIMEOUT_S
+        fleet.record_timeout("a")
+        self.assertEqual({"i"}, self.owners(fleet))
+
     def test_message_ends_a_suspicion(self):
         """Guards against two owners after a network partition has ended."""
         fleet = self.fleet(a=1.0)
--- a/borageworks/gateway/tests/test_placer.py
+++ b/borageworks/gateway/tests/test_placer.py
@@ -1,6 +1,7 @@
 """Tests of the placement of requests for other instances."""
 
 import asyncio
+from dataclasses import replace
 from types import SimpleNamespace
 from unittest import mock
 
@@ -10,9 +11,11 @@
 from borageworks.gateway.endpoint import Endpoint
 from borageworks.gateway.placer import Placer
 from borageworks.metrics import Metrics
+from borageworks.placement.outcome import WorkOutcome
 from borageworks.placement.settings import PlacementSettings
-from borageworks.placement.tests.builders import engines
+from borageworks.placement.tests.builders import engines, prompt, work
 from borageworks.timers import Timers
+from borageworks.wire.messages import PlacementState, PlaceReply
 
 TOKENS_PER_S = 200_000.0
 ENGINES = 16
@@ -85,3 +88,51 @@
 
         before, after = asyncio.run(main())
         self.assertEqual(before, after)
+
+
+class OwnerChangeTest(TestCase):
+    def test_owner_that_is_replaced_forgets_the_running_requests(self):
+        """Guards against an owner that counts requests which ended at another one.
+
+        Ownership moves to and fro while links are lost. The end of a request is told
+        to its last owner; for the others it would have run on for good, until no
+        endpoint had a free slot.
+        """
+
+        async def main():
+            listed = engines(2)
+            directory = SimpleNamespace(
+                deployment=SimpleNamespace(
+                    services={
+                        "engines": ServiceProfile("engines", EngineProfile(8, 400_000))
+                    },
+                    tokens_per_s=TOKENS_PER_S,
+                ),
+                endpoints_of=lambda _service: listed,
+            )
+            placer = owner_of_all(directory)
+            fleet = placer._fleet
+            placer.update()
+            fleet.owner.return_value = "x"
+            key = placer.new_key()
+            request = work(prompt(), instance="i")
+            request = replace(request, key=key)
+            call = asyncio.ensure_future(placer.place("engines", "r", request))
+            await asyncio.sleep(0)
+            placer.receive("x", PlaceReply(key[1], PlacementState.PLACED, "e0"))
+            await call
+            for owner in ("i", "x", "y"):
+                fleet.owner.return_value = owner
+                placer.review_owners()
+            placer.record_end(key, WorkOutcome.SERVED)
+            own = placer.dispatchers["engines", 0].endpoints["e0"].running
+            sent = [
+                (name, type(message).__name__)
+                for name, message in (args.args for args in fleet.send.call_args_list)
+            ]
+            return own, sent
+
+        own, sent = asyncio.run(main())
+        self.assertEqual({}, own)
+        for name, last in (("x", "PlaceWithdraw"), ("y", "WorkEnded")):
+            self.assertEqual(last, [kind for to, kind in sent if to == name][-1], sent)
