Log once a second what placement believes while it refuses

Cause: event 409 tells how much of each organisation's work placement refused, not why. Change: event 410 beside 409: usable endpoints, placed and waiting requests, expected times, refusals by reason, whether this instance takes itself for the owner, and the largest leads over the pool's virtual time. No decision changed.

--- a/borageworks/fair/queue.py
+++ b/borageworks/fair/queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
@@ -175,6 +176,19 @@
             return account.virtual_time
         return max(account.virtual_time, self._virtual_time)
 
+    def leads(self, count: int) -> dict[str, float]:
+        """Return the largest virtual times beyond that of the pool, largest first.
+
+        An organisation in debt is served after the others until they have caught up.
+        """
+        leads = {
+            name: account.virtual_time - self._virtual_time
+            for name, account in self._accounts.items()
+            if account.virtual_time > self._virtual_time
+        }
+        largest = heapq.nlargest(count, leads, key=leads.__getitem__)
+        return {name: leads[name] for name in largest}
+
     def _get_or_create_account(self, organisation: str) -> _Account:
         account = self._accounts.get(organisation)
         if account is None:
--- a/borageworks/gateway/organisation_tally.py
+++ b/borageworks/gateway/organisation_tally.py
@@ -43,11 +43,11 @@
         """Add an amount that an organisation was refused."""
         self._counts_for(organisation).refused += amount
 
-    def report(self, **fields: object) -> None:
-        """Log the amounts since the last report, if anything was refused."""
+    def report(self, **fields: object) -> bool:
+        """Log the amounts since the last report; return whether any was refused."""
         counts, self._counts = self._counts, {}
         if not any(item.refused for item in counts.values()):
-            return
+            return False
         ranked = sorted(counts.items(), key=lambda item: (-item[1].refused, item[0]))
         named, rest = ranked[:MAX_NAMED_ORGANISATIONS], ranked[MAX_NAMED_ORGANISATIONS:]
         emit(
@@ -65,6 +65,7 @@
             ],
             **fields,
         )
+        return True
 
     def _counts_for(self, organisation: str) -> _Counts:
         counts = self._counts.get(organisation)
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import itertools
+from collections import Counter
 from collections.abc import Iterable
+from dataclasses import asdict
+from typing import Any
 
 from borageworks.events import Event, emit
 from borageworks.exceptions import (
@@ -29,6 +32,7 @@
 from borageworks.placement.prefill_speed import PrefillSpeed
 from borageworks.placement.settings import PlacementSettings
 from borageworks.placement.shards import ServiceShards, Shard
+from borageworks.placement.summary import PlacementSummary
 from borageworks.placement.work import Work, WorkKey
 from borageworks.timers import Timers, TimerSubscription
 from borageworks.wire.messages import (
@@ -97,6 +101,8 @@
         self._numbers = itertools.count(1)
         self._tick_timer: TimerSubscription | None = None
         self._tallies: dict[Shard, OrganisationTally] = {}
+        # Refusals since the last report.
+        self._refusal_reasons: dict[Shard, Counter[RefusalReason]] = {}
 
     @property
     def dispatchers(self) -> dict[Shard, Dispatcher]:
@@ -230,9 +236,22 @@
         self.review_owners()
 
     def report(self) -> None:
-        """Log requested and refused work by organisation since the last report."""
-        for (service, number), tally in self._tallies.items():
-            tally.report(service=service, shard=number)
+        """Log the work refused by organisation since the last report, and why."""
+        for shard, tally in self._tallies.items():
+            service, number = shard
+            refused = tally.report(service=service, shard=number)
+            reasons = self._refusal_reasons.pop(shard, Counter())
+            dispatcher = self._dispatchers.get(shard)
+            if refused and dispatcher is not None:
+                state = dispatcher.summarise(self._timers.now())
+                emit(
+                    Event.PLACEMENT_STATE,
+                    service=service,
+                    shard=number,
+                    owned=self.owns(shard),
+                    reasons={reason.name.lower(): n for reason, n in reasons.items()},
+                    **_rounded(state),
+                )
 
     def review_owners(self) -> None:
         """Update shard owners and report running requests to new owners."""
@@ -508,6 +527,7 @@
         for decision in decisions:
             if isinstance(decision, Refused) and decision.work is not None:
                 work = decision.work
+                self._refusal_reasons.setdefault(shard, Counter())[decision.reason] += 1
                 self._tally(shard).record_refused(work.organisation, work.units)
         return decisions
 
@@ -537,3 +557,13 @@
         if not waiting and self._tick_timer is not None:
             self._tick_timer.cancel()
             self._tick_timer = None
+
+
+def _rounded(state: PlacementSummary) -> dict[str, Any]:
+    """Return the fields of a summary with the precision that a log line needs."""
+    fields = asdict(state)
+    fields["backlog_s"] = round(state.backlog_s, 4)
+    fields["seconds_per_token"] = round(state.seconds_per_token, 8)
+    fields["start_s"] = round(state.start_s, 4)
+    fields["leads"] = {name: round(lead) for name, lead in state.leads.items()}
+    return fields
--- a/borageworks/gateway/tests/test_placer.py
+++ b/borageworks/gateway/tests/test_placer.py
@@ -5,10 +5,12 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from eliot.testing import capture_logging
 from testtools import TestCase
 
 from borageworks.gateway.deployment import EngineProfile, ServiceProfile
 from borageworks.gateway.endpoint import Endpoint
+from borageworks.gateway.placement_messages import encode_work
 from borageworks.gateway.placer import Placer
 from borageworks.metrics import Metrics
 from borageworks.placement.outcome import WorkOutcome
@@ -136,3 +138,38 @@
         self.assertEqual({}, own)
         for name, last in (("x", "PlaceWithdraw"), ("y", "WorkEnded")):
             self.assertEqual(last, [kind for to, kind in sent if to == name][-1], sent)
+
+
+class PlacementReportTest(TestCase):
+    @capture_logging(None)
+    def test_state_of_placement_beside_refusals(self, logger):
+        """Guards against refusals whose log does not tell what placement believed."""
+
+        async def main():
+            directory = SimpleNamespace(
+                deployment=SimpleNamespace(
+                    services={
+                        "engines": ServiceProfile("engines", EngineProfile(8, 400_000))
+                    },
+                    tokens_per_s=TOKENS_PER_S,
+                ),
+                endpoints_of=lambda _service: engines(2, slots=1),
+            )
+            placer = owner_of_all(directory)
+            placer.update()
+            for _ in range(6):
+                message = encode_work(
+                    ("engines", 0),
+                    work(prompt(20_000), remaining_target_s=0.0),
+                )
+                placer.receive("other", message)
+            placer.report()
+
+        asyncio.run(main())
+        (line,) = [line for line in logger.messages if line["event"] == 410]
+        self.assertEqual(
+            (2, 2, 2, {"no_capacity": 4}),
+            (line["endpoints"], line["running"], line["slots"], line["reasons"]),
+        )
+        self.assertTrue(line["owned"])
+        self.assertTrue(line["seconds_per_token"] > 0)
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -19,6 +19,7 @@
 from borageworks.placement.prompt_cache import PromptCache
 from borageworks.placement.selection import EndpointSelector
 from borageworks.placement.settings import PlacementSettings
+from borageworks.placement.summary import PlacementSummary
 from borageworks.placement.work import (
     GENERATED_WEIGHT,
     PLAIN_UNITS,
@@ -41,6 +42,8 @@
 PREFILL_WAIT_MAX_AGE_S = 0.02
 # Requests that crash endpoints stay refused, so an early retry is useless.
 SUSPECT_RETRY_AFTER_S = 60.0
+# Organisations named in the summary for the log, so that its length is bounded.
+MAX_NAMED_LEADS = 8
 # The single entry under which the fair queue counts all demand.
 _FAIR_QUEUE_ENTRY = ""
 
@@ -115,6 +118,30 @@
         """Estimate of the engines' prefill speed."""
         return self._prefill_speed
 
+    def summarise(self, now: float) -> PlacementSummary:
+        """Return what this dispatcher believes, for its periodic log line."""
+        speed = self._prefill_speed
+        usable = [state for state in self._endpoints.values() if state.usable(now)]
+        backlogs_s = [
+            state.backlog_tokens(now, self._seconds_per_token(now, state))
+            * self._seconds_per_token(now, state)
+            for state in usable
+        ]
+        allowed_s = self._settings.prefill_ahead_s * self._capacity_ratio
+        return PlacementSummary(
+            endpoints=len(self._endpoints),
+            usable=len(usable),
+            running=sum(len(state.running) for state in self._endpoints.values()),
+            slots=sum(self._slot_limit(state) for state in usable),
+            prefill_full=sum(backlog_s > allowed_s for backlog_s in backlogs_s),
+            waiting=len(self._waiting),
+            waiting_max=max(self._waiting_per_organisation.values(), default=0),
+            backlog_s=sum(backlogs_s) / max(len(usable), 1),
+            seconds_per_token=speed.seconds_per_token,
+            start_s=speed.start_s,
+            leads=self._fair_queue.leads(MAX_NAMED_LEADS),
+        )
+
     def set_capacity_ratio(self, ratio: float) -> None:
         """Set the fraction of each endpoint's capacity that this instance may use.
 
