Stop counting prompts whose output was lost or is overdue

Cause: a request whose response an engine loses stays in its prefill backlog until the caller gives up after 2 to 8 s. Class: occupancy that only an event can end, and the event may never come. Change: engines admit in order of arrival, so the start of a request shows that what was placed there before it has been prefilled. Output that is overdue (twice the expected time and 0.25 s) is no longer waited for; an engine at which two in a row are overdue is suspended with the backoff that unreachable ones have.

--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -40,6 +40,8 @@
 # core.
 SELECTIONS_PER_TICK = 16
 PREFILL_WAIT_MAX_AGE_S = 0.02
+# Interval at which overdue prompts are looked for.
+EXPIRY_INTERVAL_S = 0.02
 # Requests that crash endpoints stay refused, so an early retry is useless.
 SUSPECT_RETRY_AFTER_S = 60.0
 # Organisations named in the summary for the log, so that its length is bounded.
@@ -97,6 +99,7 @@
         self._unconfirmed: set[WorkKey] = set()
         self._last_prefill_wait_s = 0.0
         self._prefill_wait_computed_at = -math.inf
+        self._expired_at = -math.inf
 
     @property
     def endpoints(self) -> dict[str, EndpointState]:
@@ -182,6 +185,7 @@
         A request that is submitted again gets the decision that it has.
         """
         self._unconfirmed.discard(work.key)
+        self._expire_overdue(now)
         if work.key in self._waiting:
             return []
         state = self._endpoints.get(self._placed.get(work.key, ""))
@@ -291,6 +295,7 @@
 
     def tick(self, now: float) -> list[Decision]:
         """Place waiting requests that fit, and refuse those that waited too long."""
+        self._expire_overdue(now)
         least_recent = heapq.nsmallest(
             SELECTIONS_PER_TICK,
             self._waiting.values(),
@@ -308,6 +313,21 @@
                 )
         return decisions
 
+    def _expire_overdue(self, now: float) -> None:
+        """Stop counting prompts whose output is overdue, at all engines."""
+        if not self.has_engines or now - self._expired_at < EXPIRY_INTERVAL_S:
+            return
+        self._expired_at = now
+        settings = self._settings
+        for state in self._endpoints.values():
+            oldest = next(iter(state.prefilling.values()), None)
+            if oldest is not None:
+                expected_s = self._prefill_speed.start_s
+                expected_s += oldest * self._seconds_per_token(now, state)
+                state.expire_overdue(
+                    now, settings.overdue_ratio * expected_s + settings.overdue_margin_s
+                )
+
     def _place_waiting(
         self, now: float, freed: EndpointState | None = None
     ) -> list[Decision]:
--- a/borageworks/placement/endpoint_state.py
+++ b/borageworks/placement/endpoint_state.py
@@ -25,6 +25,8 @@
 # Without samples the estimate decays, so that an engine that gets few requests is
 # tried again.
 SLOWDOWN_HALF_LIFE_S = 4.0
+# An engine that loses single responses is not suspended, one that is silent is.
+MAX_OVERDUE = 2
 # Cool-down of an endpoint that refused a request for lack of capacity: about the time
 # in which it completes a few requests.
 SHED_COOL_DOWN_S = 0.05
@@ -46,6 +48,8 @@
         Times of placement and of the first output; `started_at` is None before that.
     fingerprint
         Hash that identical requests share.
+    prefilled
+        Whether its prompt no longer counts as work ahead of later requests.
     """
 
     uncached_tokens: int
@@ -54,6 +58,7 @@
     placed_at: float
     started_at: float | None = None
     fingerprint: bytes = b""
+    prefilled: bool = False
 
 
 @dataclass(slots=True)
@@ -67,7 +72,7 @@
     cache
         Prompt parts that it is believed to have cached.
     running, prefilling
-        Placed requests, and the uncached tokens of those without output yet, in order.
+        Placed requests, and the uncached tokens of those not yet prefilled, in order.
     uncached_tokens, memory_tokens
         Totals of `prefilling`, and of the memory that running requests take.
     prefill_since
@@ -78,6 +83,8 @@
         End of the present suspension, and the length of the last one.
     half_open
         Whether it gets one request at a time until one succeeds.
+    overdue
+        Number of requests that did not start in time since the last one that started.
     """
 
     endpoint: Endpoint
@@ -91,6 +98,7 @@
     suspended_until: float = 0.0
     suspension_s: float = 0.0
     half_open: bool = False
+    overdue: int = 0
     _slowdown: float = 1.0
     _slowdown_at: float = 0.0
 
@@ -109,11 +117,41 @@
         if work is None or work.started_at is not None:
             return None
         work.started_at = now
-        del self.prefilling[key]
-        self.uncached_tokens -= work.uncached_tokens
-        self.prefill_since = now
+        self.overdue = 0
+        if not work.prefilled:
+            # Engines admit in order of arrival, so earlier prompts have been prefilled,
+            # also those of requests whose output was lost.
+            for earlier in list(self.prefilling):
+                self._finish_prefill(earlier)
+                if earlier == key:
+                    break
+            self.prefill_since = now
         return work
 
+    def expire_overdue(self, now: float, limit_s: float) -> None:
+        """Stop waiting for the oldest prompt if its output is overdue.
+
+        Parameters
+        ----------
+        now
+            Time in seconds.
+        limit_s
+            Seconds after which the output of the oldest prompt is overdue. It may have
+            been lost, so another request is tried; an engine at which several in a row
+            are overdue is suspended.
+        """
+        if not self.prefilling or now - self.prefill_since <= limit_s:
+            return
+        self._finish_prefill(next(iter(self.prefilling)))
+        self.prefill_since = now
+        self.overdue += 1
+        if self.overdue >= MAX_OVERDUE:
+            self._suspend(now)
+
+    def _finish_prefill(self, key: WorkKey) -> None:
+        self.uncached_tokens -= self.prefilling.pop(key)
+        self.running[key].prefilled = True
+
     def remove(self, key: WorkKey) -> RunningWork | None:
         """Remove a request that ended."""
         work = self.running.pop(key, None)
@@ -174,9 +212,12 @@
             case WorkOutcome.UNREACHABLE:
                 self.failure_rate += FAILURE_RATE_GAIN * (1.0 - self.failure_rate)
                 self.half_open = True
-                self.suspension_s = min(
-                    max(self.suspension_s * 2.0, INITIAL_SUSPENSION_S), MAX_SUSPENSION_S
-                )
-                self.suspended_until = now + self.suspension_s
+                self._suspend(now)
             case WorkOutcome.UNLISTED:
                 self.suspended_until = now + MAX_SUSPENSION_S
+
+    def _suspend(self, now: float) -> None:
+        self.suspension_s = min(
+            max(self.suspension_s * 2.0, INITIAL_SUSPENSION_S), MAX_SUSPENSION_S
+        )
+        self.suspended_until = now + self.suspension_s
--- a/borageworks/placement/settings.py
+++ b/borageworks/placement/settings.py
@@ -24,6 +24,9 @@
     memory_ratio
         Fraction of an engine's memory that running requests may take; the rest is for
         cached shared parts and for responses as they grow.
+    overdue_ratio, overdue_margin_s
+        The output of a request is overdue after its expected time to the first token,
+        multiplied by the ratio and extended by the margin: it may have been lost.
     min_retry_after_s, max_retry_after_s
         Bounds of the Retry-After of refused requests.
     """
@@ -33,5 +36,7 @@
     failure_penalty_s: float = 1.0
     domain_penalty_s: float = 0.002
     memory_ratio: float = 0.6
+    overdue_ratio: float = 2.0
+    overdue_margin_s: float = 0.25
     min_retry_after_s: float = 0.2
     max_retry_after_s: float = 3.0
