Let instances agree on the owner of a shard that has restarted

Cause: each instance decides by its own suspicions who owns a shard. One failure counted three times, as a link that ended, a link that could not be opened and a reply that was missing, so 62 instances avoided the owner for four seconds although it was back after 0.7; it and those started since took it for the owner. Class: a decision that all have to share, made from private evidence without a way to settle it. Change: signs of one failure count once. An instance that takes over a shard tells its stand-in, and an instance that is asked for a shard of which it knows another owner says so; a suspected instance that another one vouches for is tried once more.

--- a/borageworks/gateway/fleet.py
+++ b/borageworks/gateway/fleet.py
@@ -97,6 +97,8 @@
         self._key: str | None = None
         self._suspected_until: dict[str, float] = {}
         self._suspicion_s: dict[str, float] = {}
+        # Suspected instances that were tried early since another instance reaches them.
+        self._vouched: set[str] = set()
         self._last_message_at: dict[str, float] = {}
         self._leaving = False
         self._candidates: dict[str, float] | None = None
@@ -241,6 +243,13 @@
             if capacity >= min_capacity
         }
 
+    def stand_in(self, key: str) -> str | None:
+        """Return the instance that owns a key while its owner is suspected."""
+        if self._candidates is None:
+            self._candidates = self._find_candidates()
+        owners = ranked(key, self._candidates)
+        return owners[1] if len(owners) > 1 else None
+
     def readers(self) -> list[str]:
         """Return the instances that read the store for this failure domain.
 
@@ -261,14 +270,28 @@
         return ranked(f"readers/{self.domain}", names)[:READERS_PER_DOMAIN]
 
     def suspect(self, instance: str) -> None:
-        """Exclude an instance from ownership, with exponential backoff."""
+        """Exclude an instance from ownership, with exponential backoff.
+
+        Further signs of the same failure do not extend the exclusion.
+        """
+        now = self._timers.now()
+        if self._suspected_until.get(instance, now) > now:
+            return
         duration_s = self._suspicion_s.get(instance, INITIAL_SUSPICION_S / 2) * 2
         self._suspicion_s[instance] = min(duration_s, MAX_SUSPICION_S)
-        self._suspected_until[instance] = (
-            self._timers.now() + self._suspicion_s[instance]
-        )
+        self._suspected_until[instance] = now + self._suspicion_s[instance]
         self._candidates = None
 
+    def vouch(self, instance: str) -> None:
+        """Try a suspected instance again, since another instance reaches it.
+
+        If that fails, the exclusion lasts: the instance may not be reachable from here.
+        """
+        if instance in self._suspected_until and instance not in self._vouched:
+            self._vouched.add(instance)
+            del self._suspected_until[instance]
+            self._candidates = None
+
     def record_message(self, instance: str) -> None:
         """Record a message from an instance, which ends its suspicion."""
         self._last_message_at[instance] = self._timers.now()
@@ -297,6 +320,7 @@
     def _clear(self, instance: str) -> None:
         """End the suspicion of an instance."""
         self._suspicion_s.pop(instance, None)
+        self._vouched.discard(instance)
         if self._suspected_until.pop(instance, None) is not None:
             self._candidates = None
 
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -41,6 +41,7 @@
     PlaceReply,
     PlaceRequest,
     PlaceWithdraw,
+    ShardOwner,
     WorkEnded,
     WorkRunning,
     WorkStarted,
@@ -279,6 +280,9 @@
                     )
             case WorkRunning(request=request, endpoint=endpoint, started=started):
                 self._adopt(instance, request, endpoint, started)
+            case ShardOwner(owner=owner):
+                self._fleet.vouch(owner)
+                self.review_owners()
             case _:
                 self._metrics.count("peer_messages_unused", type(message).__name__)
 
@@ -417,6 +421,9 @@
                 ),
             )
             return
+        owner = self._owner(shard)
+        if owner not in (self._instance, instance):
+            self._fleet.send(instance, ShardOwner(*shard, owner))
         work = decode_work(instance, request)
         dispatcher.set_capacity_ratio(1.0)
         self._tally(shard).record_requested(work.organisation, work.units)
@@ -479,8 +486,19 @@
                     previous=previous,
                 )
             self._report_running(shard, owner)
+            if owner == self._instance:
+                self._announce(shard)
         return owner
 
+    def _announce(self, shard: Shard) -> None:
+        """Tell the instance that stood in for this one that it owns the shard.
+
+        Others may still avoid this instance because of an earlier failure.
+        """
+        stand_in = self._fleet.stand_in(f"{shard[0]}/{shard[1]}")
+        if stand_in is not None:
+            self._fleet.send(stand_in, ShardOwner(*shard, self._instance))
+
     def _report_running(self, shard: Shard, owner: str) -> None:
         """Report running requests of a shard to its new owner.
 
--- a/borageworks/gateway/tests/test_fleet.py
+++ b/borageworks/gateway/tests/test_fleet.py
@@ -137,3 +137,26 @@
         self.assertEqual({"i"}, self.owners(fleet))
         self.timers.time += INITIAL_SUSPICION_S + 0.01
         self.assertEqual({"i", "b"}, self.owners(fleet))
+
+    def test_signs_of_one_failure_count_once(self):
+        """Guards against an owner that is avoided for seconds after it is back."""
+        fleet = self.fleet(a=1.0)
+        for _ in range(4):
+            fleet.suspect("a")
+        self.assertEqual({"i"}, self.owners(fleet))
+        self.timers.time += INITIAL_SUSPICION_S + 0.01
+        self.assertIn("a", self.owners(fleet))
+
+    def test_instance_that_only_others_reach_is_tried_once(self):
+        """Guards against requests that each wait for an owner behind a partition."""
+        fleet = self.fleet(a=1.0)
+        fleet.suspect("a")
+        fleet.vouch("a")
+        self.assertIn("a", self.owners(fleet))
+        fleet.suspect("a")
+        fleet.vouch("a")
+        self.assertEqual({"i"}, self.owners(fleet))
+        fleet.record_message("a")
+        fleet.suspect("a")
+        fleet.vouch("a")
+        self.assertIn("a", self.owners(fleet))
--- a/borageworks/gateway/tests/test_placement_accounting.py
+++ b/borageworks/gateway/tests/test_placement_accounting.py
@@ -44,6 +44,13 @@
         candidates = [name for name in INSTANCES if name not in self.suspected]
         return (candidates or [self.instance])[0]
 
+    def stand_in(self, _key):
+        candidates = [name for name in INSTANCES if name not in self.suspected]
+        return candidates[1] if len(candidates) > 1 else None
+
+    def vouch(self, instance):
+        self.suspected.discard(instance)
+
     def record_timeout(self, instance):
         self.suspected.add(instance)
 
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -380,6 +380,15 @@
     started: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ShardOwner:
+    """Names the owner of a shard to an instance that may take another one for it."""
+
+    service: str
+    shard: int
+    owner: str
+
+
 @dataclass(frozen=True, slots=True)
 class ReplicaItem:
     """An item of the platform's store and its revision."""
@@ -484,4 +493,5 @@
     | WorkEnded
     | WorkRunning
     | ReplicaNews
+    | ShardOwner
 )
