Take no sample of the engines' speed from an overloaded instance

Callers saw: refusals of all organisations, within milliseconds or after a tenth of a second, while one of them flooded one entry instance. Cause: most requests of a flood start at the instance that it overloads, which notices their output late. Class: a measurement through a component that is itself late. Change: an instance says with the start of a request that it is overloaded, and an owner that is overloaded knows it of itself; such starts are no samples. They end the prefill as before.

--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -126,6 +126,7 @@
             timers,
             self._metrics,
             PlacementSettings(),
+            lambda: self._loop_lag.overloaded,
         )
         self._feed = Feed(settings, self._fleet, timers, self._metrics)
         self._follower = Follower(
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -5,7 +5,7 @@
 import asyncio
 import itertools
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import asdict
 from typing import Any
 
@@ -78,6 +78,8 @@
         Services of the process.
     settings
         Settings of placement.
+    is_overloaded
+        Returns whether this process notices events late.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         timers: Timers,
         metrics: Metrics,
         settings: PlacementSettings,
+        is_overloaded: Callable[[], bool] = lambda: False,
     ) -> None:
         self._fleet = fleet
         self._instance = fleet.instance
@@ -94,6 +97,7 @@
         self._timers = timers
         self._metrics = metrics
         self._settings = settings
+        self._is_overloaded = is_overloaded
         self._dispatchers: dict[Shard, Dispatcher] = {}
         self._service_shards: dict[str, ServiceShards] = {}
         self._most_endpoints: dict[str, int] = {}
@@ -168,10 +172,11 @@
         if pending is None or pending.started:
             return
         pending.started = True
+        delayed = self._is_overloaded()
         if pending.owner == self._instance:
-            self._start(pending.shard, key)
+            self._start(pending.shard, key, delayed)
         else:
-            self._fleet.send(pending.owner, WorkStarted(key[1]))
+            self._fleet.send(pending.owner, WorkStarted(key[1], delayed))
 
     def record_end(self, key: WorkKey, outcome: WorkOutcome) -> None:
         """Record the end of a placed request."""
@@ -270,9 +275,12 @@
             case PlaceWithdraw(number=number):
                 for dispatcher in self._dispatchers.values():
                     self._deliver(dispatcher.withdraw(now, (instance, number)))
-            case WorkStarted(number=number):
+            case WorkStarted(number=number, delayed=delayed):
+                delayed = delayed or self._is_overloaded()
                 for dispatcher in self._dispatchers.values():
-                    self._deliver(dispatcher.start(now, (instance, number)))
+                    self._deliver(
+                        dispatcher.start(now, (instance, number), delayed=delayed)
+                    )
             case WorkEnded(number=number, outcome=code):
                 for dispatcher in self._dispatchers.values():
                     self._deliver(
@@ -397,10 +405,11 @@
         if dispatcher is not None:
             self._deliver(dispatcher.withdraw(self._timers.now(), key))
 
-    def _start(self, shard: Shard, key: WorkKey) -> None:
+    def _start(self, shard: Shard, key: WorkKey, delayed: bool) -> None:
         dispatcher = self._dispatchers.get(shard)
         if dispatcher is not None:
-            self._deliver(dispatcher.start(self._timers.now(), key))
+            now = self._timers.now()
+            self._deliver(dispatcher.start(now, key, delayed=delayed))
 
     def _end(self, shard: Shard, key: WorkKey, outcome: WorkOutcome) -> None:
         dispatcher = self._dispatchers.get(shard)
--- a/borageworks/gateway/tests/test_placer.py
+++ b/borageworks/gateway/tests/test_placer.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import replace
 from types import SimpleNamespace
+from typing import Any
 from unittest import mock
 
 from eliot.testing import capture_logging
@@ -10,6 +11,7 @@
 
 from borageworks.gateway.deployment import EngineProfile, ServiceProfile
 from borageworks.gateway.endpoint import Endpoint
+from borageworks.gateway.pending_placement import PendingPlacement
 from borageworks.gateway.placement_messages import encode_work
 from borageworks.gateway.placer import Placer
 from borageworks.metrics import Metrics
@@ -173,3 +175,28 @@
         )
         self.assertTrue(line["owned"])
         self.assertTrue(line["seconds_per_token"] > 0)
+
+    def test_overloaded_instance_says_that_it_reports_late(self):
+        """Guards against delays of an instance that count as those of engines."""
+
+        async def main():
+            directory: Any = SimpleNamespace(deployment=None)
+            fleet = mock.Mock(instance="i", domain="a", count=1)
+            placer = Placer(
+                fleet,
+                directory,
+                Timers(),
+                Metrics(),
+                PlacementSettings(),
+                lambda: True,
+            )
+            request = work(prompt(), instance="i")
+            future = asyncio.get_running_loop().create_future()
+            placer._requests[request.key[1]] = PendingPlacement(
+                ("engines", 0), request, "x", future, asyncio.Event()
+            )
+            placer.record_start(request.key)
+            return fleet.send.call_args.args
+
+        receiver, message = asyncio.run(main())
+        self.assertEqual(("x", True), (receiver, message.delayed))
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -233,12 +233,22 @@
         if started:
             state.start(now, work.key)
 
-    def start(self, now: float, key: WorkKey) -> list[Decision]:
-        """Record the first output of a request."""
+    def start(
+        self, now: float, key: WorkKey, *, delayed: bool = False
+    ) -> list[Decision]:
+        """Record the first output of a request.
+
+        If it was noticed late, its time is no sample of the endpoint's speed.
+        """
         self._unconfirmed.discard(key)
         state = self._endpoints.get(self._placed.get(key, ""))
         started = state.start(now, key) if state is not None else None
-        if state is not None and started is not None and started.uncached_tokens:
+        if (
+            state is not None
+            and started is not None
+            and started.uncached_tokens
+            and not delayed
+        ):
             first_token_s = now - started.placed_at
             tokens = started.backlog_tokens
             state.record_first_token(
--- a/borageworks/placement/tests/test_dispatcher.py
+++ b/borageworks/placement/tests/test_dispatcher.py
@@ -188,3 +188,22 @@
             outcome = WorkOutcome.SERVED if step % 2 else WorkOutcome.DISCONNECTED
             decision = self.run_once(dispatcher, step * 1.0, outcome)
             self.assertIsInstance(decision, Placed)
+
+
+class DelayedReportTest(TestCase):
+    def test_output_that_was_reported_late_is_no_sample_of_the_engines(self):
+        """Guards against an overloaded instance that makes all engines look slow.
+
+        Most requests of a flood start at the instance that it overloads. Their delays
+        made placement refuse the requests of all others.
+        """
+        dispatcher = engine_dispatcher()
+        expected_s = dispatcher.prefill_speed.first_token_s(1000)
+        for number in range(200):
+            request = work(prompt(own=1000))
+            dispatcher.submit(float(number), request)
+            dispatcher.start(number + 0.8, request.key, delayed=True)
+            dispatcher.end(number + 0.9, request.key, WorkOutcome.SERVED)
+        self.assertEqual(expected_s, dispatcher.prefill_speed.first_token_s(1000))
+        for state in dispatcher.endpoints.values():
+            self.assertEqual(1.0, state.slowdown(200.0))
--- a/borageworks/wire/fleet.capnp
+++ b/borageworks/wire/fleet.capnp
@@ -28,7 +28,7 @@
 struct PlaceRequest { number @0 :UInt64; service @1 :Text; shard @2 :UInt16; organisation @3 :Text; aimS @4 :Float32; patienceS @5 :Float32; excluded @6 :List(Text); prompt @7 :Bool; model @8 :Text; promptTokens @9 :UInt32; generatedTokens @10 :UInt32; pieces @11 :List(PromptPiece); fingerprint @12 :Data; }
 struct PlaceReply { number @0 :UInt64; state @1 :UInt8; endpoint @2 :Text; unreadTokens @3 :UInt32; reason @4 :UInt8; retryAfterS @5 :Float32; secondsPerToken @6 :Float32; startS @7 :Float32; }
 struct PlaceWithdraw { number @0 :UInt64; }
-struct WorkStarted { number @0 :UInt64; }
+struct WorkStarted { number @0 :UInt64; delayed @1 :Bool; }
 struct WorkEnded { number @0 :UInt64; outcome @1 :UInt8; }
 struct WorkRunning { request @0 :PlaceRequest; endpoint @1 :Text; started @2 :Bool; }
 struct ShardOwner { service @0 :Text; shard @1 :UInt16; owner @2 :Text; }
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -358,9 +358,14 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkStarted:
-    """The endpoint has begun to respond to a placed request."""
+    """The endpoint has begun to respond to a placed request.
+
+    `delayed` tells that the sender is overloaded, so that the response may have begun
+    well before this message.
+    """
 
     number: int
+    delayed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
