--- a/borageworks/placement/tests/test_components.py
+++ b/borageworks/placement/tests/test_components.py
@@ -96,6 +96,26 @@
             speed.record(5000.0, 60.0)
         self.assertTrue(speed.seconds_per_token <= 8 / 10_000)
 
+    def test_delays_that_known_prompts_do_not_explain(self):
+        """Guards against placement that goes on overloading engines.
+
+        With a queue that it does not know of, each response is late, whatever the
+        length of its prompt. Taken for the start, this made prompts look free.
+        """
+        speed = PrefillSpeed(40_000.0)
+        for step in range(400):
+            tokens = 500.0 * (step % 20)
+            speed.record(tokens, 0.08 + tokens / 60_000)
+        calm_s = speed.seconds_per_token
+        for step in range(200):
+            speed.record(500.0 * (step % 20), 0.9 + 0.01 * (step % 7))
+        self.assertTrue(speed.seconds_per_token > 2 * calm_s, speed.seconds_per_token)
+        self.assertTrue(speed.start_s < 0.3, speed.start_s)
+        for step in range(400):
+            tokens = 500.0 * (step % 20)
+            speed.record(tokens, 0.08 + tokens / 60_000)
+        self.assertAlmostEqual(calm_s, speed.seconds_per_token, delta=0.2 * calm_s)
+
 
 class RetryWindowTest(TestCase):
     def test_never_exceeds_the_budget_in_any_window(self):
