Take no sample of the engines' speed from requests that were taken over

Cause: a new owner counted a request that it took over from the moment at which it was told of it. Change: requests that another instance placed are no samples, whether they have started or not.

--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -221,15 +221,15 @@
     def adopt(self, now: float, work: Work, endpoint: str, started: bool) -> None:
         """Take over a running request that another instance placed.
 
-        If it has started, its times are no sample of the endpoint's speed, since this
-        instance did not observe its start.
+        Its times are no sample of the endpoint's speed, since this instance did not
+        observe when it was placed.
         """
         self._unconfirmed.discard(work.key)
         state = self._endpoints.get(endpoint)
         if state is None:
             return
         if work.key not in self._placed:
-            self._add_running(now, state, work)
+            self._add_running(now, state, work).adopted = True
         if started:
             state.start(now, work.key)
 
@@ -247,6 +247,7 @@
             state is not None
             and started is not None
             and started.uncached_tokens
+            and not started.adopted
             and not delayed
         ):
             first_token_s = now - started.placed_at
--- a/borageworks/placement/endpoint_state.py
+++ b/borageworks/placement/endpoint_state.py
@@ -48,6 +48,8 @@
         Times of placement and of the first output; `started_at` is None before that.
     fingerprint
         Hash that identical requests share.
+    adopted
+        Whether another instance placed it, at an unknown time.
     prefilled
         Whether its prompt no longer counts as work ahead of later requests.
     """
@@ -58,6 +60,7 @@
     placed_at: float
     started_at: float | None = None
     fingerprint: bytes = b""
+    adopted: bool = False
     prefilled: bool = False
 
 
--- a/borageworks/placement/tests/test_dispatcher.py
+++ b/borageworks/placement/tests/test_dispatcher.py
@@ -207,3 +207,18 @@
         self.assertEqual(expected_s, dispatcher.prefill_speed.first_token_s(1000))
         for state in dispatcher.endpoints.values():
             self.assertEqual(1.0, state.slowdown(200.0))
+
+    def test_adopted_request_is_no_sample_of_the_engines(self):
+        """Guards against a new owner that takes its engines for faster than they are.
+
+        A request that it takes over may start the moment after, although it was placed
+        long before.
+        """
+        dispatcher = engine_dispatcher()
+        expected_s = dispatcher.prefill_speed.first_token_s(1000)
+        for number in range(100):
+            request = work(prompt(own=1000))
+            dispatcher.adopt(float(number), request, "e0", started=False)
+            dispatcher.start(number + 0.001, request.key)
+            dispatcher.end(number + 0.9, request.key, WorkOutcome.SERVED)
+        self.assertEqual(expected_s, dispatcher.prefill_speed.first_token_s(1000))
