--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -252,10 +252,14 @@
             self._fleet.update()
             self._connection_limit.set_limit(self._max_caller_connections())
         if self._key_name in change.puts:
-            self._spawn(self._fleet.apply(change))
+            self._spawn(self._open_links(change))
         self._placer.update()
         self._cache_follower.update()
 
+    async def _open_links(self, change: ReplicaChange) -> None:
+        await self._fleet.apply(change)
+        self._placer.announce()
+
     async def _confirm_after_pause(self) -> None:
         """Wait for the store if the configuration may be out of date after a pause."""
         self._pause_detector.check()
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -259,6 +259,12 @@
                     **_rounded(state),
                 )
 
+    def announce(self) -> None:
+        """Announce the shards that this instance took for its own without links."""
+        for shard in self._dispatchers:
+            if self.owns(shard):
+                self._announce(shard)
+
     def review_owners(self) -> None:
         """Update shard owners and report running requests to new owners."""
         for shard in self._dispatchers:
--- a/borageworks/gateway/tests/test_placer.py
+++ b/borageworks/gateway/tests/test_placer.py
@@ -19,7 +19,7 @@
 from borageworks.placement.settings import PlacementSettings
 from borageworks.placement.tests.builders import engines, prompt, work
 from borageworks.timers import Timers
-from borageworks.wire.messages import PlacementState, PlaceReply
+from borageworks.wire.messages import PlacementState, PlaceReply, ShardOwner
 
 TOKENS_PER_S = 200_000.0
 ENGINES = 16
@@ -142,6 +142,33 @@
             self.assertEqual(last, [kind for to, kind in sent if to == name][-1], sent)
 
 
+class AnnouncementTest(TestCase):
+    def test_owner_whose_links_open_after_its_start(self):
+        """Guards against a restarted owner of which its stand-in is never told.
+
+        Without links an instance takes every shard for its own, so nothing changes for
+        it when they open.
+        """
+
+        async def main():
+            directory: Any = SimpleNamespace(
+                deployment=SimpleNamespace(
+                    services={"desk": ServiceProfile("desk", None)}, tokens_per_s=None
+                ),
+                endpoints_of=lambda _service: engines(2, service="desk"),
+            )
+            placer = owner_of_all(directory)
+            fleet: Any = placer._fleet
+            fleet.stand_in.return_value = None
+            placer.update()
+            fleet.send.assert_not_called()
+            fleet.stand_in.return_value = "x"
+            placer.announce()
+            return fleet.send.call_args.args
+
+        self.assertEqual(("x", ShardOwner("desk", 0, "i")), asyncio.run(main()))
+
+
 class PlacementReportTest(TestCase):
     @capture_logging(None)
     def test_state_of_placement_beside_refusals(self, logger):
