Ask the instance that took over before placing alone

Callers saw: a second of late answers after the loss of an owner. Cause: each request that waited for the lost owner was placed by its own instance. Change: a request whose owner does not answer goes to the instance that took over, if there is one, and is placed alone only if that one does not answer either. Measured: the test with three instances failed before (each placed one request); now the one that took over places all three.

--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -57,6 +57,10 @@
 READ_LOOP_ITERATIONS = 3
 # Time for an instance to open a new link and to confirm its requests.
 CONFIRMATION_TIMEOUT_S = 0.25
+# Owners that are asked before an instance places a request itself: the second one has
+# taken over from the first. Instances that place alone do not know of each other, so
+# after the loss of an owner all of them would choose the same endpoints.
+MAX_OWNERS_ASKED = 2
 # Extra time for the owner's decision to arrive after the request's maximum wait.
 DECISION_MARGIN_S = 0.1
 
@@ -149,11 +153,17 @@
         )
         self._requests[work.key[1]] = pending
         try:
-            if owner != self._instance:
+            for _ in range(MAX_OWNERS_ASKED):
+                if pending.owner == self._instance:
+                    break
                 try:
                     return await self._request_from_owner(pending)
                 except PlacementSilentError as error:
                     self._handle_unresponsive_owner(pending, error)
+                successor = self._owner(shard)
+                if successor == owner:
+                    break
+                pending.owner = successor
             pending.owner = self._instance
             self._submit(shard, work)
             return await pending.future
--- a/borageworks/gateway/tests/test_ownership.py
+++ b/borageworks/gateway/tests/test_ownership.py
@@ -33,6 +33,8 @@
     def __init__(self):
         self.fleets: dict[str, Fleet] = {}
         self.placers: dict[str, Placer] = {}
+        # Instances that receive no messages.
+        self.silent: set[str] = set()
         profile = ServiceProfile(SHARD[0], EngineProfile(8, 400_000))
         self.directory: Any = SimpleNamespace(
             deployment=SimpleNamespace(
@@ -85,7 +87,7 @@
         return True
 
     def _deliver(self, sender, receiver, message):
-        if receiver in self.placers:
+        if receiver in self.placers and receiver not in self.silent:
             self.fleets[receiver].record_message(sender)
             self.placers[receiver].receive(sender, message)
 
@@ -130,3 +132,28 @@
 
         owners = asyncio.run(main())
         self.assertEqual(1, len(set(owners.values())), owners)
+
+    def test_requests_that_wait_for_an_owner_that_is_lost(self):
+        """Guards against instances that all choose the same engines on their own."""
+
+        async def main():
+            network = Network()
+            (owner,) = set(network.owners().values())
+            requests = []
+            network.silent.add(owner)
+            for name, placer in network.placers.items():
+                if name != owner:
+                    request = replace(work(prompt(own=100)), key=placer.new_key())
+                    requests.append(placer.place(SHARD[0], "r", request))
+            calls = asyncio.gather(*requests)
+            await asyncio.sleep(0)
+            network.stop(owner)
+            await calls
+            return {
+                name: sum(len(state.running) for state in dispatcher.endpoints.values())
+                for name, placer in network.placers.items()
+                for dispatcher in placer.dispatchers.values()
+            }
+
+        placed = asyncio.run(main())
+        self.assertEqual([0, 0, 3], sorted(placed.values()), placed)
