--- /dev/null
+++ b/borageworks_emulator/platform/tests/test_crashing_part.py
@@ -0,0 +1,63 @@
+"""Tests of requests that crash engines by a part that their prompts share."""
+
+import asyncio
+import itertools
+
+from testtools import TestCase
+
+from borageworks.routing.suspects import MAX_CRASHES
+from borageworks_emulator.platform.endpoint import Behaviour, EmulatedEndpoint
+from borageworks_emulator.platform.harness import ENGINE_SERVICE, Harness
+
+ENGINES = 6
+REQUESTS = 8
+DEADLY_PART = "dead"
+PROMPT_HEADER = "X-Borageworks-Prompt-Prefix"
+
+
+def crashes(run):
+    """Return whether a request contains the part that crashes engines."""
+    return DEADLY_PART in run.headers[PROMPT_HEADER]
+
+
+def engines():
+    """Return engines that break off when they begin to respond to the deadly part."""
+    return [
+        EmulatedEndpoint(
+            f"e-{number}",
+            lambda request: Behaviour(
+                reset_after_events=0 if crashes(request) else None
+            ),
+        )
+        for number in range(ENGINES)
+    ]
+
+
+class CrashingPartTest(TestCase):
+    numbers = itertools.count(1)
+
+    async def send(self, harness, part):
+        """Send a request unlike all others with a part, return the status."""
+        number = next(self.numbers)
+        status, *_ = await harness.send_request(
+            "/resume/",
+            body=f"{number}".encode(),
+            X_Borageworks_Prompt_Prefix=f"aa:200,{part}:50,{number:x}:50",
+        )
+        return status
+
+    def test_requests_that_share_only_a_part(self):
+        """Guards against back ends that one kind of request crashes one by one."""
+
+        async def main():
+            listed = engines()
+            async with Harness({ENGINE_SERVICE: listed}) as harness:
+                sound = []
+                for _ in range(REQUESTS):
+                    await self.send(harness, DEADLY_PART)
+                    sound.append(await self.send(harness, "bb"))
+            return sound, [run for engine in listed for run in engine.runs]
+
+        sound, runs = asyncio.run(main())
+        self.assertEqual(MAX_CRASHES, sum(crashes(run) for run in runs))
+        self.assertEqual([200] * REQUESTS, sound)
