Recognise what the requests share that crash engines

Callers saw: engines crash one after the other, sound requests fail or are refused beside it. Cause: evidence was kept by the fingerprint of the whole request and by the owner of one shard, so requests that shared only a deadly part were never recognised, and no other instance was told. Class: evidence filed under too narrow a name, where no other can see it. Change: a crash implicates the fingerprint and the shared parts of the prompts of all that ran there; a served request clears its own. Two crashes, one after the other, isolate a trait, three refuse it; crashes at the same time count once, so the loss of many engines accuses nobody. Of traits that were decided together one alone is tried once more. Instances tell each other, also by links that open. Why it works: sound requests share their caller and all parts but the deadly one, so each of these is cleared by the next that is served.

--- a/borageworks/events.py
+++ b/borageworks/events.py
@@ -47,6 +47,7 @@
     REQUEST_PLACED = (408, "request_placed")
     ORGANISATIONS_REFUSED = (409, "organisations_refused")
     PLACEMENT_STATE = (410, "placement_state")
+    CRASH_TRAIT = (411, "crash_trait")
     ENDPOINT_DOWN = (501, "endpoint_down")
     ENDPOINT_UP = (502, "endpoint_up")
     ENDPOINT_OWNED = (503, "endpoint_owned")
--- a/borageworks/gateway/fleet.py
+++ b/borageworks/gateway/fleet.py
@@ -68,6 +68,8 @@
         Called with an instance whose link has ended, although it may still run.
     on_lost
         Called with an instance that is not reachable after its link has ended.
+    on_connected
+        Called with an instance to which a link has opened.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         on_message: Callable[[str, Message], None],
         on_interrupted: Callable[[str], None],
         on_lost: Callable[[str], None],
+        on_connected: Callable[[str], None] = lambda _instance: None,
     ) -> None:
         self._settings = settings
         self._incarnation = incarnation
@@ -93,6 +96,7 @@
         self._on_message = on_message
         self._on_interrupted = on_interrupted
         self._on_lost = on_lost
+        self._on_connected = on_connected
         self._links: PeerLinks | None = None
         self._key: str | None = None
         self._suspected_until: dict[str, float] = {}
@@ -200,6 +204,11 @@
         if self._links is not None and instance not in self._instances.others:
             self._links.remove(instance)
 
+    def broadcast(self, message: Message) -> None:
+        """Send a message to all other instances."""
+        for instance in self._instances.others:
+            self.send(instance, message)
+
     def send(self, instance: str, message: Message) -> bool:
         """Send a message; return False if it was dropped."""
         return self._links is not None and self._links.send(instance, message)
@@ -316,6 +325,7 @@
     def _connected(self, instance: str) -> None:
         """Record the handshake, which proves like a message that an instance runs."""
         self.record_message(instance)
+        self._on_connected(instance)
 
     def _clear(self, instance: str) -> None:
         """End the suspicion of an instance."""
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -119,6 +119,7 @@
             self._receive,
             self._link_interrupted,
             self._instance_lost,
+            self._link_opened,
         )
         self._placer = Placer(
             self._fleet,
@@ -276,6 +277,9 @@
             return 0.0
         return round(asyncio.get_running_loop().time() - failing, 2)
 
+    def _link_opened(self, instance: str) -> None:
+        self._placer.link_opened(instance)
+
     def _link_interrupted(self, instance: str) -> None:
         self._placer.link_interrupted(instance)
 
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -26,6 +26,7 @@
 )
 from borageworks.metrics import Metrics
 from borageworks.placement.cache_update import CacheUpdate
+from borageworks.placement.crash_evidence import CrashEvidence
 from borageworks.placement.decisions import Decision, Placed, RefusalReason, Refused
 from borageworks.placement.dispatcher import Dispatcher
 from borageworks.placement.outcome import WorkOutcome
@@ -36,6 +37,7 @@
 from borageworks.placement.work import Work, WorkKey
 from borageworks.timers import Timers, TimerSubscription
 from borageworks.wire.messages import (
+    CrashTrait,
     Message,
     PlacementState,
     PlaceReply,
@@ -106,6 +108,7 @@
         self._service_shards: dict[str, ServiceShards] = {}
         self._most_endpoints: dict[str, int] = {}
         self._owners: dict[Shard, str] = {}
+        self._evidence = CrashEvidence(self._share_evidence)
         self._requests: dict[int, PendingPlacement] = {}
         self._numbers = itertools.count(1)
         self._tick_timer: TimerSubscription | None = None
@@ -232,7 +235,9 @@
                 wanted.add(shard)
                 dispatcher = self._dispatchers.get(shard)
                 if dispatcher is None:
-                    dispatcher = Dispatcher(profile, self._settings, self._fleet.domain)
+                    dispatcher = Dispatcher(
+                        profile, self._settings, self._fleet.domain, self._evidence
+                    )
                     self._dispatchers[shard] = dispatcher
                 if profile.engine is not None and deployment.tokens_per_s:
                     dispatcher.set_throughput(deployment.tokens_per_s / most_endpoints)
@@ -304,12 +309,23 @@
                     )
             case WorkRunning(request=request, endpoint=endpoint, started=started):
                 self._adopt(instance, request, endpoint, started)
+            case CrashTrait(trait=trait, crashes=crashes):
+                self._evidence.learn(now, trait, crashes)
             case ShardOwner(owner=owner):
                 self._fleet.vouch(owner)
                 self.review_owners()
             case _:
                 self._metrics.count("peer_messages_unused", type(message).__name__)
 
+    def link_opened(self, instance: str) -> None:
+        """Tell an instance, which may have restarted, what crashes endpoints."""
+        for trait, crashes in self._evidence.shared.items():
+            self._fleet.send(instance, CrashTrait(trait, crashes))
+
+    def _share_evidence(self, trait: bytes, crashes: int) -> None:
+        emit(Event.CRASH_TRAIT, trait=trait.decode(errors="replace"), crashes=crashes)
+        self._fleet.broadcast(CrashTrait(trait, crashes))
+
     def link_interrupted(self, instance: str) -> None:
         """Restore what was lost with a link if its instance still runs.
 
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -11,6 +11,7 @@
 from borageworks.gateway.deployment import ServiceProfile
 from borageworks.gateway.endpoint import Endpoint
 from borageworks.placement.cache_update import CacheUpdate
+from borageworks.placement.crash_evidence import CrashEvidence
 from borageworks.placement.decisions import Decision, Placed, RefusalReason, Refused
 from borageworks.placement.endpoint_state import EndpointState, RunningWork
 from borageworks.placement.outcome import WorkOutcome
@@ -27,7 +28,7 @@
     WorkKey,
     own_prompt_tokens,
 )
-from borageworks.routing.suspects import CrashSuspects, Verdict
+from borageworks.routing.suspects import Verdict
 
 # Prior for the prefill speed of an engine if the operator states no throughput.
 DEFAULT_TOKENS_PER_S = 20_000.0
@@ -75,10 +76,16 @@
         Settings of placement.
     domain
         Failure domain of the instance.
+    evidence
+        Crashes of endpoints, shared by all dispatchers of the instance.
     """
 
     def __init__(
-        self, service: ServiceProfile, settings: PlacementSettings, domain: str
+        self,
+        service: ServiceProfile,
+        settings: PlacementSettings,
+        domain: str,
+        evidence: CrashEvidence | None = None,
     ) -> None:
         self._service = service
         self._settings = settings
@@ -95,7 +102,7 @@
         self._prefill_speed = PrefillSpeed(DEFAULT_TOKENS_PER_S)
         self._capacity_ratio = 1.0
         self._mean_duration_s = 0.0
-        self._suspects = CrashSuspects()
+        self._evidence = CrashEvidence() if evidence is None else evidence
         self._unconfirmed: set[WorkKey] = set()
         self._last_prefill_wait_s = 0.0
         self._prefill_wait_computed_at = -math.inf
@@ -192,7 +199,7 @@
         if state is not None:
             running = state.running[work.key]
             return [Placed(work.key, state.endpoint.id, running.uncached_tokens)]
-        if self._suspects.verdict(now, work.fingerprint) is Verdict.REFUSED:
+        if self._evidence.verdict(now, work.traits) is Verdict.REFUSED:
             reason = RefusalReason.SUSPECTED
             return [Refused(work.key, reason, SUSPECT_RETRY_AFTER_S, work)]
         preferred = self._select_endpoint(now, work)
@@ -512,8 +519,9 @@
             memory_tokens=_memory_tokens(work),
             backlog_tokens=backlog + uncached,
             placed_at=now,
-            fingerprint=work.fingerprint,
+            traits=work.traits,
         )
+        self._evidence.begin(now, running.traits)
         state.add(now, work.key, running)
         if work.prompt is not None:
             state.cache.record_use(work.prompt)
@@ -589,21 +597,16 @@
         ended: RunningWork,
         outcome: WorkOutcome,
     ) -> None:
+        self._evidence.end(ended.traits)
         match outcome:
             case WorkOutcome.SERVED:
                 duration_s = now - ended.placed_at
                 self._mean_duration_s += SLOT_DURATION_GAIN * (
                     duration_s - self._mean_duration_s
                 )
-                self._suspects.clear(ended.fingerprint)
-            case WorkOutcome.DISCONNECTED if ended.fingerprint:
-                self._suspects.record(
-                    now,
-                    ended.fingerprint,
-                    state.endpoint.id,
-                    state.endpoint.incarnation,
-                    isolated=False,
-                )
+                self._evidence.clear(ended.traits)
+            case WorkOutcome.DISCONNECTED:
+                self._evidence.record_crash(now, ended.traits, ended.placed_at)
 
     def _remove_endpoint(self, name: str) -> None:
         state = self._endpoints.pop(name)
--- a/borageworks/placement/endpoint_state.py
+++ b/borageworks/placement/endpoint_state.py
@@ -46,8 +46,8 @@
         Tokens to prefill before its first token, counted at its placement.
     placed_at, started_at
         Times of placement and of the first output; `started_at` is None before that.
-    fingerprint
-        Hash that identical requests share.
+    traits
+        What it may share with other requests that crash endpoints.
     adopted
         Whether another instance placed it, at an unknown time.
     prefilled
@@ -59,7 +59,7 @@
     backlog_tokens: float
     placed_at: float
     started_at: float | None = None
-    fingerprint: bytes = b""
+    traits: tuple[bytes, ...] = ()
     adopted: bool = False
     prefilled: bool = False
 
--- a/borageworks/placement/work.py
+++ b/borageworks/placement/work.py
@@ -10,6 +10,8 @@
 # Generating a token costs an engine about twice as much as prefilling one, and the
 # throughput that the operator states counts it so.
 GENERATED_WEIGHT = 2.0
+REQUEST_TRAIT_PREFIX = b"request:"
+PART_TRAIT_PREFIX = b"part:"
 # Charge of a request to a plain service.
 PLAIN_UNITS = 1.0
 
@@ -45,6 +47,21 @@
     excluded: frozenset[str] = frozenset()
     fingerprint: bytes = b""
 
+    @property
+    def traits(self) -> tuple[bytes, ...]:
+        """What it may share with other requests that crash endpoints.
+
+        The last part of a prompt is its own.
+        """
+        traits = []
+        if self.fingerprint:
+            traits.append(REQUEST_TRAIT_PREFIX + self.fingerprint.hex().encode())
+        if self.prompt is not None:
+            traits += [
+                PART_TRAIT_PREFIX + part.id.encode() for part in self.prompt.parts[:-1]
+            ]
+        return tuple(traits)
+
     @property
     def units(self) -> float:
         """Charge in tokens, with generated ones weighted; 1 for a plain service."""
--- a/borageworks/wire/fleet.capnp
+++ b/borageworks/wire/fleet.capnp
@@ -33,6 +33,8 @@
 struct WorkRunning { request @0 :PlaceRequest; endpoint @1 :Text; started @2 :Bool; }
 struct ShardOwner { service @0 :Text; shard @1 :UInt16; owner @2 :Text; }
 
+struct CrashTrait { trait @0 :Data; crashes @1 :UInt8; }
+
 struct ReplicaItem { key @0 :Text; value @1 :Data; revision @2 :UInt64; }
 struct ReplicaNews { after @0 :UInt64; revision @1 :UInt64; ageS @2 :Float32; lapseGraceS @3 :Float32; items @4 :List(ReplicaItem); deletes @5 :List(Text); }
 
@@ -76,6 +78,7 @@
     workRunning @30 :WorkRunning;
     replicaNews @31 :ReplicaNews;
     shardOwner @32 :ShardOwner;
+    crashTrait @33 :CrashTrait;
   }
 }
 
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -394,6 +394,17 @@
     owner: str
 
 
+@dataclass(frozen=True, slots=True)
+class CrashTrait:
+    """Tells in how many crashes of endpoints a trait of requests was implicated.
+
+    No crashes mean that a request with the trait has been served since.
+    """
+
+    trait: bytes
+    crashes: int
+
+
 @dataclass(frozen=True, slots=True)
 class ReplicaItem:
     """An item of the platform's store and its revision."""
@@ -499,4 +510,5 @@
     | WorkRunning
     | ReplicaNews
     | ShardOwner
+    | CrashTrait
 )
--- a/borageworks/wire/tests/test_codec.py
+++ b/borageworks/wire/tests/test_codec.py
@@ -16,7 +16,7 @@
 TEXT = st.text(max_size=20)
 INTEGER_BITS = {"waiting": 32, "owners": 32, "sequence": 32, "requests": 32}
 INTEGER_BITS |= {"tokens": 32, "prompt_tokens": 32, "generated_tokens": 32}
-INTEGER_BITS |= {"unread_tokens": 32, "reason": 8, "outcome": 8}
+INTEGER_BITS |= {"unread_tokens": 32, "reason": 8, "outcome": 8, "crashes": 8}
 INTEGER_BITS |= {"shard": 16, "status": 16, "port": 16, "peer_port": 16}
 FLOAT32_FIELDS = {"first_token", "token_interval"}
 FLOAT32_FIELDS |= {"aim_s", "patience_s", "retry_after_s"}
--- a/borageworks_emulator/platform/tests/test_crashing_part.py
+++ b/borageworks_emulator/platform/tests/test_crashing_part.py
@@ -5,6 +5,7 @@
 
 from testtools import TestCase
 
+from borageworks.placement.work import PART_TRAIT_PREFIX
 from borageworks.routing.suspects import MAX_CRASHES
 from borageworks_emulator.platform.endpoint import Behaviour, EmulatedEndpoint
 from borageworks_emulator.platform.harness import ENGINE_SERVICE, Harness
@@ -12,6 +13,9 @@
 ENGINES = 6
 REQUESTS = 8
 DEADLY_PART = "dead"
+PART_TRAIT = PART_TRAIT_PREFIX + DEADLY_PART.encode()
+# Time in which a restarted instance and another one open a link.
+LINK_OPENING_S = 0.5
 PROMPT_HEADER = "X-Borageworks-Prompt-Prefix"
 
 
@@ -61,3 +65,34 @@
         sound, runs = asyncio.run(main())
         self.assertEqual(MAX_CRASHES, sum(crashes(run) for run in runs))
         self.assertEqual([200] * REQUESTS, sound)
+
+    def test_instance_that_did_not_place_the_crashing_requests(self):
+        """Guards against crashes that each instance has to find out for itself."""
+
+        async def main():
+            listed = engines()
+            async with Harness({ENGINE_SERVICE: listed}) as first:
+                async with Harness({}, name="edge-2", store=first.store) as second:
+                    await first.wait_until_linked(2)
+                    await second.wait_until_linked(2)
+                    for _ in range(REQUESTS):
+                        await self.send(first, DEADLY_PART)
+                    before = sum(crashes(run) for e in listed for run in e.runs)
+                    known = [
+                        PART_TRAIT in harness.gateway._placer._evidence.shared
+                        for harness in (first, second)
+                    ]
+                # Started anew, it has to be told by the link that opens.
+                async with Harness({}, name="edge-2", store=first.store) as second:
+                    await second.wait_until_linked(2)
+                    await self.send(second, "bb")
+                    await asyncio.sleep(LINK_OPENING_S)
+                    for _ in range(REQUESTS):
+                        await self.send(second, DEADLY_PART)
+                after = sum(crashes(run) for e in listed for run in e.runs)
+            return before, known, after
+
+        before, known, after = asyncio.run(main())
+        self.assertEqual(
+            (MAX_CRASHES, [True, True], MAX_CRASHES), (before, known, after)
+        )
