Take no refusal for true that names no request on a kept connection

With the id of its request it was recognised before; without any id it was taken for the refusal of the request that the engine had begun to run, and the caller was told 503 (REFUSED). Change: on routes that keep connections a refusal without an id counts as a malformed response after which the request may have run. Requests that must not run twice have a connection each, as before. The emulated endpoint names the request in its 421, as the platform's engines do.

--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -167,6 +167,10 @@
         """Name of the request's route."""
         return self._exchange.route.name
 
+    @property
+    def _reuses_connections(self) -> bool:
+        return self._exchange.route.retry_policy is not RetryPolicy.NEVER
+
     async def run(self) -> None:
         """Forward the request until its response has been sent to the caller.
 
@@ -302,7 +306,7 @@
                 exchange.request.target,
                 headers,
                 exchange.body,
-                fresh=exchange.route.retry_policy is RetryPolicy.NEVER,
+                fresh=not self._reuses_connections,
             ) as response:
                 head = self._codec.decode_response_head(
                     response.status, response.headers
@@ -328,6 +332,11 @@
                 f"endpoint {endpoint.id!r} responded to request {head.request_id!r}"
             )
         if head.not_run:
+            if head.request_id is None and self._reuses_connections:
+                # It may be the copy of an earlier refusal on the same connection.
+                raise EndpointReplyMalformedError(
+                    f"refusal of endpoint {endpoint.id!r} names no request"
+                )
             return
         if head.status in SUCCESS_STATUSES and not head.has_seal:
             raise EndpointReplyMalformedError(
--- a/borageworks_emulator/platform/endpoint.py
+++ b/borageworks_emulator/platform/endpoint.py
@@ -158,7 +158,7 @@
         request_id = request.headers.get(ATTEMPT_ID_HEADER, "")
         if request.headers.get("X-Borageworks-Expect-Instance") != self.name:
             self.refused += 1
-            return web.Response(status=421)
+            return web.Response(status=421, headers={ATTEMPT_ID_HEADER: request_id})
         body = await request.read()
         behaviour = self.behaviour_of(request)
         headers = {ATTEMPT_ID_HEADER: behaviour.stated_request_id or request_id}
