Infer no order from requests that an owner has taken over

Cause: running requests are reported to a new owner in any order. Since a started one ended the prefill of all that had been reported before it, so the owner took its engines for idle and placed too much; found by reading the change. Change: only a request that the owner placed itself shows what was prefilled before it. Measured: the test failed before (no prompt counted instead of one).

--- a/borageworks/placement/endpoint_state.py
+++ b/borageworks/placement/endpoint_state.py
@@ -122,12 +122,9 @@
         work.started_at = now
         self.overdue = 0
         if not work.prefilled:
-            # Engines admit in order of arrival, so earlier prompts have been prefilled,
-            # also those of requests whose output was lost.
-            for earlier in list(self.prefilling):
-                self._finish_prefill(earlier)
-                if earlier == key:
-                    break
+            if not work.adopted:
+                self._finish_earlier_prefills(key)
+            self._finish_prefill(key)
             self.prefill_since = now
         return work
 
@@ -151,6 +148,17 @@
         if self.overdue >= MAX_OVERDUE:
             self._suspend(now)
 
+    def _finish_earlier_prefills(self, key: WorkKey) -> None:
+        """Finish the prefill of what was placed before a request that has started.
+
+        Engines admit in order of arrival, so these prompts have been prefilled, also
+        those of requests whose output was lost.
+        """
+        for earlier in list(self.prefilling):
+            if earlier == key:
+                return
+            self._finish_prefill(earlier)
+
     def _finish_prefill(self, key: WorkKey) -> None:
         self.uncached_tokens -= self.prefilling.pop(key)
         self.running[key].prefilled = True
--- a/borageworks/placement/tests/test_dispatcher.py
+++ b/borageworks/placement/tests/test_dispatcher.py
@@ -222,3 +222,22 @@
             dispatcher.start(number + 0.001, request.key)
             dispatcher.end(number + 0.9, request.key, WorkOutcome.SERVED)
         self.assertEqual(expected_s, dispatcher.prefill_speed.first_token_s(1000))
+
+
+class AdoptionTest(TestCase):
+    def test_started_request_says_nothing_of_others_that_were_taken_over(self):
+        """Guards against a new owner that believes its engines to be idle.
+
+        Running requests are reported to it in any order, not in that in which they
+        reached their engine.
+        """
+        dispatcher = engine_dispatcher(count=1)
+        waiting, running = work(prompt(own=5000)), work(prompt(own=5000))
+        dispatcher.adopt(0.0, waiting, "e0", started=False)
+        dispatcher.adopt(0.0, running, "e0", started=True)
+        (state,) = dispatcher.endpoints.values()
+        self.assertEqual({waiting.key: 5000}, state.prefilling)
+        later = work(prompt(own=500))
+        dispatcher.adopt(0.0, later, "e0", started=False)
+        dispatcher.start(0.1, later.key)
+        self.assertEqual({waiting.key: 5000}, state.prefilling)
