Implicate no request in a crash that did not happen

Cause: since each stream that broke off counted as a crash, also at an engine that went on. Change: an incarnation counts once for a trait; requests that have been responding for a quarter of a second are not implicated; a refused trait is tried again after 10 s, then eight times as long each time, up to an hour.

--- a/borageworks/placement/crash_evidence.py
+++ b/borageworks/placement/crash_evidence.py
@@ -4,7 +4,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from borageworks.routing.suspects import MAX_CRASHES, Verdict
 
@@ -14,6 +14,10 @@
 # A request to run in isolation waits no longer for the end of another one, which may
 # not be reported if its instance is lost.
 MAX_TRIAL_S = 5.0
+# A refused trait is tried again after this time, which grows by the factor with each
+# further crash: the verdict may rest on failures that had another cause.
+FIRST_REFUSAL_S = 10.0
+REFUSAL_GROWTH = 8.0
 EXPIRY_S = 3600.0
 MAX_TRAITS = 10_000
 
@@ -25,6 +29,8 @@
     trial_at: float | None = None
     # Traits that the same crash brought to a verdict, itself included.
     joint: frozenset[bytes] = frozenset()
+    incarnations: set[str] = field(default_factory=set)
+    refusal_s: float = FIRST_REFUSAL_S
 
 
 class CrashEvidence:
@@ -35,7 +41,8 @@
     all requests that ran there; a request that is served clears its own. So a trait of
     sound requests is cleared by the next of them, and one that crashes endpoints by
     none. Crashes at the same time count once: a trait is implicated again only by a
-    request that was placed after the last crash. Of traits that the same requests bring
+    request that was placed after the last crash, and once by each incarnation: one that
+    goes on after it broke off has not crashed. Of traits that the same requests bring
     to a verdict, any may be sound: a request with one of them only is tried once more.
 
     Parameters
@@ -65,7 +72,11 @@
         }
 
     def record_crash(
-        self, now: float, traits: Iterable[bytes], placed_at: float
+        self,
+        now: float,
+        traits: Iterable[bytes],
+        placed_at: float,
+        incarnation: str,
     ) -> None:
         """Record that an endpoint crashed while running a request with these traits."""
         traits = tuple(traits)
@@ -73,8 +84,13 @@
         for trait in traits:
             record = self._records.get(trait)
             if record is None:
-                self._records[trait] = _Record(1, now)
-            elif placed_at >= record.crashed_at and not _is_decided(record, traits):
+                self._records[trait] = _Record(1, now, incarnations={incarnation})
+            elif placed_at >= record.crashed_at and (
+                incarnation not in record.incarnations
+            ):
+                if record.crashes >= MAX_CRASHES:
+                    record.refusal_s = min(record.refusal_s * REFUSAL_GROWTH, EXPIRY_S)
+                record.incarnations.add(incarnation)
                 record.crashes = min(record.crashes + 1, MAX_CRASHES)
                 record.crashed_at = now
                 self._records.move_to_end(trait)
@@ -120,7 +136,7 @@
             record = self._records.get(trait)
             if record is None or record.crashes < MIN_CRASHES_FOR_ISOLATION:
                 continue
-            if _is_decided(record, traits) or _in_trial(record, now):
+            if _is_decided(record, traits, now) or _in_trial(record, now):
                 return Verdict.REFUSED
             verdict = Verdict.ISOLATED
         return verdict
@@ -152,6 +168,10 @@
     return record.trial_at is not None and now - record.trial_at < MAX_TRIAL_S
 
 
-def _is_decided(record: _Record, traits: tuple[bytes, ...]) -> bool:
+def _is_decided(record: _Record, traits: tuple[bytes, ...], now: float) -> bool:
     """Return whether the verdict on a trait holds for a request with these traits."""
-    return record.crashes >= MAX_CRASHES and record.joint.issubset(traits)
+    return (
+        record.crashes >= MAX_CRASHES
+        and record.joint.issubset(traits)
+        and now - record.crashed_at < record.refusal_s
+    )
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -605,8 +605,10 @@
                     duration_s - self._mean_duration_s
                 )
                 self._evidence.clear(ended.traits)
-            case WorkOutcome.DISCONNECTED:
-                self._evidence.record_crash(now, ended.traits, ended.placed_at)
+            case WorkOutcome.DISCONNECTED if ended.started_recently(now):
+                self._evidence.record_crash(
+                    now, ended.traits, ended.placed_at, state.endpoint.incarnation
+                )
 
     def _remove_endpoint(self, name: str) -> None:
         state = self._endpoints.pop(name)
--- a/borageworks/placement/endpoint_state.py
+++ b/borageworks/placement/endpoint_state.py
@@ -25,6 +25,8 @@
 # Without samples the estimate decays, so that an engine that gets few requests is
 # tried again.
 SLOWDOWN_HALF_LIFE_S = 4.0
+# Output that begins is noticed within this time unless an instance is overloaded.
+RECENT_START_S = 0.25
 # An engine that loses single responses is not suspended, one that is silent is.
 MAX_OVERDUE = 2
 # Cool-down of an endpoint that refused a request for lack of capacity: about the time
@@ -63,6 +65,13 @@
     adopted: bool = False
     prefilled: bool = False
 
+    def started_recently(self, now: float) -> bool:
+        """Return whether it has not started yet, or only just.
+
+        A request that crashes an endpoint does so as its output begins.
+        """
+        return self.started_at is None or now - self.started_at < RECENT_START_S
+
 
 @dataclass(slots=True)
 class EndpointState:
