Test that responses which break off midway accuse no request

Cause: read over after the landing: with the condition of on requests that are already responding taken out, all tests passed. It had landed without a test. Change: two tests, of requests that break off midway and of those that break off as they start, at three engines; the arrivals that two load patterns shared are one function. Measured: the new test fails without the condition and passes with it.

--- a/borageworks/placement/tests/test_dispatcher.py
+++ b/borageworks/placement/tests/test_dispatcher.py
@@ -4,6 +4,7 @@
 
 from borageworks.placement.cache_update import CachedPart, CacheUpdate
 from borageworks.placement.decisions import Placed, RefusalReason, Refused
+from borageworks.placement.endpoint_state import RECENT_START_S
 from borageworks.placement.outcome import WorkOutcome
 from borageworks.placement.tests.builders import (
     endpoint,
@@ -13,6 +14,7 @@
     prompt,
     work,
 )
+from borageworks.routing.suspects import MAX_CRASHES
 
 
 class DispatcherTest(TestCase):
@@ -241,3 +243,29 @@
         dispatcher.adopt(0.0, later, "e0", started=False)
         dispatcher.start(0.1, later.key)
         self.assertEqual({waiting.key: 5000}, state.prefilling)
+
+
+class CrashImplicationTest(TestCase):
+    def end_at_each_engine(self, responding_s):
+        """Break off a request with a shared part at each engine; try another one."""
+        dispatcher = engine_dispatcher(count=MAX_CRASHES)
+        now = 0.0
+        for number in range(MAX_CRASHES):
+            others = {f"e{n}" for n in range(MAX_CRASHES)} - {f"e{number}"}
+            request = work(prompt(shared=100), excluded=frozenset(others))
+            (placed,) = dispatcher.submit(now, request)
+            self.assertEqual(f"e{number}", placed.endpoint)
+            dispatcher.start(now + 0.1, request.key)
+            now += 0.1 + responding_s
+            dispatcher.end(now, request.key, WorkOutcome.DISCONNECTED)
+            now += 1.0
+        (decision,) = dispatcher.submit(now, work(prompt(shared=100)))
+        return type(decision)
+
+    def test_responses_that_break_off_midway_accuse_nobody(self):
+        """Guards against refusing sound parts because several engines reset streams."""
+        self.assertEqual(Placed, self.end_at_each_engine(2 * RECENT_START_S))
+
+    def test_requests_that_break_off_as_they_start_are_implicated(self):
+        """Guards against a part that crashes each engine which begins to respond."""
+        self.assertEqual(Refused, self.end_at_each_engine(0.0))
--- a/borageworks/placement/tests/test_load_patterns.py
+++ b/borageworks/placement/tests/test_load_patterns.py
@@ -27,6 +27,16 @@
     simulation.advance(3.0)
 
 
+def random_arrivals(rng, rates, request):
+    """Return arrivals at random times, by mean requests a second of organisations."""
+    return lambda _step: [
+        request(name)
+        for name, rate in rates.items()
+        for _ in range(rate)
+        if rng.random() < STEP_S
+    ]
+
+
 class LoadPatternTest(TestCase):
     def test_flood_of_one_organisation(self):
         """A flood of one organisation does not delay a small one."""
@@ -237,15 +247,7 @@
             shared_id = f"{shared}-p{rng.randrange(350)}"
             return work(prompt(own, shared, shared_id, generated), organisation)
 
-        def arrivals(_step):
-            return [
-                request(name)
-                for name, rate in rates.items()
-                for _ in range(rate)
-                if rng.random() < STEP_S
-            ]
-
-        run_load(simulation, 10, arrivals)
+        run_load(simulation, 10, random_arrivals(rng, rates, request))
         self.assertTrue(
             simulation.refused["flood"] > 0.5 * submitted["flood"], submitted
         )
@@ -271,15 +273,7 @@
             shared_id = f"p{rng.randrange(60)}"
             return work(prompt(own, 3000, shared_id), organisation)
 
-        def arrivals(_step):
-            return [
-                request(name)
-                for name, rate in rates.items()
-                for _ in range(rate)
-                if rng.random() < STEP_S
-            ]
-
-        run_load(simulation, 10, arrivals)
+        run_load(simulation, 10, random_arrivals(rng, rates, request))
         expected = sum(submitted[name] for name in small)
         refused = sum(simulation.refused.get(name, 0) for name in small)
         self.assertTrue(refused <= 0.1 * expected, (refused, expected))
