Decode the rate limits that endpoints state and log their changes

Cause: no instance decoded Server-Limit, and neither logs nor metrics could tell whether a limit was unknown, not passed on or not kept. Change: the response head carries a notice of the endpoint about itself; EndpointNotices keeps the last statement by incarnation, in the order in which requests were sent; event 412, gauge endpoints_limited, counter endpoint_notices_malformed.

--- a/borageworks/events.py
+++ b/borageworks/events.py
@@ -48,6 +48,7 @@
     ORGANISATIONS_REFUSED = (409, "organisations_refused")
     PLACEMENT_STATE = (410, "placement_state")
     CRASH_TRAIT = (411, "crash_trait")
+    ENDPOINT_NOTICE = (412, "endpoint_notice")
     ENDPOINT_DOWN = (501, "endpoint_down")
     ENDPOINT_UP = (502, "endpoint_up")
     ENDPOINT_OWNED = (503, "endpoint_owned")
--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -31,6 +31,7 @@
 from borageworks.gateway.codec import Codec
 from borageworks.gateway.directory import Directory
 from borageworks.gateway.endpoint import Endpoint
+from borageworks.gateway.endpoint_notices import EndpointNotices
 from borageworks.gateway.event_stream import EventSplitter
 from borageworks.gateway.placer import Placer
 from borageworks.gateway.response_head import ResponseHead
@@ -110,7 +111,7 @@
         The request to forward.
     sink
         Receives the response.
-    codec, directory, placer, upstream, metrics
+    codec, directory, placer, upstream, notices, metrics
         Components of the gateway.
     take_retry
         Takes one retry from the fleet's budget; returns False if none is left.
@@ -124,6 +125,7 @@
         directory: Directory,
         placer: Placer,
         upstream: Upstream,
+        notices: EndpointNotices,
         metrics: Metrics,
         take_retry: Callable[[], bool],
     ) -> None:
@@ -133,6 +135,7 @@
         self._directory = directory
         self._placer = placer
         self._upstream = upstream
+        self._notices = notices
         self._metrics = metrics
         self._take_retry = take_retry
         self._loop = asyncio.get_running_loop()
@@ -298,6 +301,7 @@
             self._last_event_id,
         )
         self._attempts += 1
+        sent_at = self._loop.time()
         may_have_run_before, self._may_have_run = self._may_have_run, True
         try:
             async with self._upstream.open(
@@ -312,6 +316,8 @@
                     response.status, response.headers
                 )
                 self._check_head(endpoint, head)
+                if not head.wrong_endpoint:
+                    self._notices.observe(endpoint, head.notice, sent_at)
                 if head.not_run:
                     self._may_have_run = may_have_run_before
                     await self._handle_refusal(endpoint, head, response)
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -30,6 +30,7 @@
 from borageworks.gateway.connection_limit import ConnectionLimit
 from borageworks.gateway.deployment import Deployment
 from borageworks.gateway.directory import Directory
+from borageworks.gateway.endpoint_notices import EndpointNotices
 from borageworks.gateway.exchange import Exchange, ExchangeRunner
 from borageworks.gateway.organisation_tally import NO_ORGANISATION, OrganisationTally
 from borageworks.gateway.placer import Placer
@@ -57,7 +58,7 @@
     ----------
     settings
         Settings of the process.
-    codec, directory, placer, upstream, retry_budgets, metrics
+    codec, directory, placer, upstream, notices, retry_budgets, metrics
         Components of the gateway.
     shutdown
         Decides which requests are accepted during shutdown.
@@ -78,6 +79,7 @@
         directory: Directory,
         placer: Placer,
         upstream: Upstream,
+        notices: EndpointNotices,
         retry_budgets: RetryBudgets,
         metrics: Metrics,
         shutdown: Shutdown,
@@ -91,6 +93,7 @@
         self._directory = directory
         self._placer = placer
         self._upstream = upstream
+        self._notices = notices
         self._retry_budgets = retry_budgets
         self._metrics = metrics
         self._shutdown = shutdown
@@ -206,6 +209,7 @@
                 self._directory,
                 self._placer,
                 self._upstream,
+                self._notices,
                 self._metrics,
                 lambda: self._retry_budgets.take(exchange.service, organisation),
             )
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -16,6 +16,7 @@
 from borageworks.gateway.codec import Codec
 from borageworks.gateway.connection_limit import ConnectionLimit, max_caller_connections
 from borageworks.gateway.directory import Directory
+from borageworks.gateway.endpoint_notices import EndpointNotices
 from borageworks.gateway.feed import Feed
 from borageworks.gateway.fleet import LINK_KEY, Fleet
 from borageworks.gateway.follower import Follower
@@ -99,6 +100,7 @@
         self._upstream = Upstream()
         self._upstream.start()
         self._directory = Directory(self._codec, self._metrics)
+        self._notices = EndpointNotices(timers, self._metrics)
         self._instances = Instances(
             settings,
             self._incarnation,
@@ -157,6 +159,7 @@
             self._directory,
             self._placer,
             self._upstream,
+            self._notices,
             self._retry_budgets,
             self._metrics,
             self._shutdown,
--- a/borageworks/gateway/response_head.py
+++ b/borageworks/gateway/response_head.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from borageworks.gateway.endpoint_notice import EndpointNotice
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,6 +23,8 @@
         Whether the endpoint states that it did not execute the request.
     wrong_endpoint
         Whether the address now belongs to another endpoint than the expected one.
+    notice
+        What the endpoint states about itself.
     """
 
     status: int
@@ -28,3 +32,4 @@
     has_seal: bool
     not_run: bool
     wrong_endpoint: bool
+    notice: EndpointNotice = field(default_factory=EndpointNotice)
--- a/borageworks/platform/protocol_names.py
+++ b/borageworks/platform/protocol_names.py
@@ -9,6 +9,8 @@
 EXPECTED_ENDPOINT = "X-Borageworks-Expect-Instance"
 RESPONSE_SEAL = "X-Borageworks-Response-Seal"
 NOT_EXECUTED = "X-Borageworks-Not-Executed"
+# Requests a second that an endpoint takes from all instances together.
+RATE_LIMIT = "Server-Limit"
 LAST_EVENT_ID = "Last-Event-Id"
 
 CONFIGURATION_KEY = "op/config"
