--- a/borageworks_emulator/platform/endpoint.py
+++ b/borageworks_emulator/platform/endpoint.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import orjson
@@ -104,6 +104,8 @@
 
     Attributes
     ----------
+    stated_headers
+        Headers of all its responses in which it states something about itself.
     on_run_started, on_run_finished
         Called when a request starts to run, and when the endpoint has stopped working
         on it.
@@ -120,6 +122,7 @@
         self.behaviour_of = behaviour_of or (lambda _request: Behaviour())
         self.runs: list[Run] = []
         self.refused = 0
+        self.stated_headers: Mapping[str, str] = {}
         self.cancelled: list[str] = []
         self.address = ("127.0.0.1", 0)
         self._server: web.Server | None = None
@@ -161,7 +164,10 @@
             return web.Response(status=421, headers={ATTEMPT_ID_HEADER: request_id})
         body = await request.read()
         behaviour = self.behaviour_of(request)
-        headers = {ATTEMPT_ID_HEADER: behaviour.stated_request_id or request_id}
+        headers = {
+            ATTEMPT_ID_HEADER: behaviour.stated_request_id or request_id,
+            **self.stated_headers,
+        }
         if behaviour.sealed:
             headers[SEAL_HEADER] = f"seal-of-{self.name}"
         if behaviour.not_run:
