Keep to the rate limits that endpoints state, wherever placements meet

Cause: placement weighs slots, prefill and failures, which an endpoint shows by itself; what an endpoint says of itself in its responses had no way to the instance that places. The limit counts over the fleet, and only the owner of a shard sees all placements. Change: an instance that learns a limit tells the owner, which tells all others; new owners and newly linked instances are told what is known (EndpointNotices, message EndpointStatement). Placement takes a token of the endpoint's bucket for each request; instances that place beside an owner, alone or in a cut part of the fleet use the fraction of the limit that belongs to the instances they place for. Buckets start empty at a new limit and a new owner. Large prompts prefer limited engines, as a limit counts requests; refusals tell when limits allow the request.

--- a/borageworks/gateway/endpoint_notices.py
+++ b/borageworks/gateway/endpoint_notices.py
@@ -3,24 +3,37 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
 from borageworks.events import Event, emit
 from borageworks.gateway.endpoint import Endpoint
 from borageworks.gateway.endpoint_notice import EndpointNotice
+from borageworks.gateway.fleet import Fleet
 from borageworks.metrics import Metrics
-from borageworks.timers import Timers
+from borageworks.timers import Timers, TimerSubscription
+from borageworks.wire.messages import EndpointStatement
+
+# Interval of messages to other instances about endpoints that change their statements
+# with each response.
+SHARE_INTERVAL_S = 0.05
+# A statement about an endpoint that is not listed is kept for this long: its entry may
+# be late, or missing for a moment.
+RETENTION_S = 30.0
+# Number that stands for no limit in messages.
+NO_LIMIT = -1.0
 
 
 @dataclass(slots=True)
 class _Statement:
     """What one incarnation of an endpoint states.
 
-    `confirmed_at` is the time at which the last response that states it arrived.
+    `stated_at` is the time at which the last response with the limit arrived, or that
+    of the request whose response had no limit any more.
     """
 
     limit_per_s: float | None = None
-    confirmed_at: float = -math.inf
+    stated_at: float = -math.inf
 
 
 class EndpointNotices:
@@ -30,21 +43,51 @@
     order, so that to a request which was sent before the last response with a limit
     cannot withdraw it.
 
+    An instance tells what it learns to the owner that places requests to the endpoint,
+    which tells all others. A new owner, and an instance to which a link opens, are told
+    all that is known.
+
     Parameters
     ----------
+    fleet
+        Other instances and messages to them.
     timers, metrics
         Services of the process.
     """
 
-    def __init__(self, timers: Timers, metrics: Metrics) -> None:
+    def __init__(self, fleet: Fleet, timers: Timers, metrics: Metrics) -> None:
+        self._fleet = fleet
         self._timers = timers
         self._metrics = metrics
         self._statements: dict[str, _Statement] = {}
+        self._owner_of: Callable[[str], str | None] = lambda _incarnation: None
+        self._on_change: Callable[[str], None] = lambda _incarnation: None
+        # Incarnations whose statements are to be told, and who told them here.
+        self._unshared: dict[str, str] = {}
+        self._share_timer: TimerSubscription | None = None
         metrics.before_render(self._update_gauges)
 
-    def limit_per_s(self, endpoint: Endpoint) -> float | None:
+    def attach(
+        self,
+        owner_of: Callable[[str], str | None],
+        on_change: Callable[[str], None],
+    ) -> None:
+        """Set the part of the gateway that places requests.
+
+        Parameters
+        ----------
+        owner_of
+            Returns the instance that places requests to an incarnation of an endpoint,
+            None if it is not listed.
+        on_change
+            Called with the incarnation whose statement has changed.
+        """
+        self._owner_of = owner_of
+        self._on_change = on_change
+
+    def limit_per_s(self, incarnation: str) -> float | None:
         """Return the requests a second that an endpoint takes, None if not limited."""
-        statement = self._statements.get(endpoint.incarnation)
+        statement = self._statements.get(incarnation)
         return None if statement is None else statement.limit_per_s
 
     def observe(
@@ -54,44 +97,105 @@
         if notice.limit_malformed:
             self._metrics.count("endpoint_notices_malformed", "limit")
             return
-        self._merge(endpoint.incarnation, notice.limit_per_s, sent_at)
+        now = self._timers.now()
+        self._merge(endpoint.incarnation, notice.limit_per_s, sent_at, now)
+
+    def receive(self, instance: str, message: EndpointStatement) -> None:
+        """Apply what another instance tells of an endpoint."""
+        limit_per_s = message.limit_per_s if message.limit_per_s >= 0.0 else None
+        stated_at = self._timers.now() - message.age_s
+        self._merge(message.incarnation, limit_per_s, stated_at, stated_at, instance)
+
+    def tell(self, instance: str, incarnations: Iterable[str] | None = None) -> None:
+        """Tell an instance all limits, or those of some endpoints."""
+        selected = self._statements if incarnations is None else incarnations
+        for incarnation in selected:
+            statement = self._statements.get(incarnation)
+            if statement is not None and statement.limit_per_s is not None:
+                self._fleet.send(instance, self._message(incarnation, statement))
+
+    def retain(self, incarnations: Collection[str]) -> None:
+        """Forget endpoints that are no longer listed."""
+        oldest = self._timers.now() - RETENTION_S
+        self._statements = {
+            incarnation: statement
+            for incarnation, statement in self._statements.items()
+            if incarnation in incarnations or statement.stated_at > oldest
+        }
 
     def _merge(
-        self, incarnation: str, limit_per_s: float | None, sent_at: float
-    ) -> bool:
-        """Apply a statement unless it is out of date; return whether it is news."""
+        self,
+        incarnation: str,
+        limit_per_s: float | None,
+        sent_at: float,
+        received_at: float,
+        source: str = "",
+    ) -> None:
+        """Apply a statement unless a later one is known.
+
+        Parameters
+        ----------
+        incarnation, limit_per_s
+            The endpoint, and its limit or None.
+        sent_at, received_at
+            Times of the request and of the response, between which it was stated.
+        source
+            Instance that told of it, empty for a response to this instance.
+        """
         statement = self._statements.get(incarnation)
         if statement is None:
             if limit_per_s is None:
-                return False
+                return
             statement = self._statements[incarnation] = _Statement()
-        now = self._timers.now()
-        if limit_per_s == statement.limit_per_s:
-            statement.confirmed_at = now
-            return False
-        if sent_at < statement.confirmed_at and not _is_stricter(
-            limit_per_s, statement.limit_per_s
-        ):
-            return False
+        known_per_s = statement.limit_per_s
+        if limit_per_s == known_per_s:
+            if limit_per_s is not None:
+                statement.stated_at = max(statement.stated_at, received_at)
+            return
+        stricter = limit_per_s is not None and (
+            known_per_s is None or limit_per_s < known_per_s
+        )
+        if (received_at if stricter else sent_at) < statement.stated_at:
+            return
         statement.limit_per_s = limit_per_s
-        statement.confirmed_at = now
+        statement.stated_at = sent_at if limit_per_s is None else received_at
         emit(
             Event.ENDPOINT_NOTICE,
-            endpoint=incarnation.partition("/")[0],
+            endpoint=incarnation.rpartition("/")[0],
             limit_per_s=limit_per_s,
-            source="",
-            age_s=round(now - sent_at, 4),
+            source=source,
+            age_s=round(self._timers.now() - sent_at, 4),
+        )
+        self._on_change(incarnation)
+        self._unshared[incarnation] = source
+        if self._share_timer is None:
+            self._share_timer = self._timers.after(SHARE_INTERVAL_S, self._share)
+
+    def _share(self, _now: float) -> None:
+        """Tell the owner what this instance has learnt, and others as the owner."""
+        self._share_timer = None
+        unshared, self._unshared = self._unshared, {}
+        for incarnation, source in unshared.items():
+            statement = self._statements.get(incarnation)
+            owner = self._owner_of(incarnation)
+            if statement is None or owner is None:
+                continue
+            message = self._message(incarnation, statement)
+            if owner == self._fleet.instance:
+                self._fleet.broadcast(message)
+            elif owner != source:
+                self._fleet.send(owner, message)
+
+    def _message(self, incarnation: str, statement: _Statement) -> EndpointStatement:
+        limit_per_s = statement.limit_per_s
+        return EndpointStatement(
+            incarnation,
+            NO_LIMIT if limit_per_s is None else limit_per_s,
+            self._timers.now() - statement.stated_at,
         )
-        return True
 
     def _update_gauges(self) -> None:
         limited = sum(
             statement.limit_per_s is not None for statement in self._statements.values()
         )
         self._metrics.gauge("endpoints_limited", limited)
-
-
-def _is_stricter(limit_per_s: float | None, than_per_s: float | None) -> bool:
-    if limit_per_s is None:
-        return False
-    return than_per_s is None or limit_per_s < than_per_s
--- a/borageworks/gateway/fleet.py
+++ b/borageworks/gateway/fleet.py
@@ -125,6 +125,19 @@
         """Number of instances, including this one."""
         return self._instances.count
 
+    @property
+    def reachable_ratio(self) -> float:
+        """Fraction of the instances that this one represents, 1 for most of them.
+
+        If half of the instances or more do not respond, they may run and do the same.
+        """
+        now = self._timers.now()
+        others = self._instances.others
+        suspected = sum(self._suspected_until.get(name, now) > now for name in others)
+        if 2 * suspected < self.count:
+            return 1.0
+        return (self.count - suspected) / self.count
+
     @property
     def linked(self) -> bool:
         """Whether links are open, so that messages can be sent."""
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -100,7 +100,6 @@
         self._upstream = Upstream()
         self._upstream.start()
         self._directory = Directory(self._codec, self._metrics)
-        self._notices = EndpointNotices(timers, self._metrics)
         self._instances = Instances(
             settings,
             self._incarnation,
@@ -123,9 +122,11 @@
             self._instance_lost,
             self._link_opened,
         )
+        self._notices = EndpointNotices(self._fleet, timers, self._metrics)
         self._placer = Placer(
             self._fleet,
             self._directory,
+            self._notices,
             timers,
             self._metrics,
             PlacementSettings(),
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -15,6 +15,7 @@
     PlacementSilentError,
 )
 from borageworks.gateway.directory import Directory
+from borageworks.gateway.endpoint_notices import EndpointNotices
 from borageworks.gateway.fleet import Fleet
 from borageworks.gateway.organisation_tally import OrganisationTally
 from borageworks.gateway.pending_placement import PendingPlacement
@@ -38,6 +39,7 @@
 from borageworks.timers import Timers, TimerSubscription
 from borageworks.wire.messages import (
     CrashTrait,
+    EndpointStatement,
     Message,
     PlacementState,
     PlaceReply,
@@ -63,6 +65,9 @@
 # taken over from the first. Instances that place alone do not know of each other, so
 # after the loss of an owner all of them would choose the same endpoints.
 MAX_OWNERS_ASKED = 2
+# An instance that has sent no request for this long to one that does not own the shard
+# is no longer counted as using it.
+ASKER_TIMEOUT_S = 1.0
 # Extra time for the owner's decision to arrive after the request's maximum wait.
 DECISION_MARGIN_S = 0.1
 
@@ -80,6 +85,8 @@
         Instances and messages to them.
     directory
         Current deployment configuration and endpoints.
+    notices
+        What endpoints state about themselves.
     timers, metrics
         Services of the process.
     settings
@@ -92,6 +99,7 @@
         self,
         fleet: Fleet,
         directory: Directory,
+        notices: EndpointNotices,
         timers: Timers,
         metrics: Metrics,
         settings: PlacementSettings,
@@ -100,6 +108,8 @@
         self._fleet = fleet
         self._instance = fleet.instance
         self._directory = directory
+        self._notices = notices
+        notices.attach(self._owner_of_endpoint, self._apply_limit)
         self._timers = timers
         self._metrics = metrics
         self._settings = settings
@@ -108,6 +118,8 @@
         self._service_shards: dict[str, ServiceShards] = {}
         self._most_endpoints: dict[str, int] = {}
         self._owners: dict[Shard, str] = {}
+        # Times at which other instances asked this one to place a request.
+        self._asked_at: dict[Shard, dict[str, float]] = {}
         self._evidence = CrashEvidence(self._share_evidence)
         self._requests: dict[int, PendingPlacement] = {}
         self._numbers = itertools.count(1)
@@ -254,6 +266,14 @@
         for shard in set(self._dispatchers) - wanted:
             if not self._dispatchers[shard].waiting:
                 del self._dispatchers[shard]
+        listed = {
+            incarnation
+            for dispatcher in self._dispatchers.values()
+            for incarnation in dispatcher.incarnations
+        }
+        self._notices.retain(listed)
+        for incarnation in listed:
+            self._apply_limit(incarnation)
         self.review_owners()
 
     def report(self) -> None:
@@ -311,6 +331,8 @@
                 self._adopt(instance, request, endpoint, started)
             case CrashTrait(trait=trait, crashes=crashes):
                 self._evidence.learn(now, trait, crashes)
+            case EndpointStatement():
+                self._notices.receive(instance, message)
             case ShardOwner(owner=owner):
                 self._fleet.vouch(owner)
                 self.review_owners()
@@ -318,7 +340,8 @@
                 self._metrics.count("peer_messages_unused", type(message).__name__)
 
     def link_opened(self, instance: str) -> None:
-        """Tell an instance, which may have restarted, what crashes endpoints."""
+        """Tell an instance, which may have restarted, what is known of endpoints."""
+        self._notices.tell(instance)
         for trait, crashes in self._evidence.shared.items():
             self._fleet.send(instance, CrashTrait(trait, crashes))
 
@@ -419,15 +442,45 @@
             retry_after_s = self._settings.min_retry_after_s
             self._deliver([Refused(work.key, RefusalReason.NO_ENDPOINT, retry_after_s)])
             return
-        dispatcher.set_capacity_ratio(
-            1.0 if self.owns(shard) else 1.0 / self._fleet.count
-        )
+        now = self._timers.now()
+        owns = self.owns(shard)
+        dispatcher.set_capacity_ratio(1.0 if owns else 1.0 / self._fleet.count)
+        dispatcher.set_limit_ratio(now, self._limit_ratio(shard, owns))
         self._tally(shard).record_requested(work.organisation, work.units)
-        self._deliver(
-            self._count_refusals(shard, dispatcher.submit(self._timers.now(), work))
-        )
+        self._deliver(self._count_refusals(shard, dispatcher.submit(now, work)))
         self._ensure_ticking()
 
+    def _limit_ratio(self, shard: Shard, owns: bool) -> float:
+        """Return the fraction of the endpoints' rate limits that is for this instance.
+
+        It is that of the instances whose requests it places, so that several which
+        place at the same time do not exceed the limits together. An owner that reaches
+        most instances places for all.
+        """
+        if owns:
+            return self._fleet.reachable_ratio
+        oldest = self._timers.now() - ASKER_TIMEOUT_S
+        asked_at = self._asked_at.get(shard, {})
+        askers = sum(at > oldest for at in asked_at.values())
+        return min((1 + askers) / self._fleet.count, 1.0)
+
+    def _owner_of_endpoint(self, incarnation: str) -> str | None:
+        shard = next(
+            (
+                shard
+                for shard, dispatcher in self._dispatchers.items()
+                if dispatcher.find_endpoint(incarnation) is not None
+            ),
+            None,
+        )
+        return None if shard is None else self._owner(shard)
+
+    def _apply_limit(self, incarnation: str) -> None:
+        """Apply the rate limit that an endpoint states to the placement on it."""
+        limit_per_s = self._notices.limit_per_s(incarnation)
+        for dispatcher in self._dispatchers.values():
+            dispatcher.set_limit(self._timers.now(), incarnation, limit_per_s)
+
     def _withdraw(self, pending: PendingPlacement) -> None:
         key = pending.work.key
         if pending.owner != self._instance:
@@ -466,11 +519,13 @@
         if owner not in (self._instance, instance):
             self._fleet.send(instance, ShardOwner(*shard, owner))
         work = decode_work(instance, request)
+        now = self._timers.now()
+        self._asked_at.setdefault(shard, {})[instance] = now
         dispatcher.set_capacity_ratio(1.0)
+        owns = owner == self._instance
+        dispatcher.set_limit_ratio(now, self._limit_ratio(shard, owns))
         self._tally(shard).record_requested(work.organisation, work.units)
-        decisions = self._count_refusals(
-            shard, dispatcher.submit(self._timers.now(), work)
-        )
+        decisions = self._count_refusals(shard, dispatcher.submit(now, work))
         self._deliver(decisions, dispatcher.prefill_speed)
         if all(decision.key != work.key for decision in decisions):
             self._fleet.send(
@@ -527,6 +582,11 @@
                     previous=previous,
                 )
             self._report_running(shard, owner)
+            dispatcher = self._dispatchers.get(shard)
+            if dispatcher is not None:
+                dispatcher.restart_limits(self._timers.now())
+                if owner != self._instance:
+                    self._notices.tell(owner, dispatcher.incarnations)
             if owner == self._instance:
                 self._announce(shard)
         return owner
--- a/borageworks/gateway/tests/test_ownership.py
+++ b/borageworks/gateway/tests/test_ownership.py
@@ -9,6 +9,7 @@
 
 from borageworks.exceptions import RefusalError
 from borageworks.gateway.deployment import EngineProfile, ServiceProfile
+from borageworks.gateway.endpoint_notices import EndpointNotices
 from borageworks.gateway.fleet import PEER_TIMEOUT_S, Fleet
 from borageworks.gateway.placer import Placer
 from borageworks.gateway.tests.test_components import GATEWAY
@@ -67,8 +68,9 @@
         )
         fleet._links = links
         self.fleets[name] = fleet
+        notices = EndpointNotices(fleet, timers, Metrics())
         self.placers[name] = Placer(
-            fleet, self.directory, timers, Metrics(), PlacementSettings()
+            fleet, self.directory, notices, timers, Metrics(), PlacementSettings()
         )
         self.placers[name].update()
 
--- a/borageworks/gateway/tests/test_placement_accounting.py
+++ b/borageworks/gateway/tests/test_placement_accounting.py
@@ -10,6 +10,7 @@
 
 from borageworks.exceptions import RefusalError
 from borageworks.gateway.deployment import EngineProfile, ServiceProfile
+from borageworks.gateway.endpoint_notices import EndpointNotices
 from borageworks.gateway.placer import CONFIRMATION_TIMEOUT_S, Placer
 from borageworks.metrics import Metrics
 from borageworks.placement.outcome import WorkOutcome
@@ -30,6 +31,7 @@
 
     domain = "a"
     count = len(INSTANCES)
+    reachable_ratio = 1.0
 
     def __init__(self, network, instance):
         self._network = network
@@ -110,8 +112,9 @@
         for name in INSTANCES:
             fleet: Any = SimulatedFleet(network, name)
             network.fleets[name] = fleet
+            notices = EndpointNotices(fleet, Timers(), Metrics())
             network.placers[name] = Placer(
-                fleet, directory, Timers(), Metrics(), PlacementSettings()
+                fleet, directory, notices, Timers(), Metrics(), PlacementSettings()
             )
             network.placers[name].update()
 
--- a/borageworks/gateway/tests/test_placer.py
+++ b/borageworks/gateway/tests/test_placer.py
@@ -11,6 +11,7 @@
 
 from borageworks.gateway.deployment import EngineProfile, ServiceProfile
 from borageworks.gateway.endpoint import Endpoint
+from borageworks.gateway.endpoint_notices import EndpointNotices
 from borageworks.gateway.pending_placement import PendingPlacement
 from borageworks.gateway.placement_messages import encode_work
 from borageworks.gateway.placer import Placer
@@ -29,7 +30,8 @@
     """Return a placer that owns every shard."""
     fleet = mock.Mock(instance="i", domain="a", count=1)
     fleet.owner.return_value = "i"
-    return Placer(fleet, directory, Timers(), Metrics(), PlacementSettings())
+    notices = EndpointNotices(fleet, Timers(), Metrics())
+    return Placer(fleet, directory, notices, Timers(), Metrics(), PlacementSettings())
 
 
 class ThroughputTest(TestCase):
@@ -212,6 +214,7 @@
             placer = Placer(
                 fleet,
                 directory,
+                EndpointNotices(fleet, Timers(), Metrics()),
                 Timers(),
                 Metrics(),
                 PlacementSettings(),
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -18,6 +18,7 @@
 from borageworks.placement.part_index import PartIndex
 from borageworks.placement.prefill_speed import PrefillSpeed
 from borageworks.placement.prompt_cache import PromptCache
+from borageworks.placement.rate_limit import RateLimit
 from borageworks.placement.selection import EndpointSelector
 from borageworks.placement.settings import PlacementSettings
 from borageworks.placement.summary import PlacementSummary
@@ -40,11 +41,14 @@
 # selection compares all engines; doing it for all requests of a flood would saturate a
 # core.
 SELECTIONS_PER_TICK = 16
-PREFILL_WAIT_MAX_AGE_S = 0.02
+# A flood of refusals needs the expected waits for each request.
+WAITS_MAX_AGE_S = 0.02
 # Interval at which overdue prompts are looked for.
 EXPIRY_INTERVAL_S = 0.02
 # Requests that crash endpoints stay refused, so an early retry is useless.
 SUSPECT_RETRY_AFTER_S = 60.0
+# Longest Retry-After while endpoints limit the requests that they take.
+MAX_LIMITED_RETRY_AFTER_S = 60.0
 # Organisations named in the summary for the log, so that its length is bounded.
 MAX_NAMED_LEADS = 8
 # The single entry under which the fair queue counts all demand.
@@ -93,19 +97,27 @@
         self._placed: dict[WorkKey, str] = {}
         self._waiting: dict[WorkKey, _WaitingWork] = {}
         self._waiting_tokens: dict[str, float] = {}
+        self._waiting_requests: dict[str, int] = {}
         self._waiting_per_organisation: dict[str, int] = {}
         self._part_index = PartIndex()
         self._selector = EndpointSelector(
-            self._endpoints, self._waiting_tokens, self._part_index, settings, domain
+            self._endpoints,
+            self._waiting_tokens,
+            self._waiting_requests,
+            self._part_index,
+            settings,
+            domain,
         )
         self._fair_queue = FairQueue()
         self._prefill_speed = PrefillSpeed(DEFAULT_TOKENS_PER_S)
         self._capacity_ratio = 1.0
+        self._limit_ratio = 1.0
         self._mean_duration_s = 0.0
         self._evidence = CrashEvidence() if evidence is None else evidence
         self._unconfirmed: set[WorkKey] = set()
-        self._last_prefill_wait_s = 0.0
-        self._prefill_wait_computed_at = -math.inf
+        self._prefill_wait_s = 0.0
+        self._limit_wait_s = 0.0
+        self._waits_computed_at = -math.inf
         self._expired_at = -math.inf
 
     @property
@@ -113,6 +125,11 @@
         """State by endpoint id."""
         return self._endpoints
 
+    @property
+    def incarnations(self) -> list[str]:
+        """Incarnations of the endpoints."""
+        return [state.endpoint.incarnation for state in self._endpoints.values()]
+
     @property
     def has_engines(self) -> bool:
         """Whether the endpoints are model engines."""
@@ -138,9 +155,12 @@
             for state in usable
         ]
         allowed_s = self._settings.prefill_ahead_s * self._capacity_ratio
+        limits = [state.rate_limit for state in usable if state.rate_limit is not None]
         return PlacementSummary(
             endpoints=len(self._endpoints),
             usable=len(usable),
+            limited=len(limits),
+            limit_per_s=sum(limit.limit_per_s for limit in limits),
             running=sum(len(state.running) for state in self._endpoints.values()),
             slots=sum(self._slot_limit(state) for state in usable),
             prefill_full=sum(backlog_s > allowed_s for backlog_s in backlogs_s),
@@ -159,6 +179,44 @@
         """
         self._capacity_ratio = ratio
 
+    def set_limit_ratio(self, now: float, ratio: float) -> None:
+        """Set the fraction of the endpoints' rate limits that this instance may use."""
+        if ratio == self._limit_ratio:
+            return
+        self._limit_ratio = ratio
+        for state in self._endpoints.values():
+            if state.rate_limit is not None:
+                limit_per_s = state.rate_limit.limit_per_s
+                state.rate_limit.configure(now, limit_per_s, ratio)
+
+    def find_endpoint(self, incarnation: str) -> EndpointState | None:
+        """Return an endpoint by its incarnation, None if it is not listed."""
+        state = self._endpoints.get(incarnation.rpartition("/")[0])
+        if state is None or state.endpoint.incarnation != incarnation:
+            return None
+        return state
+
+    def set_limit(
+        self, now: float, incarnation: str, limit_per_s: float | None
+    ) -> None:
+        """Set the requests a second that an endpoint takes, None for no limit."""
+        state = self.find_endpoint(incarnation)
+        if state is None or (limit_per_s is None and state.rate_limit is None):
+            return
+        if limit_per_s is None:
+            state.rate_limit = None
+        elif state.rate_limit is None:
+            state.rate_limit = RateLimit(now, limit_per_s, self._limit_ratio)
+        else:
+            state.rate_limit.configure(now, limit_per_s, self._limit_ratio)
+        self._selector.invalidate()
+
+    def restart_limits(self, now: float) -> None:
+        """Forget unused requests of the rate limits, since another instance placed."""
+        for state in self._endpoints.values():
+            if state.rate_limit is not None:
+                state.rate_limit.restart(now)
+
     def set_throughput(self, tokens_per_s: float) -> None:
         """Set the stated throughput of one engine, the prior of its prefill speed."""
         self._prefill_speed.set_prior(tokens_per_s / PREFILL_THROUGHPUT_RATIO)
@@ -421,7 +479,7 @@
         return self._selector.select(now, work, self._prefill_speed.seconds_per_token)
 
     def _has_room(self, now: float, state: EndpointState, work: Work) -> bool:
-        if len(state.running) >= self._slot_limit(state):
+        if len(state.running) >= self._slot_limit(state) or not state.has_token(now):
             return False
         if self._capacity_ratio < 1.0 and len(self._placed) >= self._total_slot_limit():
             return False
@@ -484,7 +542,9 @@
             if (work.prompt is None or item.preferred == waiting.preferred)
             and self._fair_queue.virtual_time(item.work.organisation) <= virtual_time
         ]
-        slot_wait_s = self._slot_wait_s(state, len(ahead), work.prompt is None)
+        # Requests to plain services may use any endpoint.
+        states = [state] if work.prompt is not None else self._endpoints.values()
+        slot_wait_s = self._slot_wait_s(now, states, len(ahead))
         if work.prompt is None:
             return slot_wait_s
         seconds_per_token = self._seconds_per_token(now, state)
@@ -494,20 +554,38 @@
         return max((backlog + tokens) * seconds_per_token - allowed_s, slot_wait_s, 0.0)
 
     def _slot_wait_s(
-        self, state: EndpointState, ahead: int, any_endpoint: bool
+        self, now: float, states: Iterable[EndpointState], ahead: int
     ) -> float:
-        """Return the seconds until a slot is free for a request behind `ahead` others.
-
-        Requests to plain services may use any endpoint.
+        """Return the seconds until a request behind `ahead` others gets a slot.
+
+        Parameters
+        ----------
+        now
+            Time in seconds.
+        states
+            Endpoints that the requests may use.
+        ahead
+            Number of requests that come before.
         """
-        states = list(self._endpoints.values()) if any_endpoint else [state]
-        slots = sum(self._slot_limit(item) for item in states)
-        missing_slots = ahead + 1 - slots + sum(len(item.running) for item in states)
-        return max(missing_slots, 0) * self._mean_duration_s / slots
+        missing_slots = ahead + 1.0
+        freed_per_s = 0.0
+        for state in states:
+            slots = self._slot_limit(state)
+            free = float(slots - len(state.running))
+            rate_per_s = slots / self._mean_duration_s if self._mean_duration_s else 0.0
+            limit = state.rate_limit
+            if limit is not None:
+                free = min(free, limit.tokens(now))
+                rate_per_s = min(rate_per_s or math.inf, limit.rate_per_s)
+            missing_slots -= free
+            freed_per_s += rate_per_s
+        return max(missing_slots, 0.0) / freed_per_s if freed_per_s else 0.0
 
     def _place(self, now: float, state: EndpointState, work: Work) -> Placed:
         self._fair_queue.record_service(work.organisation)
         self._fair_queue.charge(work.organisation, self._charged_units(state, work))
+        if state.rate_limit is not None:
+            state.rate_limit.take(now)
         running = self._add_running(now, state, work)
         return Placed(work.key, state.endpoint.id, running.uncached_tokens)
 
@@ -531,32 +609,37 @@
 
     def _refuse(self, now: float, work: Work, reason: RefusalReason) -> Refused:
         settings = self._settings
-        if work.prompt is None:
-            wait_s = settings.min_retry_after_s
-        else:
-            wait_s = self._prefill_wait_s(now)
-        return Refused(
-            work.key,
-            reason,
-            min(max(wait_s, settings.min_retry_after_s), settings.max_retry_after_s),
-            work,
+        if now - self._waits_computed_at > WAITS_MAX_AGE_S:
+            self._waits_computed_at = now
+            self._prefill_wait_s = self._compute_prefill_wait_s(now)
+            self._limit_wait_s = self._compute_limit_wait_s(now)
+        wait_s = 0.0 if work.prompt is None else self._prefill_wait_s
+        wait_s = min(
+            max(wait_s, settings.min_retry_after_s), settings.max_retry_after_s
+        )
+        return Refused(work.key, reason, max(wait_s, self._limit_wait_s), work)
+
+    def _compute_prefill_wait_s(self, now: float) -> float:
+        """Return the seconds in which the endpoints prefill all that is ahead."""
+        seconds_per_token = self._prefill_speed.seconds_per_token
+        usable = [state for state in self._endpoints.values() if state.usable(now)]
+        tokens = sum(self._waiting_tokens.values()) + sum(
+            state.backlog_tokens(now, seconds_per_token) for state in usable
         )
+        return tokens * seconds_per_token / max(len(usable), 1)
 
-    def _prefill_wait_s(self, now: float) -> float:
-        """Return the seconds in which the endpoints prefill all that is ahead.
+    def _compute_limit_wait_s(self, now: float) -> float:
+        """Return the seconds until rate limits allow a request behind all others.
 
-        Computed at most once in `PREFILL_WAIT_MAX_AGE_S`, since a flood of refusals
-        needs it for each request.
+        0 if an endpoint without a limit is usable.
         """
-        if now - self._prefill_wait_computed_at > PREFILL_WAIT_MAX_AGE_S:
-            seconds_per_token = self._prefill_speed.seconds_per_token
-            usable = [state for state in self._endpoints.values() if state.usable(now)]
-            tokens = sum(self._waiting_tokens.values()) + sum(
-                state.backlog_tokens(now, seconds_per_token) for state in usable
-            )
-            self._last_prefill_wait_s = tokens * seconds_per_token / max(len(usable), 1)
-            self._prefill_wait_computed_at = now
-        return self._last_prefill_wait_s
+        usable = [state for state in self._endpoints.values() if state.usable(now)]
+        limits = [state.rate_limit for state in usable if state.rate_limit is not None]
+        if not limits or len(limits) < len(usable):
+            return 0.0
+        missing = len(self._waiting) + 1.0 - sum(item.tokens(now) for item in limits)
+        wait_s = max(missing, 0.0) / sum(item.rate_per_s for item in limits)
+        return min(wait_s, MAX_LIMITED_RETRY_AFTER_S)
 
     def _uncached_tokens(self, state: EndpointState, work: Work) -> int:
         if work.prompt is None:
@@ -589,6 +672,8 @@
         total = self._waiting_tokens.get(waiting.preferred, 0.0)
         total += change * waiting.tokens
         self._waiting_tokens[waiting.preferred] = max(total, 0.0)
+        requests = self._waiting_requests.get(waiting.preferred, 0) + change
+        self._waiting_requests[waiting.preferred] = max(requests, 0)
 
     def _record_end(
         self,
@@ -614,6 +699,7 @@
         state = self._endpoints.pop(name)
         state.cache.clear()
         self._waiting_tokens.pop(name, None)
+        self._waiting_requests.pop(name, None)
         for key in state.running:
             self._placed.pop(key, None)
         for waiting in self._waiting.values():
--- a/borageworks/placement/endpoint_state.py
+++ b/borageworks/placement/endpoint_state.py
@@ -8,6 +8,7 @@
 from borageworks.gateway.endpoint import Endpoint
 from borageworks.placement.outcome import WorkOutcome
 from borageworks.placement.prompt_cache import PromptCache
+from borageworks.placement.rate_limit import RateLimit
 from borageworks.placement.work import WorkKey
 
 # Smoothing factor of the moving average of failures.
@@ -97,6 +98,8 @@
         Whether it gets one request at a time until one succeeds.
     overdue
         Number of requests that did not start in time since the last one that started.
+    rate_limit
+        Limit on the requests a second that it takes, None if it states none.
     """
 
     endpoint: Endpoint
@@ -111,6 +114,7 @@
     suspension_s: float = 0.0
     half_open: bool = False
     overdue: int = 0
+    rate_limit: RateLimit | None = None
     _slowdown: float = 1.0
     _slowdown_at: float = 0.0
 
@@ -210,6 +214,10 @@
         decay = math.pow(0.5, (now - self._slowdown_at) / SLOWDOWN_HALF_LIFE_S)
         return 1.0 + (self._slowdown - 1.0) * decay
 
+    def has_token(self, now: float) -> bool:
+        """Return whether its limit on requests a second allows one now."""
+        return self.rate_limit is None or self.rate_limit.tokens(now) >= 1.0
+
     def usable(self, now: float) -> bool:
         """Return whether it may get a request now."""
         if self.endpoint.leaving or now < self.suspended_until:
--- a/borageworks/placement/selection.py
+++ b/borageworks/placement/selection.py
@@ -21,6 +21,10 @@
 MAX_ORDER_AGE_S = 0.005
 MAX_ORDER_PLACEMENTS = CANDIDATES // 2
 
+# Weight of prefill at engines without a rate limit while others of the service have it:
+# they get the requests that the others do not take.
+SCARCE_PREFILL_WEIGHT = 2.0
+
 
 class EndpointSelector:
     """Selects the endpoint that a request costs least at.
@@ -33,8 +37,9 @@
     ----------
     endpoints
         State by endpoint id.
-    waiting_tokens
-        Prompt tokens of the waiting requests that prefer an endpoint, by its id.
+    waiting_tokens, waiting_requests
+        Prompt tokens and number of the waiting requests that prefer an endpoint, by
+        its id.
     index
         Index of the parts that the endpoints have cached.
     settings
@@ -47,22 +52,28 @@
         self,
         endpoints: Mapping[str, EndpointState],
         waiting_tokens: Mapping[str, float],
+        waiting_requests: Mapping[str, int],
         index: PartIndex,
         settings: PlacementSettings,
         domain: str,
     ) -> None:
         self._endpoints = endpoints
         self._waiting_tokens = waiting_tokens
+        self._waiting_requests = waiting_requests
         self._index = index
         self._settings = settings
         self._domain = domain
+        self._any_limited = False
         self._order: list[str] = []
         self._ordered_at = -math.inf
         self._placements = 0
 
     def invalidate(self) -> None:
-        """Discard the order by load, after a change of the list of endpoints."""
+        """Discard the order by load, after a change of endpoints or their limits."""
         self._ordered_at = -math.inf
+        self._any_limited = any(
+            state.rate_limit is not None for state in self._endpoints.values()
+        )
 
     def record_placement(self) -> None:
         """Record that an endpoint has become busier."""
@@ -109,20 +120,41 @@
         cost_s = settings.failure_penalty_s * state.failure_rate
         if state.endpoint.domain != self._domain:
             cost_s += settings.domain_penalty_s
+        limit_wait_s = self._limit_wait_s(now, state)
         if work.prompt is None:
-            return cost_s + occupancy
+            # Without a token an endpoint is as full as one without a free slot.
+            return cost_s + max(occupancy, float(limit_wait_s > 0.0)) + limit_wait_s
         seconds_per_token *= state.slowdown(now)
         uncached = work.prompt.tokens - state.cache.cached_tokens(work.prompt)
         recomputed = max(uncached - own_prompt_tokens(work), 0)
+        prefill_weight = 1.0
+        if state.rate_limit is not None:
+            # A limited engine takes the same part of its limit for each request, so the
+            # larger ones are worth most there.
+            limit_wait_s += 1.0 / state.rate_limit.rate_per_s
+        elif self._any_limited:
+            prefill_weight = SCARCE_PREFILL_WEIGHT
         ahead = state.backlog_tokens(now, seconds_per_token)
         ahead += self._waiting_tokens.get(state.endpoint.id, 0.0)
         return (
             cost_s
             + seconds_per_token
-            * (ahead + uncached + settings.recompute_weight * recomputed)
+            * (
+                ahead
+                + prefill_weight * uncached
+                + settings.recompute_weight * recomputed
+            )
             + occupancy * settings.prefill_ahead_s
+            + limit_wait_s
         )
 
+    def _limit_wait_s(self, now: float, state: EndpointState) -> float:
+        """Return the time until an endpoint's rate limit allows another request."""
+        if state.rate_limit is None:
+            return 0.0
+        ahead = self._waiting_requests.get(state.endpoint.id, 0)
+        return state.rate_limit.wait_s(now, ahead)
+
     def _candidates(
         self, now: float, work: Work, seconds_per_token: float
     ) -> Iterable[str]:
@@ -161,6 +193,7 @@
         settings = self._settings
         load_s = settings.failure_penalty_s * state.failure_rate
         load_s += len(state.running) / state.endpoint.slots * settings.prefill_ahead_s
+        load_s += self._limit_wait_s(now, state)
         if state.endpoint.domain != self._domain:
             load_s += settings.domain_penalty_s
         seconds_per_token *= state.slowdown(now)
--- a/borageworks/placement/summary.py
+++ b/borageworks/placement/summary.py
@@ -13,6 +13,9 @@
     ----------
     endpoints, usable
         Endpoints, and those of them that may get a request now.
+    limited, limit_per_s
+        Endpoints that limit the requests a second that they take, and the sum of their
+        limits.
     running, slots
         Requests placed on the endpoints, and the slots that usable ones have.
     prefill_full
@@ -30,6 +33,8 @@
 
     endpoints: int
     usable: int
+    limited: int
+    limit_per_s: float
     running: int
     slots: int
     prefill_full: int
--- a/borageworks/wire/fleet.capnp
+++ b/borageworks/wire/fleet.capnp
@@ -35,6 +35,8 @@
 
 struct CrashTrait { trait @0 :Data; crashes @1 :UInt8; }
 
+struct EndpointStatement { incarnation @0 :Text; limitPerS @1 :Float64; ageS @2 :Float32; }
+
 struct ReplicaItem { key @0 :Text; value @1 :Data; revision @2 :UInt64; }
 struct ReplicaNews { after @0 :UInt64; revision @1 :UInt64; ageS @2 :Float32; lapseGraceS @3 :Float32; items @4 :List(ReplicaItem); deletes @5 :List(Text); }
 
@@ -79,6 +81,7 @@
     replicaNews @31 :ReplicaNews;
     shardOwner @32 :ShardOwner;
     crashTrait @33 :CrashTrait;
+    endpointStatement @34 :EndpointStatement;
   }
 }
 
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -405,6 +405,20 @@
     crashes: int
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointStatement:
+    """Tells what an incarnation of an endpoint states about itself in its responses.
+
+    `limit_per_s` is the number of requests a second that it takes, negative for any
+    number; `age_s` the time since the last response with the limit arrived, or since
+    the request was sent whose response had no limit any more.
+    """
+
+    incarnation: str
+    limit_per_s: float
+    age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class ReplicaItem:
     """An item of the platform's store and its revision."""
@@ -511,4 +525,5 @@
     | ReplicaNews
     | ShardOwner
     | CrashTrait
+    | EndpointStatement
 )
