Test rate limits at owners, instances that place alone, and out of order

Reading over found that an instance that places alone for a moment kept tokens of times when it did not place, and that an instance without links took itself for the whole fleet.

--- a/borageworks/gateway/fleet.py
+++ b/borageworks/gateway/fleet.py
@@ -131,6 +131,8 @@
 
         If half of the instances or more do not respond, they may run and do the same.
         """
+        if self._links is None:
+            return 1.0 / self.count
         now = self._timers.now()
         others = self._instances.others
         suspected = sum(self._suspected_until.get(name, now) > now for name in others)
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -65,9 +65,9 @@
 # taken over from the first. Instances that place alone do not know of each other, so
 # after the loss of an owner all of them would choose the same endpoints.
 MAX_OWNERS_ASKED = 2
-# An instance that has sent no request for this long to one that does not own the shard
-# is no longer counted as using it.
-ASKER_TIMEOUT_S = 1.0
+# Beside the owner of a shard, requests are placed without interruption as long as they
+# are not further apart than this.
+ALONE_TIMEOUT_S = 1.0
 # Extra time for the owner's decision to arrive after the request's maximum wait.
 DECISION_MARGIN_S = 0.1
 
@@ -118,7 +118,9 @@
         self._service_shards: dict[str, ServiceShards] = {}
         self._most_endpoints: dict[str, int] = {}
         self._owners: dict[Shard, str] = {}
-        # Times at which other instances asked this one to place a request.
+        # Times at which this instance last placed a request beside the owner, and at
+        # which others asked it to place one.
+        self._placed_alone_at: dict[Shard, float] = {}
         self._asked_at: dict[Shard, dict[str, float]] = {}
         self._evidence = CrashEvidence(self._share_evidence)
         self._requests: dict[int, PendingPlacement] = {}
@@ -459,7 +461,7 @@
         """
         if owns:
             return self._fleet.reachable_ratio
-        oldest = self._timers.now() - ASKER_TIMEOUT_S
+        oldest = self._timers.now() - ALONE_TIMEOUT_S
         asked_at = self._asked_at.get(shard, {})
         askers = sum(at > oldest for at in asked_at.values())
         return min((1 + askers) / self._fleet.count, 1.0)
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -18,7 +18,7 @@
 from borageworks.placement.part_index import PartIndex
 from borageworks.placement.prefill_speed import PrefillSpeed
 from borageworks.placement.prompt_cache import PromptCache
-from borageworks.placement.rate_limit import RateLimit
+from borageworks.placement.rate_limit import MIN_PER_S, RateLimit
 from borageworks.placement.selection import EndpointSelector
 from borageworks.placement.settings import PlacementSettings
 from borageworks.placement.summary import PlacementSummary
@@ -631,14 +631,16 @@
     def _compute_limit_wait_s(self, now: float) -> float:
         """Return the seconds until rate limits allow a request behind all others.
 
-        0 if an endpoint without a limit is usable.
+        0 if an endpoint without a limit is usable. The caller may come back at any
+        instance, so that the whole limits count.
         """
         usable = [state for state in self._endpoints.values() if state.usable(now)]
         limits = [state.rate_limit for state in usable if state.rate_limit is not None]
         if not limits or len(limits) < len(usable):
             return 0.0
         missing = len(self._waiting) + 1.0 - sum(item.tokens(now) for item in limits)
-        wait_s = max(missing, 0.0) / sum(item.rate_per_s for item in limits)
+        total_per_s = sum(max(item.limit_per_s, MIN_PER_S) for item in limits)
+        wait_s = max(missing, 0.0) / total_per_s
         return min(wait_s, MAX_LIMITED_RETRY_AFTER_S)
 
     def _uncached_tokens(self, state: EndpointState, work: Work) -> int:
--- a/borageworks/placement/rate_limit.py
+++ b/borageworks/placement/rate_limit.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-# Tokens that accumulate while an endpoint gets fewer requests than it takes, as seconds
-# at its limit.
+# Tokens that accumulate while an endpoint gets fewer requests than it takes: seconds at
+# its limit, and the least number.
 BURST_S = 0.5
+MIN_BURST = 2.0
 # Requests a second to an endpoint that takes fewer: without any response it could not
 # withdraw its limit.
 MIN_PER_S = 0.1
@@ -45,7 +46,7 @@
     @property
     def burst(self) -> float:
         """Requests that may be placed at once."""
-        return max(self.rate_per_s * BURST_S, 1.0)
+        return max(self.rate_per_s * BURST_S, MIN_BURST)
 
     def configure(self, now: float, limit_per_s: float, ratio: float) -> None:
         """Apply another limit or fraction from now on."""
--- a/borageworks/placement/selection.py
+++ b/borageworks/placement/selection.py
@@ -25,6 +25,10 @@
 # they get the requests that the others do not take.
 SCARCE_PREFILL_WEIGHT = 2.0
 
+# Longest time at a rate limit that counts as a cost: beyond it a request would miss its
+# target latency wherever it waits.
+MAX_LIMIT_TIME_S = 0.5
+
 
 class EndpointSelector:
     """Selects the endpoint that a request costs least at.
@@ -131,7 +135,7 @@
         if state.rate_limit is not None:
             # A limited engine takes the same part of its limit for each request, so the
             # larger ones are worth most there.
-            limit_wait_s += 1.0 / state.rate_limit.rate_per_s
+            limit_wait_s += min(1.0 / state.rate_limit.rate_per_s, MAX_LIMIT_TIME_S)
         elif self._any_limited:
             prefill_weight = SCARCE_PREFILL_WEIGHT
         ahead = state.backlog_tokens(now, seconds_per_token)
--- a/borageworks/platform/tests/test_decoding.py
+++ b/borageworks/platform/tests/test_decoding.py
@@ -16,6 +16,7 @@
     EndpointReplyMalformedError,
     SettingsInvalidError,
 )
+from borageworks.gateway.endpoint_notice import EndpointNotice
 from borageworks.gateway.route import RetryPolicy
 from borageworks.placement.cache_update import CachedPart
 from borageworks.platform.configuration import decode_configuration
@@ -257,6 +258,46 @@
         self.assertTrue(decode_response_head(503, not_executed).not_run)
         self.assertTrue(decode_response_head(421, headers()).wrong_endpoint)
 
+    def test_limits_that_are_no_decimal_numbers_are_recognised(self):
+        """Guards against limits that end the response, or that nobody stated."""
+        for text, limit_per_s in {
+            "5.5": 5.5,
+            " 0 ": 0.0,
+            "0.1": 0.1,
+            ".5": 0.5,
+            "7.": 7.0,
+            "9" * 18: 1e18,
+        }.items():
+            notice = decode_response_head(200, headers(Server_Limit=text)).notice
+            self.assertEqual(EndpointNotice(limit_per_s), notice, text)
+        for text in (
+            "",
+            "-1",
+            "nan",
+            "inf",
+            "1e3",
+            "1_0",
+            "+1",
+            "٣",
+            "9" * 400,
+            "5, 7",
+        ):
+            notice = decode_response_head(200, headers(Server_Limit=text)).notice
+            self.assertEqual(EndpointNotice(limit_malformed=True), notice, text)
+        twice = CIMultiDict([("Server-Limit", "5"), ("server-limit", "7")])
+        notice = decode_response_head(200, CIMultiDictProxy(twice)).notice
+        self.assertTrue(notice.limit_malformed)
+        self.assertEqual(EndpointNotice(), decode_response_head(200, headers()).notice)
+
+    @SETTINGS
+    @given(st.lists(st.text(max_size=30), max_size=3))
+    def test_arbitrary_limits_give_a_notice(self, texts):
+        """Guards against header values that raise an error nobody expects."""
+        values = CIMultiDict([("Server-Limit", text) for text in texts])
+        notice = decode_response_head(200, CIMultiDictProxy(values)).notice
+        if notice.limit_per_s is not None:
+            self.assertTrue(0.0 <= notice.limit_per_s < 1e19)
+
 
 class EngineMemoryTest(TestCase):
     def test_rows_are_decoded(self):
--- a/borageworks_emulator/platform/tests/test_rate_limit.py
+++ b/borageworks_emulator/platform/tests/test_rate_limit.py
@@ -95,3 +95,46 @@
         )
         self.assertEqual({200}, set(statuses))
         self.assertTrue(runs <= MAX_IN_WINDOW, runs)
+
+    def test_owner_that_is_lost_while_all_engines_state_limits(self):
+        """Guards against a new owner, or instances without one, that begin anew."""
+        listed = [limited(engine, 1.0) for engine in engines(2)]
+
+        async def scenario(fleet):
+            await self.send(fleet, 12)
+            await asyncio.sleep(LEARNING_S)
+            started_at = asyncio.get_running_loop().time()
+            await self.send(fleet, 25)
+            owners = [h for h in fleet if h.gateway._placer.owns(("engines", 0))]
+            await owners[0].gateway.close()
+            rest = [harness for harness in fleet if harness is not owners[0]]
+            statuses = await self.send(rest, 40)
+            return started_at, statuses
+
+        started_at, statuses = self.run_fleet(
+            {ENGINE_SERVICE: listed}, scenario, instances=3
+        )
+        self.assertTrue({200, 503} >= set(statuses), set(statuses))
+        self.assertTrue(200 in statuses, statuses)
+        for engine in listed:
+            runs = sum(run.started_at > started_at for run in engine.runs)
+            self.assertTrue(runs <= 1.5 * WINDOW_S * 1.0 + 5, runs)
+
+    def test_caller_is_told_when_all_engines_state_limits(self):
+        """Guards against callers that wait for what surely comes too late."""
+        listed = [limited(engine, 0.2) for engine in engines(2)]
+
+        async def scenario(fleet):
+            await self.send(fleet, 12)
+            await asyncio.sleep(LEARNING_S)
+            started_at = asyncio.get_running_loop().time()
+            status, headers, _ = await fleet[0].send_request("/resume/")
+            elapsed_s = asyncio.get_running_loop().time() - started_at
+            return status, float(headers["Retry-After"]), elapsed_s
+
+        status, retry_after_s, elapsed_s = self.run_fleet(
+            {ENGINE_SERVICE: listed}, scenario
+        )
+        self.assertEqual(503, status)
+        self.assertTrue(0.5 < retry_after_s <= 2.5, retry_after_s)
+        self.assertTrue(elapsed_s < 0.1, elapsed_s)
