Let the next organisation in fair order wait for a rate limit

Callers of an organisation with few requests saw refusals again and again while engines limit their rate and another organisation floods. Cause: a limit of one or two a second leaves longer waits between requests than the target latency allows. A request that came between two tokens was refused, and each token went to the flood, which always waits; fair order holds among waiting requests only. Change: a request that no other comes before waits for the next token, for a second at most, although it becomes late. Not the cause, tried and taken out again: counting all waiting requests of a flood as ahead (15 of 20 as before).

--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -49,6 +49,9 @@
 SUSPECT_RETRY_AFTER_S = 60.0
 # Longest Retry-After while endpoints limit the requests that they take.
 MAX_LIMITED_RETRY_AFTER_S = 60.0
+# Longest wait of a late request for a rate limit, and its margin for the next tick.
+MAX_LIMIT_WAIT_S = 1.0
+LIMIT_WAIT_MARGIN_S = 0.04
 # Organisations named in the summary for the log, so that its length is bounded.
 MAX_NAMED_LEADS = 8
 # The single entry under which the fair queue counts all demand.
@@ -269,8 +272,14 @@
         expires_at = now + self._max_wait_s(now, state, work)
         tokens = own_prompt_tokens(work)
         waiting = _WaitingWork(work, now, expires_at, preferred, now, tokens)
-        if now + self._expected_wait_s(now, waiting) > expires_at:
-            return [self._place_elsewhere(now, waiting)]
+        expected_wait_s = self._expected_wait_s(now, waiting)
+        if now + expected_wait_s > expires_at:
+            decision = self._place_elsewhere(now, waiting)
+            if isinstance(decision, Placed) or not self._is_next_at_limit(
+                state, work, expected_wait_s
+            ):
+                return [decision]
+            waiting.expires_at = now + expected_wait_s + LIMIT_WAIT_MARGIN_S
         self._waiting[work.key] = waiting
         self._count_waiting(now, waiting, 1)
         return []
@@ -518,6 +527,20 @@
             for name in self._waiting_per_organisation
         )
 
+    def _is_next_at_limit(
+        self, state: EndpointState, work: Work, wait_s: float
+    ) -> bool:
+        """Return whether a request waits for a rate limit although it becomes late.
+
+        If the next one in fair order were refused, an organisation with few requests
+        would find each token taken by one with many when it comes back.
+        """
+        return (
+            state.rate_limit is not None
+            and wait_s <= MAX_LIMIT_WAIT_S
+            and not self._is_behind_others(work)
+        )
+
     def _max_wait_s(self, now: float, state: EndpointState, work: Work) -> float:
         if work.prompt is None:
             return max(work.max_wait_s, 0.0)
--- a/borageworks/placement/tests/test_rate_limit.py
+++ b/borageworks/placement/tests/test_rate_limit.py
@@ -138,3 +138,22 @@
                 simulation.on_time.get(name, 0) >= 0.9 * count,
                 (simulation.on_time, submitted),
             )
+
+    def test_flood_beside_a_small_organisation_while_all_engines_are_in_need(self):
+        """Load: all engines limit their rate while one organisation floods.
+
+        Guards against refusing an organisation for requests of another one that come
+        after its own in fair order.
+        """
+        simulation = EngineSimulation(engine_dispatcher(3, slots=48))
+        for number in range(3):
+            simulation.dispatcher.set_limit(0.0, f"e{number}/0", 2.0)
+
+        def arrivals(step):
+            flood = [work(prompt(own=500), "flood") for _ in range(2)]
+            small = [work(prompt(own=500), "small")] if step % 20 == 0 else []
+            return flood + small
+
+        run_load(simulation, 20, arrivals)
+        served = simulation.on_time.get("small", 0) + simulation.late.get("small", 0)
+        self.assertTrue(served >= 0.9 * 20, (simulation.on_time, simulation.refused))
