Log the store's eras and the updates that replicas ignore

Cause: after a restore nothing was logged between the return of the store and the first wrong response, so dropped updates and a watch that skips them looked alike. Change: the store's client reads Store-Era; event 609 on a new era, event 209 on a reply that is older than the replica.

--- a/borageworks/gateway/follower.py
+++ b/borageworks/gateway/follower.py
@@ -213,6 +213,12 @@
                 change = self._replica.replace(update)
             case WatchBatch():
                 change = self._replica.apply(update)
+        if update.revision < after:
+            emit(
+                Event.REPLICA_UPDATE_IGNORED,
+                revision=update.revision,
+                known_revision=after,
+            )
         now = self._timers.now()
         grace_s = max(self._grace_until(now) - now, 0.0)
         self._feed.publish(after, self._replica.revision, change, grace_s)
--- a/borageworks/platform/store.py
+++ b/borageworks/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from base64 import b64decode, b64encode
 from collections.abc import AsyncGenerator, Callable, Mapping
 from contextlib import aclosing
@@ -10,6 +11,7 @@
 
 import aiohttp
 import orjson
+from multidict import CIMultiDictProxy
 
 from borageworks.endpoints.sockets import open_socket
 from borageworks.events import Event, emit
@@ -22,6 +24,7 @@
 )
 from borageworks.gateway.settings import GatewaySettings
 from borageworks.metrics import Metrics
+from borageworks.platform import protocol_names
 from borageworks.store.values import (
     CommitResult,
     Lease,
@@ -46,6 +49,7 @@
 WATCH_INTERVAL_S = 0.5
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.8
+_ERA = re.compile(r"[0-9]{1,18}", re.ASCII)
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 STATUS_COMPACTED = 410
@@ -82,6 +86,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._failing_since: float | None = None
         self._recovered_at: float | None = None
+        self._era: int | None = None
 
     @property
     def failing_since(self) -> float | None:
@@ -340,6 +345,7 @@
             ) as response:
                 data = await response.read()
                 status = response.status
+                self._observe_era(response.headers)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise StoreUnavailableError(
                 f"cannot connect to the store: {error!r}"
@@ -357,6 +363,16 @@
                 raise StoreOutcomeUnknownError(f"reply is not JSON: {error}") from error
             raise StoreUnavailableError(f"reply is not JSON: {error}") from error
 
+    def _observe_era(self, headers: CIMultiDictProxy[str]) -> None:
+        text = headers.get(protocol_names.STORE_ERA, "")
+        if not _ERA.fullmatch(text):
+            return
+        era, previous = int(text), self._era
+        if previous is None or era > previous:
+            self._era = era
+            if previous is not None:
+                emit(Event.STORE_RESTORED, era=era, previous=previous)
+
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
