--- a/borageworks_emulator/platform/store.py
+++ b/borageworks_emulator/platform/store.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 from base64 import b64decode, b64encode
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Any
 
@@ -45,6 +44,16 @@
     expires_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Copy of a store at one revision."""
+
+    items: dict[str, _Item]
+    leases: dict[int, _Lease]
+    revision: int
+    next_lease: int
+
+
 class EmulatedPlatformStore:
     """Key-value store with conditions, leases and watches over HTTP.
 
@@ -58,7 +67,8 @@
         self._compacted_revision = 0
         self._revision = 1
         self._leases: dict[int, _Lease] = {}
-        self._lease_ids = itertools.count(1)
+        self._next_lease = 1
+        self._era = 1
         self._changed = asyncio.Condition()
         self._runner: web.AppRunner | None = None
         self._expiry_task: asyncio.Task[None] | None = None
@@ -72,6 +82,11 @@
         """Revision of the last change."""
         return self._revision
 
+    @property
+    def era(self) -> int:
+        """Number of times that the store has come back from a copy, from 1 on."""
+        return self._era
+
     @property
     def keys(self) -> list[str]:
         """Keys that exist."""
@@ -130,6 +145,32 @@
             self._compacted_revision = self._revision
             self._changed.notify_all()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to restore later."""
+        return StoreCopy(
+            {key: replace(item) for key, item in self._items.items()},
+            {number: replace(lease) for number, lease in self._leases.items()},
+            self._revision,
+            self._next_lease,
+        )
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: later changes, revisions and leases are gone."""
+        async with self._changed:
+            self._items = {key: replace(item) for key, item in copy.items.items()}
+            now = asyncio.get_running_loop().time()
+            self._leases = {
+                number: _Lease(lease.ttl_s, now + lease.ttl_s)
+                for number, lease in copy.leases.items()
+            }
+            self._revision = copy.revision
+            self._next_lease = copy.next_lease
+            self._history = [
+                entry for entry in self._history if entry["revision"] <= copy.revision
+            ]
+            self._era += 1
+            self._changed.notify_all()
+
     def _write(self, key: str, value: bytes, lease: int) -> None:
         self._revision += 1
         previous = self._items.get(key)
@@ -184,6 +225,7 @@
         if fault_response is not None:
             return fault_response
         response: web.StreamResponse = await handler(request)
+        response.headers["Store-Era"] = str(self._era)
         if self.fault is StoreFault.LOSE_REPLIES:
             await asyncio.sleep(HANG_S)
         # A watch that was waiting when the fault began must fail too.
@@ -192,7 +234,7 @@
     async def _apply_fault(self, request: web.Request) -> web.Response | None:
         match self.fault:
             case StoreFault.BUSY:
-                return web.Response(status=503)
+                return web.Response(status=503, headers={"Store-Era": str(self._era)})
             case StoreFault.SILENT:
                 await asyncio.sleep(HANG_S)
             case StoreFault.RESET:
@@ -239,13 +281,13 @@
             async with asyncio.timeout(wait_s), self._changed:
                 await self._changed.wait_for(
                     lambda: (
-                        self._compacted_revision > after
+                        not self._has_history(after)
                         or self._changes_since(prefix, after)
                     )
                 )
         except TimeoutError:
             pass
-        if self._compacted_revision > after:
+        if not self._has_history(after):
             return _json_response({}, 410)
         return _json_response(
             {
@@ -257,6 +299,9 @@
             }
         )
 
+    def _has_history(self, after: int) -> bool:
+        return self._compacted_revision <= after <= self._revision
+
     def _changes_since(self, prefix: str, after: int) -> list[dict[str, Any]]:
         return [
             entry
@@ -285,7 +330,8 @@
 
     async def _grant_lease(self, request: web.Request) -> web.Response:
         ttl_ms = orjson.loads(await request.read())["ttl_ms"]
-        lease_id = next(self._lease_ids)
+        lease_id = self._next_lease
+        self._next_lease += 1
         now = asyncio.get_running_loop().time()
         self._leases[lease_id] = _Lease(ttl_ms / 1000, now + ttl_ms / 1000)
         return _json_response({"lease": lease_id, "ttl_ms": ttl_ms})
