Keep the eras of a restored store apart

Cause: the store's revision was taken for a number that never decreases. After a restore it starts at that of the copy, so the replica ignored each range and each change until the store had passed the old revision; the same holds for updates from readers and relayed replicas, for a watch from a revision that was given out again, and for a lease id. Change: an era goes with each revision and lease. The client raises an error for a watch of another era, a range across two eras, a lease of an earlier one and a reply that was overtaken by a restore; the replica replaces all items with the first range of a new era; feed and relay carry the era, and an instance that hears of a new one reads the store.

--- a/borageworks/exceptions.py
+++ b/borageworks/exceptions.py
@@ -64,6 +64,12 @@
     code = "store_compacted"
 
 
+class StoreRestoredError(BorageworksError):
+    """The platform store has come back from an older copy: revisions are different."""
+
+    code = "store_restored"
+
+
 class StoreLeaseExpiredError(BorageworksError):
     """A lease of the platform store no longer exists."""
 
--- a/borageworks/gateway/feed.py
+++ b/borageworks/gateway/feed.py
@@ -83,14 +83,19 @@
         return self._read_interval_s if self.is_reader else None
 
     def publish(
-        self, after: int, revision: int, change: ReplicaChange, grace_s: float
+        self,
+        era: int,
+        after: int,
+        revision: int,
+        change: ReplicaChange,
+        grace_s: float,
     ) -> None:
         """Send a change to the domain's other instances if this one is a reader.
 
         Parameters
         ----------
-        after, revision
-            Revisions of the local replica before and after the change.
+        era, after, revision
+            Era of the local replica, and its revisions before and after the change.
         change
             Changed items; empty if the store only confirmed the revision.
         grace_s
@@ -108,24 +113,27 @@
                 for key, item in change.puts.items()
             ),
             deletes=change.deletes,
+            era=era,
         )
         for instance in self._fleet.domain_peers:
             self._fleet.send(instance, update)
 
-    def receive(self, update: ReplicaNews, revision: int) -> WatchBatch | None:
-        """Return the changes that an update makes to a replica at `revision`.
+    def receive(
+        self, update: ReplicaNews, era: int, revision: int
+    ) -> WatchBatch | None:
+        """Return the changes that an update makes to a replica at `revision` of `era`.
 
         None if changes before the update are missing from the replica; the update then
         does not confirm that the replica is current.
         """
-        if update.after > revision:
+        if update.era != era or update.after > revision:
             self._metrics.count("feed_gaps")
             return None
         self._confirmed_at = max(self._confirmed_at, self._timers.now() - update.age_s)
         puts = {
             item.key: StoredValue(item.value, item.revision) for item in update.items
         }
-        return WatchBatch(update.revision, puts, update.deletes)
+        return WatchBatch(update.revision, puts, update.deletes, era)
 
     async def wait_until_stale(self) -> None:
         """Wait until readers no longer keep this instance up to date."""
--- a/borageworks/gateway/follower.py
+++ b/borageworks/gateway/follower.py
@@ -16,6 +16,7 @@
 from borageworks.exceptions import (
     StoreCompactedError,
     StoreReplyMalformedError,
+    StoreRestoredError,
     StoreUnavailableError,
 )
 from borageworks.gateway.directory import EXPIRY_GRACE_S, Directory
@@ -35,6 +36,7 @@
 RELAY_TIMEOUT_S = 0.4
 # After a pause, requests wait at most this long for the store to confirm the replica.
 CONFIRMATION_TIMEOUT_S = 0.5
+HTTP_OK = 200
 # Matches the configuration, the endpoint entries and the gateway's own keys.
 ALL_KEYS_PREFIX = ""
 
@@ -103,6 +105,8 @@
                     await self._feed.wait_until_stale()
             except StoreCompactedError:
                 self._metrics.count("replica_reloads", "compacted")
+            except StoreRestoredError as error:
+                self._metrics.count("replica_reloads", error.code)
             except (StoreUnavailableError, StoreReplyMalformedError) as error:
                 self._metrics.count("replica_reloads", error.code)
                 await asyncio.sleep(RETRY_DELAY_S)
@@ -125,6 +129,7 @@
         except (
             StoreUnavailableError,
             StoreReplyMalformedError,
+            StoreRestoredError,
             TimeoutError,
         ) as error:
             self._metrics.count("confirmation_failures", type(error).__name__)
@@ -132,7 +137,10 @@
     async def _watch(self) -> None:
         """Watch the store until readers forward its changes."""
         changes = self._store.watch_with_progress(
-            ALL_KEYS_PREFIX, self._replica.revision + 1, self._feed.watch_wait_s
+            ALL_KEYS_PREFIX,
+            self._replica.era,
+            self._replica.revision + 1,
+            self._feed.watch_wait_s,
         )
         async with aclosing(changes):
             async for batch in changes:
@@ -142,7 +150,10 @@
 
     def apply_peer_update(self, update: ReplicaNews) -> None:
         """Apply an update from a reader of the store."""
-        batch = self._feed.receive(update, self._replica.revision)
+        if update.era > self._replica.era and self._replica.revision:
+            # The revisions of an era that has begun do not continue those known here.
+            self.require_confirmation()
+        batch = self._feed.receive(update, self._replica.era, self._replica.revision)
         if batch is None:
             return
         self._confirmed_at = self._timers.now() - update.age_s
@@ -167,12 +178,14 @@
         finally:
             await self._session.close()
 
-    def render(self, known_revision: int) -> bytes | None:
-        """Return the encoded replica, None if `known_revision` is as recent."""
-        if self._replica.revision <= known_revision:
+    def render(self, known_era: int, known_revision: int) -> bytes | None:
+        """Return the encoded replica, None if the known revision is as recent."""
+        replica = self._replica
+        if (replica.era, replica.revision) <= (known_era, known_revision):
             return None
         return orjson.dumps(
             {
+                "era": replica.era,
                 "revision": self._replica.revision,
                 "items": [
                     [key, b64encode(item.value).decode(), item.mod_revision]
@@ -188,10 +201,10 @@
             return
         host, port = self._rng.choice(peers)
         url = f"http://{host}:{port}/replica"
-        query = {"revision": str(self._replica.revision)}
+        query = {"era": str(self._replica.era), "revision": str(self._replica.revision)}
         try:
             async with self._session.get(url, params=query) as response:
-                if response.status != 200:
+                if response.status != HTTP_OK:
                     return
                 result = _parse_replica(await response.read())
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -206,22 +219,25 @@
 
     def _apply_from_store(self, update: RangeResult | WatchBatch) -> None:
         """Apply a reply of the store and forward it if this instance is a reader."""
-        self._confirmed_at = self._timers.now()
-        after = self._replica.revision
+        known = self._replica.era, self._replica.revision
         match update:
             case RangeResult():
                 change = self._replica.replace(update)
             case WatchBatch():
                 change = self._replica.apply(update)
-        if update.revision < after:
+        if (update.era, update.revision) < known:
             emit(
                 Event.REPLICA_UPDATE_IGNORED,
+                era=update.era,
                 revision=update.revision,
-                known_revision=after,
+                known_era=known[0],
+                known_revision=known[1],
             )
-        now = self._timers.now()
+            return
+        now = self._confirmed_at = self._timers.now()
         grace_s = max(self._grace_until(now) - now, 0.0)
-        self._feed.publish(after, self._replica.revision, change, grace_s)
+        era, revision = self._replica.era, self._replica.revision
+        self._feed.publish(era, known[1], revision, change, grace_s)
         self._apply(change)
 
     def _grace_until(self, now: float) -> float:
@@ -260,6 +276,7 @@
                 for key, value, revision in body["items"]
             },
             int(body["revision"]),
+            int(body.get("era", 0)),
         )
     except (ValueError, KeyError, TypeError) as error:
         raise StoreReplyMalformedError(
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -41,6 +41,8 @@
 DRAIN_POLL_INTERVAL_S = 0.05
 # Time in which the requests of the connections accepted last arrive.
 LAST_REQUESTS_S = 0.2
+# Digits of a store revision or era.
+MAX_QUERY_DIGITS = 19
 # Interval of the log lines that summarise refusals by organisation.
 REPORT_INTERVAL_S = 1.0
 # The end of a suspicion raises no event, so ownership is re-evaluated periodically.
@@ -346,8 +348,16 @@
         return web.Response(text=self._metrics.render())
 
     async def _serve_replica(self, request: web.Request) -> web.StreamResponse:
-        known = request.query.get("revision", "0")
-        data = self._follower.render(int(known) if known.isdigit() else 0)
+        data = self._follower.render(
+            _parse_number(request.query.get("era", "")),
+            _parse_number(request.query.get("revision", "")),
+        )
         if data is None:
             return web.Response(status=204)
         return web.Response(body=data, content_type="application/json")
+
+
+def _parse_number(text: str) -> int:
+    """Return the number in a query, 0 if it is none."""
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_QUERY_DIGITS
+    return int(text) if is_number else 0
--- a/borageworks/gateway/replica.py
+++ b/borageworks/gateway/replica.py
@@ -1,4 +1,4 @@
-"""Local replica of the store's items; its revision never decreases."""
+"""Local replica of the store's items; within an era its revision never decreases."""
 
 from __future__ import annotations
 
@@ -10,10 +10,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicaChange:
-    """Items that an update of the replica has set or deleted."""
+    """Items that an update of the replica has set or deleted.
+
+    `restored` tells that the store came back from an older copy: what is set may be
+    older than what was known, what is deleted may only be missing from the copy.
+    """
 
     puts: Mapping[str, StoredValue] = field(default_factory=dict)
     deletes: tuple[str, ...] = ()
+    restored: bool = False
 
     @property
     def empty(self) -> bool:
@@ -22,17 +27,25 @@
 
 
 class StoreReplica:
-    """Items of the store as of one revision.
+    """Items of the store as of one revision of an era.
 
     Updates arrive from the store and from other instances in any order. An item is only
     replaced by a later revision of itself, and a complete range is ignored if it is
-    older than the replica.
+    older than the replica. When the store comes back from an older copy, a new era
+    begins: its revisions start at that of the copy, so a complete range of it replaces
+    all items.
     """
 
     def __init__(self) -> None:
         self._items: dict[str, StoredValue] = {}
+        self._era = 0
         self._revision = 0
 
+    @property
+    def era(self) -> int:
+        """Era of the store that the replica belongs to; 0 before the first range."""
+        return self._era
+
     @property
     def revision(self) -> int:
         """Store revision of the replica; 0 before the first range."""
@@ -45,8 +58,15 @@
 
     def replace(self, result: RangeResult) -> ReplicaChange:
         """Apply a complete range, unless it is older than the replica."""
-        if result.revision < self._revision:
+        if (result.era, result.revision) < (self._era, self._revision):
             return ReplicaChange()
+        restored = result.era > self._era and self._revision > 0
+        self._era = result.era
+        if restored:
+            missing = tuple(key for key in self._items if key not in result.values)
+            self._items = dict(result.values)
+            self._revision = result.revision
+            return ReplicaChange(dict(result.values), missing, restored=True)
         puts = {
             key: value
             for key, value in result.values.items()
@@ -64,8 +84,11 @@
         return ReplicaChange(puts, deletes)
 
     def apply(self, batch: WatchBatch) -> ReplicaChange:
-        """Apply the changes up to one revision, unless they are already included."""
-        if batch.revision <= self._revision:
+        """Apply the changes up to one revision, unless they are already included.
+
+        Changes of another era do not apply to these items.
+        """
+        if batch.era != self._era or batch.revision <= self._revision:
             return ReplicaChange()
         puts = {
             key: value
--- a/borageworks/gateway/store.py
+++ b/borageworks/gateway/store.py
@@ -25,11 +25,13 @@
     def watch_with_progress(
         self,
         prefix: str,
+        era: int,
         start_revision: int,
         wait_s: Callable[[], float | None],
     ) -> AsyncGenerator[WatchBatch, None]:
         """Yield each change under `prefix`, and empty batches in between.
 
+        Ends with StoreRestoredError if the store is not in `era` any more.
         An empty batch confirms that its revision is current. One is yielded after at
         most `wait_s()` seconds without changes; `wait_s` is called before each call to
         the store, and None means as long as the deployment's bounds allow.
--- a/borageworks/gateway/tests/test_components.py
+++ b/borageworks/gateway/tests/test_components.py
@@ -129,6 +129,33 @@
         change = replica.replace(RangeResult({"a": StoredValue(b"", 2)}, 6))
         self.assertEqual((), change.deletes)
 
+    def test_range_of_a_restored_store_replaces_all_items(self):
+        """Guards against items and revisions of an era that the store has left."""
+        replica = StoreReplica()
+        first = {"old": StoredValue(b"1", 7), "both": StoredValue(b"1", 8)}
+        replica.replace(RangeResult(first, 9, 1))
+        copied = {"both": StoredValue(b"0", 3)}
+        change = replica.replace(RangeResult(copied, 5, 2))
+        self.assertEqual(ReplicaChange(copied, ("old",), restored=True), change)
+        self.assertEqual((2, 5, copied), (replica.era, replica.revision, replica.items))
+        batch = WatchBatch(6, {"new": StoredValue(b"2", 6)}, (), 2)
+        self.assertFalse(replica.apply(batch).empty)
+
+    def test_updates_of_another_era_change_nothing(self):
+        """Guards against replies of before a restore that arrive after it."""
+        replica = StoreReplica()
+        replica.replace(RangeResult({"k": StoredValue(b"2", 4)}, 4, 3))
+        late = {"k": StoredValue(b"1", 90)}
+        self.assertTrue(replica.replace(RangeResult(late, 90, 2)).empty)
+        self.assertTrue(replica.apply(WatchBatch(90, late, (), 2)).empty)
+        self.assertTrue(replica.apply(WatchBatch(90, late, (), 4)).empty)
+        self.assertEqual((3, 4), (replica.era, replica.revision))
+
+    def test_first_range_is_no_restore(self):
+        """Guards against an instance that takes its start for a restore."""
+        change = StoreReplica().replace(RangeResult({"k": StoredValue(b"", 1)}, 1, 6))
+        self.assertFalse(change.restored)
+
 
 class FakeCodec:
     """Codec whose configuration is a version number."""
--- a/borageworks/gateway/tests/test_feed.py
+++ b/borageworks/gateway/tests/test_feed.py
@@ -43,7 +43,7 @@
         """Guards against readers that confirm their revision too rarely."""
         feed = self.feed("a")
         change = ReplicaChange({"k": StoredValue(b"v", 7)}, ("gone",))
-        feed.publish(6, 7, change, 1.5)
+        feed.publish(0, 6, 7, change, 1.5)
         self.assertEqual(["b", "c"], [name for name, _ in self.fleet.sent])
         update = self.fleet.sent[0][1]
         self.assertEqual(
@@ -55,7 +55,7 @@
     def test_non_reader_sends_nothing_and_uses_the_default_wait(self):
         """Guards against store calls that grow with the number of instances."""
         feed = self.feed("c")
-        feed.publish(6, 7, ReplicaChange(), 0.0)
+        feed.publish(0, 6, 7, ReplicaChange(), 0.0)
         self.assertEqual([], self.fleet.sent)
         self.assertIsNone(feed.watch_wait_s())
 
@@ -63,7 +63,7 @@
         """Guards against missed changes when a reader has lost its connection."""
         feed = self.feed("c")
         self.assertFalse(feed.updated_by_readers)
-        feed.receive(ReplicaNews(7, 7, 0.0), 7)
+        feed.receive(ReplicaNews(7, 7, 0.0), 0, 7)
         self.assertTrue(feed.updated_by_readers)
         self.timers.time += feed.timeout_s + 0.01
         self.assertFalse(feed.updated_by_readers)
@@ -71,21 +71,29 @@
     def test_stale_update_does_not_count_as_current(self):
         """Guards against updates that were delayed in transit."""
         feed = self.feed("c")
-        feed.receive(ReplicaNews(7, 7, feed.timeout_s + 0.01), 7)
+        feed.receive(ReplicaNews(7, 7, feed.timeout_s + 0.01), 0, 7)
         self.assertFalse(feed.updated_by_readers)
 
     def test_reader_is_not_updated_by_readers(self):
         """Guards against readers that rely on each other instead of the store."""
         feed = self.feed("a")
-        feed.receive(ReplicaNews(7, 7, 0.0), 7)
+        feed.receive(ReplicaNews(7, 7, 0.0), 0, 7)
         self.assertFalse(feed.updated_by_readers)
 
     def test_update_after_a_gap_is_ignored(self):
         """Guards against a replica that lacks a change permanently."""
         feed = self.feed("c")
-        self.assertIsNone(feed.receive(ReplicaNews(8, 9, 0.0), 7))
+        self.assertIsNone(feed.receive(ReplicaNews(8, 9, 0.0), 0, 7))
         self.assertFalse(feed.updated_by_readers)
 
+    def test_update_of_another_era_is_ignored(self):
+        """Guards against revisions that a restored store has given out again."""
+        feed = self.feed("c")
+        for era in (1, 3):
+            self.assertIsNone(feed.receive(ReplicaNews(7, 8, 0.0, era=era), 2, 7))
+        self.assertFalse(feed.updated_by_readers)
+        self.assertIsNotNone(feed.receive(ReplicaNews(7, 8, 0.0, era=2), 2, 7))
+
     def test_update_changes_a_replica_as_the_store_does(self):
         """Guards against items that an update loses or restores."""
         reader, follower = StoreReplica(), StoreReplica()
@@ -94,8 +102,8 @@
         follower.replace(first)
         feed = self.feed("a")
         change = reader.replace(RangeResult({"a": StoredValue(b"2", 5)}, 5))
-        feed.publish(2, 5, change, 0.0)
-        batch = self.feed("c").receive(feed._fleet.sent[0][1], follower.revision)
+        feed.publish(0, 2, 5, change, 0.0)
+        batch = self.feed("c").receive(feed._fleet.sent[0][1], 0, follower.revision)
         assert batch is not None
         follower.apply(batch)
         self.assertEqual((reader.items, 5), (follower.items, follower.revision))
--- a/borageworks/platform/store.py
+++ b/borageworks/platform/store.py
@@ -7,6 +7,7 @@
 from base64 import b64decode, b64encode
 from collections.abc import AsyncGenerator, Callable, Mapping
 from contextlib import aclosing
+from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
@@ -20,6 +21,7 @@
     StoreLeaseExpiredError,
     StoreOutcomeUnknownError,
     StoreReplyMalformedError,
+    StoreRestoredError,
     StoreUnavailableError,
 )
 from borageworks.gateway.settings import GatewaySettings
@@ -58,6 +60,15 @@
 NOT_APPLIED_STATUSES = frozenset((403, 429, 503))
 
 
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    """Status and decoded body of a reply, and the era in which it was given."""
+
+    status: int
+    body: Any
+    era: int
+
+
 class PlatformStore:
     """Store client for the platform's HTTP protocol; keys are sent unchanged.
 
@@ -88,6 +99,11 @@
         self._recovered_at: float | None = None
         self._era: int | None = None
 
+    @property
+    def era(self) -> int:
+        """Latest era that the store has stated, 0 if none."""
+        return self._era or 0
+
     @property
     def failing_since(self) -> float | None:
         """Loop time of the first failure since the last success, or None."""
@@ -95,7 +111,7 @@
 
     @property
     def recovered_at(self) -> float | None:
-        """Loop time of the first success after the last failure, or None."""
+        """Loop time of the first success after the last failure or restore, or None."""
         return self._recovered_at
 
     async def close(self) -> None:
@@ -106,37 +122,44 @@
 
     async def get(self, key: str) -> StoredValue | None:
         """Return the value of `key`, or None if it is absent."""
-        status, reply = await self._call("get", "GET", "/kv-key", query={"key": key})
-        if status == STATUS_NOT_FOUND:
+        reply = await self._call("get", "GET", "/kv-key", query={"key": key})
+        if reply.status == STATUS_NOT_FOUND:
             return None
-        return _decode_item(_check_reply(status, reply))[1]
+        return _decode_item(_check_reply(reply))[1]
 
     async def range(self, prefix: str) -> RangeResult:
         """Return all keys that start with `prefix`.
 
         Pages are read one after the other. The revision is that of the first page, so
         that a watch from this revision reports changes made between the pages.
+
+        Raises
+        ------
+        StoreRestoredError
+            If the store came back from an older copy between two pages.
         """
         values: dict[str, StoredValue] = {}
         revision: int | None = None
+        era = 0
         query = {"prefix": prefix}
         while True:
-            status, unchecked_reply = await self._call(
-                "range", "GET", "/kv-range", query=query
-            )
-            reply = _check_reply(status, unchecked_reply)
+            reply = await self._call("range", "GET", "/kv-range", query=query)
+            body = _check_reply(reply)
             try:
-                page = dict(_decode_item(item) for item in reply["items"])
+                page = dict(_decode_item(item) for item in body["items"])
                 if revision is None:
-                    revision = int(reply["store_revision"])
-                truncated = bool(reply["truncated"])
+                    revision = int(body["store_revision"])
+                    era = reply.era
+                truncated = bool(body["truncated"])
             except (KeyError, TypeError, ValueError) as error:
                 raise StoreReplyMalformedError(
                     f"malformed range reply: {error!r}"
                 ) from error
+            if reply.era != era:
+                raise StoreRestoredError(f"era {reply.era} began while reading {era}")
             values.update(page)
             if not truncated or not page:
-                return RangeResult(values, revision)
+                return RangeResult(values, revision, era)
             query = {"prefix": prefix, "after": max(page)}
 
     async def commit(self, transaction: Transaction) -> CommitResult:
@@ -153,13 +176,15 @@
             ],
             "remove": list(transaction.deletes),
         }
-        status, reply = await self._call("txn", "POST", "/kv-txn", request, write=True)
-        if status == STATUS_NOT_FOUND:
+        reply = await self._call("txn", "POST", "/kv-txn", request, write=True)
+        if reply.status == STATUS_NOT_FOUND:
             raise StoreLeaseExpiredError(f"lease {lease} has expired")
-        if status == STATUS_CONDITION_FAILED:
+        if reply.status == STATUS_CONDITION_FAILED:
             return CommitResult(False, 0)
+        if transaction.lease is not None and transaction.lease.era != reply.era:
+            raise StoreLeaseExpiredError(f"lease {lease} is of an earlier era")
         try:
-            return CommitResult(True, int(_check_reply(status, reply)["revision"]))
+            return CommitResult(True, int(_check_reply(reply)["revision"]))
         except (KeyError, TypeError, ValueError) as error:
             raise StoreOutcomeUnknownError(
                 f"malformed commit reply: {error!r}"
@@ -168,12 +193,13 @@
     async def grant_lease(self, ttl_s: float) -> Lease:
         """Create a lease that expires `ttl_s` seconds after its last renewal."""
         request = {"ttl_ms": int(ttl_s * MILLISECONDS_PER_SECOND)}
-        status, reply = await self._call(
+        reply = await self._call(
             "lease_grant", "POST", "/kv-lease", request, write=True
         )
-        body = _check_reply(status, reply)
+        body = _check_reply(reply)
         try:
-            return Lease(int(body["lease"]), body["ttl_ms"] / MILLISECONDS_PER_SECOND)
+            ttl_s = body["ttl_ms"] / MILLISECONDS_PER_SECOND
+            return Lease(int(body["lease"]), ttl_s, reply.era)
         except (KeyError, TypeError, ValueError) as error:
             raise StoreReplyMalformedError(
                 f"malformed lease reply: {error!r}"
@@ -181,12 +207,14 @@
 
     async def keep_alive(self, lease: Lease) -> None:
         """Renew `lease`."""
-        status, reply = await self._call(
-            "lease_keepalive", "POST", f"/kv-keep/{lease.id}", {}, write=True
-        )
-        if status == STATUS_NOT_FOUND:
-            raise StoreLeaseExpiredError(f"lease {lease.id} has expired")
-        _check_reply(status, reply)
+        if lease.era == self.era:
+            reply = await self._call(
+                "lease_keepalive", "POST", f"/kv-keep/{lease.id}", {}, write=True
+            )
+            if reply.status != STATUS_NOT_FOUND and reply.era == lease.era:
+                _check_reply(reply)
+                return
+        raise StoreLeaseExpiredError(f"lease {lease.id} has expired")
 
     async def end_lease(self, lease: Lease) -> None:
         """Remove `lease` and the keys attached to it."""
@@ -197,7 +225,7 @@
     ) -> AsyncGenerator[WatchBatch, None]:
         """Yield the changes under `prefix` from `start_revision` on."""
         async with aclosing(
-            self.watch_with_progress(prefix, start_revision, lambda: None)
+            self.watch_with_progress(prefix, self.era, start_revision, lambda: None)
         ) as batches:
             async for batch in batches:
                 if batch.puts or batch.deletes:
@@ -206,11 +234,15 @@
     async def watch_with_progress(
         self,
         prefix: str,
+        era: int,
         start_revision: int,
         wait_s: Callable[[], float | None],
     ) -> AsyncGenerator[WatchBatch, None]:
         """Yield the changes under `prefix`, and an empty batch after idle calls.
 
+        `start_revision` is one of `era`. In another one it may be missing, or belong to
+        another change.
+
         A watch call that ends without changes yields an empty batch. Each call waits
         for up to `wait_s()` seconds, or for as long as the limits for applying changes
         allow if it returns None.
@@ -228,14 +260,16 @@
                 "wait_ms": str(int(call_wait_s * MILLISECONDS_PER_SECOND)),
             }
             try:
-                status, unchecked_reply = await self._call_watch(query, call_wait_s)
-                if status == STATUS_COMPACTED:
+                reply = await self._call_watch(query, call_wait_s)
+                if reply.era != era:
+                    raise StoreRestoredError(f"watch of era {era} in era {reply.era}")
+                if reply.status == STATUS_COMPACTED:
                     raise StoreCompactedError(
                         f"changes after revision {after} are compacted"
                     )
-                reply = _check_reply(status, unchecked_reply)
-                batches = _decode_batches(reply)
-                reached_revision = int(reply["store_revision"])
+                body = _check_reply(reply)
+                batches = _decode_batches(body, era)
+                reached_revision = int(body["store_revision"])
             except (StoreUnavailableError, StoreReplyMalformedError):
                 await asyncio.sleep(backoff_s)
                 backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
@@ -252,11 +286,9 @@
             if batches:
                 await asyncio.sleep(WATCH_INTERVAL_S)
             else:
-                yield WatchBatch(after, {}, ())
+                yield WatchBatch(after, {}, (), era)
 
-    async def _call_watch(
-        self, query: Mapping[str, str], call_wait_s: float
-    ) -> tuple[int, Any]:
+    async def _call_watch(self, query: Mapping[str, str], call_wait_s: float) -> _Reply:
         """Make one watch call, cancelled when the store recovers from a failure.
 
         A call that was waiting when the store became unavailable may get no reply.
@@ -295,7 +327,7 @@
         query: Mapping[str, str] | None = None,
         write: bool = False,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> tuple[int, Any]:
+    ) -> _Reply:
         self._metrics.count("store_calls", call_type)
         loop = asyncio.get_running_loop()
         started_at = loop.time()
@@ -330,7 +362,7 @@
         query: Mapping[str, str] | None,
         write: bool,
         timeout_s: float,
-    ) -> tuple[int, Any]:
+    ) -> _Reply:
         try:
             async with self._open_session().request(
                 method,
@@ -345,7 +377,7 @@
             ) as response:
                 data = await response.read()
                 status = response.status
-                self._observe_era(response.headers)
+                era = self._observe_era(response.headers)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise StoreUnavailableError(
                 f"cannot connect to the store: {error!r}"
@@ -354,24 +386,35 @@
             if write:
                 raise StoreOutcomeUnknownError(f"reply lost: {error!r}") from error
             raise StoreUnavailableError(f"read failed: {error!r}") from error
+        if era < self.era:
+            # What it confirms is gone, and what it reads may never come back.
+            detail = f"reply of era {era}, the store is in {self.era}"
+            if write:
+                raise StoreOutcomeUnknownError(detail)
+            raise StoreUnavailableError(detail)
         if status in NOT_APPLIED_STATUSES:
             raise StoreUnavailableError(f"store refused the call with status {status}")
         try:
-            return status, orjson.loads(data) if data else {}
+            return _Reply(status, orjson.loads(data) if data else {}, era)
         except orjson.JSONDecodeError as error:
             if write:
                 raise StoreOutcomeUnknownError(f"reply is not JSON: {error}") from error
             raise StoreUnavailableError(f"reply is not JSON: {error}") from error
 
-    def _observe_era(self, headers: CIMultiDictProxy[str]) -> None:
+    def _observe_era(self, headers: CIMultiDictProxy[str]) -> int:
+        """Return the era that a reply states, and remember the latest one."""
         text = headers.get(protocol_names.STORE_ERA, "")
         if not _ERA.fullmatch(text):
-            return
+            # Without a statement nothing shows that the store was restored.
+            return self.era
         era, previous = int(text), self._era
         if previous is None or era > previous:
             self._era = era
             if previous is not None:
+                self._recovered_at = asyncio.get_running_loop().time()
+                self._recovered.set()
                 emit(Event.STORE_RESTORED, era=era, previous=previous)
+        return era
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -381,12 +424,12 @@
         return self._session
 
 
-def _check_reply(status: int, reply: Any) -> Mapping[str, Any]:
-    if status != STATUS_OK or not isinstance(reply, dict):
+def _check_reply(reply: _Reply) -> Mapping[str, Any]:
+    if reply.status != STATUS_OK or not isinstance(reply.body, dict):
         raise StoreReplyMalformedError(
-            f"unexpected reply with status {status}: {reply!r:.200}"
+            f"unexpected reply with status {reply.status}: {reply.body!r:.200}"
         )
-    return reply
+    return reply.body
 
 
 def _decode_item(item: Mapping[str, Any]) -> tuple[str, StoredValue]:
@@ -397,7 +440,7 @@
         raise StoreReplyMalformedError(f"malformed item: {error!r}") from error
 
 
-def _decode_batches(reply: Mapping[str, Any]) -> list[WatchBatch]:
+def _decode_batches(reply: Mapping[str, Any], era: int) -> list[WatchBatch]:
     puts: dict[int, dict[str, StoredValue]] = {}
     deletes: dict[int, list[str]] = {}
     for event in reply["events"]:
@@ -407,6 +450,8 @@
             key, value = _decode_item(event)
             puts.setdefault(value.mod_revision, {})[key] = value
     return [
-        WatchBatch(revision, puts.get(revision, {}), tuple(deletes.get(revision, ())))
+        WatchBatch(
+            revision, puts.get(revision, {}), tuple(deletes.get(revision, ())), era
+        )
         for revision in sorted(puts.keys() | deletes.keys())
     ]
--- a/borageworks/store/values.py
+++ b/borageworks/store/values.py
@@ -16,21 +16,28 @@
 
 @dataclass(frozen=True, slots=True)
 class RangeResult:
-    """Values of all keys with a prefix at one store revision."""
+    """Values of all keys with a prefix at one store revision.
+
+    `era` counts how often the store has come back from an older copy, 0 if it does not
+    tell. Revisions of different eras cannot be compared.
+    """
 
     values: Mapping[str, StoredValue]
     revision: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Lease:
     """A lease of the store; the keys attached to it are deleted when it expires.
 
-    `ttl_s` is the time to live that the store granted.
+    `ttl_s` is the time to live that the store granted, `era` the era in which it did:
+    later the id may be that of another lease.
     """
 
     id: int
     ttl_s: float
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,8 +76,9 @@
 
 @dataclass(frozen=True, slots=True)
 class WatchBatch:
-    """All changes of keys with a prefix in one store revision."""
+    """All changes of keys with a prefix in one store revision of an era."""
 
     revision: int
     puts: Mapping[str, StoredValue]
     deletes: tuple[str, ...]
+    era: int = 0
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -432,9 +432,9 @@
 class ReplicaNews:
     """Changes of the platform's store, for an instance that does not read it itself.
 
-    They update a replica from revision `after` to `revision`. `lapse_grace_s` is the
-    grace period in which endpoints are still used after their entry was deleted;
-    `age_s` is the time since the store confirmed `revision`.
+    They update a replica of an era from revision `after` to `revision`.
+    `lapse_grace_s` is the grace period in which endpoints are still used after their
+    entry was deleted; `age_s` is the time since the store confirmed `revision`.
     """
 
     after: int
@@ -443,6 +443,7 @@
     lapse_grace_s: float = 0.0
     items: tuple[ReplicaItem, ...] = ()
     deletes: tuple[str, ...] = ()
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
