Register again after a restore, and leave without touching a lease

Cause: a lease id of before a restore may be that of another instance, which a renewal would keep alive and a planned stop would end; and instances whose registration was missing from the copy were dropped, so that owners moved. Found by reading: a process that leaves set its lease to none, which its own registration loop took for a lost lease, so it registered anew at the next renewal, up to four seconds into its stop. Change: a restore makes an instance register with a new lease within a quarter of a second; a planned stop removes the key, which is its own in any era; others keep the records that a copy lacks for 4 s.

--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 from typing import Any
 
 from aiohttp import web
@@ -251,18 +251,20 @@
                 self._placer.receive(instance, message)
 
     def _store_changed(self, change: ReplicaChange) -> None:
-        if self._instances.apply(change):
-            for key in change.deletes:
-                name = self._instances.instance_of_key(key)
-                if name is not None:
-                    self._fleet.schedule_close(name)
-            self._fleet.update()
-            self._connection_limit.set_limit(self._max_caller_connections())
+        if self._instances.apply(change, asyncio.get_running_loop().time()):
+            removed = map(self._instances.instance_of_key, change.deletes)
+            self._instances_changed(name for name in removed if name is not None)
         if self._key_name in change.puts:
             self._spawn(self._open_links(change))
         self._placer.update()
         self._cache_follower.update()
 
+    def _instances_changed(self, removed: Iterable[str]) -> None:
+        for name in removed:
+            self._fleet.schedule_close(name)
+        self._fleet.update()
+        self._connection_limit.set_limit(self._max_caller_connections())
+
     async def _open_links(self, change: ReplicaChange) -> None:
         await self._fleet.apply(change)
         self._placer.announce()
@@ -293,7 +295,10 @@
         self._placer.instance_lost(instance)
         self._cache_follower.update()
 
-    def _review(self, _now: float) -> None:
+    def _review(self, now: float) -> None:
+        expired = self._instances.expire(now)
+        if expired:
+            self._instances_changed(expired)
         self._placer.review_owners()
         self._cache_follower.update()
 
--- a/borageworks/gateway/instances.py
+++ b/borageworks/gateway/instances.py
@@ -24,11 +24,15 @@
 # Links detect a failed instance much earlier; the lease only removes its record.
 LEASE_S = 12.0
 RENEWAL_INTERVAL_S = 4.0
+# Times in an interval at which a lost lease is noticed.
+RENEWAL_CHECKS = 16
 INITIAL_RETRY_DELAY_S = 0.5
 # Together with a renewal interval and the time of a call, shorter than the lease.
 MAX_RETRY_DELAY_S = 4.0
 # Spreads the calls of instances that lost the store at the same moment.
 RETRY_JITTER = 0.2
+# Records that a restored store does not hold are written again within this time.
+RESTORE_GRACE_S = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,7 +88,10 @@
         self._store = store
         self._metrics = metrics
         self._others: dict[str, InstanceRecord] = {}
+        # Times until which instances without a record are still taken for registered.
+        self._grace_until: dict[str, float] = {}
         self._lease: Lease | None = None
+        self._leaving = False
         self._rng = random.Random()
 
     @property
@@ -107,9 +114,12 @@
         ]
         return known or seeds
 
-    def apply(self, change: ReplicaChange) -> bool:
+    def apply(self, change: ReplicaChange, now: float) -> bool:
         """Apply changed store items; return whether the list of instances changed."""
         changed = False
+        if change.restored:
+            # The lease is gone, or its id may be that of another one.
+            self._lease = None
         for key, item in change.puts.items():
             if not key.startswith(self._prefix):
                 continue
@@ -126,25 +136,43 @@
                 continue
             if record.instance != self._own_record.instance:
                 self._others[record.instance] = record
+                self._grace_until.pop(record.instance, None)
                 changed = True
         for key in change.deletes:
             name = key.removeprefix(self._prefix)
-            if key.startswith(self._prefix) and name in self._others:
-                del self._others[name]
-                changed = True
+            if not key.startswith(self._prefix) or name not in self._others:
+                continue
+            if change.restored:
+                self._grace_until[name] = now + RESTORE_GRACE_S
+                continue
+            self._remove(name)
+            changed = True
         return changed
 
+    def expire(self, now: float) -> list[str]:
+        """Remove instances that did not register again; return their names."""
+        expired = [name for name, until in self._grace_until.items() if until <= now]
+        for name in expired:
+            self._remove(name)
+        return expired
+
+    def _remove(self, name: str) -> None:
+        self._others.pop(name, None)
+        self._grace_until.pop(name, None)
+
     def instance_of_key(self, key: str) -> str | None:
         """Return the instance registered under a store key, None for other keys."""
         return key.removeprefix(self._prefix) if key.startswith(self._prefix) else None
 
     async def register(self) -> None:
-        """Keep this instance registered until cancelled."""
+        """Keep this instance registered until it leaves."""
         retry_delay_s = INITIAL_RETRY_DELAY_S
-        while True:
+        while not self._leaving:
             try:
                 if self._lease is None:
                     await self._write_record()
+                    if self._leaving:
+                        await self._remove_record()
                 else:
                     await self._store.keep_alive(self._lease)
             except StoreLeaseExpiredError:
@@ -159,18 +187,34 @@
                 retry_delay_s = min(2.0 * retry_delay_s, MAX_RETRY_DELAY_S)
                 continue
             retry_delay_s = INITIAL_RETRY_DELAY_S
-            await asyncio.sleep(RENEWAL_INTERVAL_S)
+            await self._wait_for_renewal()
+
+    async def _wait_for_renewal(self) -> None:
+        """Wait until the lease is due, or the store has come back without it."""
+        for _ in range(RENEWAL_CHECKS):
+            await asyncio.sleep(RENEWAL_INTERVAL_S / RENEWAL_CHECKS)
+            if self._lease is None:
+                return
 
     async def leave(self) -> None:
-        """Deregister, so that other instances need not wait for the lease to expire."""
+        """Deregister, so that other instances need not wait for the lease to expire.
+
+        The key is removed and not the lease: after a restore of the store, which this
+        instance may not have noticed, the lease may be that of another instance.
+        """
+        self._leaving = True
         if self._lease is None:
             return
-        lease, self._lease = self._lease, None
+        self._lease = None
         try:
-            await self._store.end_lease(lease)
+            await self._remove_record()
         except BorageworksError as error:
             self._metrics.count("registration_failures", error.code)
 
+    async def _remove_record(self) -> None:
+        key = self._prefix + self._own_record.instance
+        await self._store.commit(Transaction(deletes=(key,)))
+
     async def _write_record(self) -> None:
         lease = await self._store.grant_lease(LEASE_S)
         key = self._prefix + self._own_record.instance
--- a/borageworks/gateway/store.py
+++ b/borageworks/gateway/store.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from borageworks.store.store import Store
-from borageworks.store.values import Lease, WatchBatch
+from borageworks.store.values import WatchBatch
 
 
 class FollowedStore(Store, Protocol):
@@ -38,10 +38,6 @@
         """
         ...
 
-    async def end_lease(self, lease: Lease) -> None:
-        """Revoke `lease` and delete the keys attached to it."""
-        ...
-
     async def close(self) -> None:
         """Close all connections."""
         ...
--- a/borageworks/platform/store.py
+++ b/borageworks/platform/store.py
@@ -216,10 +216,6 @@
                 return
         raise StoreLeaseExpiredError(f"lease {lease.id} has expired")
 
-    async def end_lease(self, lease: Lease) -> None:
-        """Remove `lease` and the keys attached to it."""
-        await self._call("lease_end", "DELETE", f"/kv-lease-end/{lease.id}", write=True)
-
     async def watch(
         self, prefix: str, start_revision: int
     ) -> AsyncGenerator[WatchBatch, None]:
