Write the links' secret again after a restore that has lost it

Cause: each instance keeps the first secret that it reads. A copy of the store from before the secret was written lets the next instance that starts write another one; the rest of the fleet never accepts it, so that both parts place requests by themselves for good. Change: instances write the secret that they know if the copy lacks it; if another one is there already, they sign with it and still accept theirs.

--- a/borageworks/gateway/fleet.py
+++ b/borageworks/gateway/fleet.py
@@ -155,11 +155,22 @@
         ]
 
     async def apply(self, change: ReplicaChange) -> None:
-        """Read the shared secret from changed store items and open links with it."""
+        """Read the shared secret from changed store items and open links with it.
+
+        Another secret than the known one was written after a restore of the store, by
+        an instance that did not know this one.
+        """
         item = change.puts.get(self._key_name)
-        if item is None or self._links is not None:
+        if item is None:
             return
-        self._key = item.value.decode("ascii", "replace")
+        key = item.value.decode("ascii", "replace")
+        if self._links is not None:
+            if key != self._key:
+                self._key = key
+                self._links.add_key(key)
+                emit(Event.LINK_KEY_KNOWN, revision=item.mod_revision)
+            return
+        self._key = key
         links = PeerLinks(
             LinkSettings(
                 self.instance,
@@ -187,10 +198,15 @@
             await asyncio.sleep(self._rng.uniform(0.0, MAX_KEY_DELAY_S))
             if self._links is not None:
                 return
-            await self._write_key()
+            await self._write_key(secrets.token_bytes(KEY_BYTES).hex())
+
+    async def restore_key(self) -> None:
+        """Write the known secret to a store that has come back without it."""
+        if self._key is not None:
+            await self._write_key(self._key)
 
-    async def _write_key(self) -> None:
-        value = secrets.token_bytes(KEY_BYTES).hex().encode()
+    async def _write_key(self, key: str) -> None:
+        value = key.encode()
         try:
             await self._store.commit(
                 Transaction({self._key_name: 0}, {self._key_name: value})
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -256,6 +256,8 @@
             self._instances_changed(name for name in removed if name is not None)
         if self._key_name in change.puts:
             self._spawn(self._open_links(change))
+        elif change.restored:
+            self._spawn(self._fleet.restore_key())
         self._placer.update()
         self._cache_follower.update()
 
--- a/borageworks/wire/authenticator.py
+++ b/borageworks/wire/authenticator.py
@@ -23,12 +23,11 @@
     """
 
     def __init__(self, keys: tuple[str, ...]) -> None:
-        self._keyed_hashes = [
-            hashlib.blake2b(
-                digest_size=AUTHENTICATION_CODE_BYTES, key=bytes.fromhex(key)
-            )
-            for key in keys
-        ]
+        self._keyed_hashes = [_keyed_hash(key) for key in keys]
+
+    def add_key(self, key: str) -> None:
+        """Sign with another key from now on; the former ones stay accepted."""
+        self._keyed_hashes.insert(0, _keyed_hash(key))
 
     def sign(self, context: bytes, payload: bytes) -> bytes:
         """Return the authentication code of `payload`, valid only in `context`."""
@@ -58,3 +57,9 @@
         code_hash.update(len(context).to_bytes(2, "big") + context)
         code_hash.update(payload)
         return code_hash.digest()
+
+
+def _keyed_hash(key: str) -> hashlib.blake2b:
+    return hashlib.blake2b(
+        digest_size=AUTHENTICATION_CODE_BYTES, key=bytes.fromhex(key)
+    )
--- a/borageworks/wire/links.py
+++ b/borageworks/wire/links.py
@@ -199,6 +199,10 @@
                 peer.retry_timer.cancel()
                 peer.retry_timer = None
 
+    def add_key(self, key: str) -> None:
+        """Sign with another key from now on; the former ones stay accepted."""
+        self._authenticator.add_key(key)
+
     def has_queued(self, instance: str) -> bool:
         """Return whether messages to an instance wait for a connection."""
         peer = self._peers.get(instance)
--- a/borageworks_emulator/platform/tests/test_store_restore.py
+++ b/borageworks_emulator/platform/tests/test_store_restore.py
@@ -1,9 +1,12 @@
 """Tests of a store that comes back from an older copy."""
 
 import asyncio
+from dataclasses import replace
 
 from testtools import TestCase
 
+from borageworks.gateway.fleet import LINK_KEY
+from borageworks.wire.messages import CrashTrait
 from borageworks_emulator.platform.endpoint import Behaviour, EmulatedEndpoint
 from borageworks_emulator.platform.harness import (
     ENGINE_SERVICE,
@@ -18,6 +21,9 @@
 
 # `bounds.contact_ms` and `bounds.config_apply_ms` in the settings of the harness.
 CONFIG_APPLY_LIMIT_S = 3.0 + 2.0
+# Time in which two instances that know each other open a link.
+LINK_OPENING_S = 2.0
+MESSAGES = 10
 
 
 def desk(name):
@@ -25,6 +31,25 @@
     return EmulatedEndpoint(name, lambda _request: Behaviour(plain_body=True))
 
 
+async def link_secret(store):
+    """Wait for the secret of the links and return its key in the store."""
+    async with asyncio.timeout(LINK_OPENING_S):
+        while True:
+            for key in store.keys:
+                if key.endswith(LINK_KEY):
+                    return key
+            await asyncio.sleep(0.02)
+
+
+async def connected_instances(harness):
+    """Send messages to all other instances; return those that a link reaches."""
+    fleet = harness.gateway._fleet
+    for _ in range(MESSAGES):
+        fleet.broadcast(CrashTrait(b"", 0))
+        await asyncio.sleep(LINK_OPENING_S / MESSAGES)
+    return set(fleet._links.connected)
+
+
 class StoreRestoreTest(TestCase):
     def run_scenario(self, scenario):
         endpoints = {
@@ -55,3 +80,40 @@
             return await wait_until(applied)
 
         self.assertTrue(self.run_scenario(scenario) < CONFIG_APPLY_LIMIT_S)
+
+    def test_link_secret_that_the_copy_lacks(self):
+        """Guards against a fleet whose halves cannot authenticate each other."""
+
+        async def scenario(harness):
+            store = harness.store
+            secret = await link_secret(store)
+            copy = store.copy()
+            without = replace(
+                copy, items={k: v for k, v in copy.items.items() if k != secret}
+            )
+            await store.restore(without)
+            async with Harness({}, name="edge-2", store=store) as second:
+                await harness.wait_until_linked(2)
+                await second.wait_until_linked(2)
+                # One of them may have written another secret than the one in use.
+                await asyncio.sleep(LINK_OPENING_S)
+                return [
+                    await connected_instances(harness),
+                    await connected_instances(second),
+                ]
+
+        self.assertEqual([{"edge-2"}, {"edge-1"}], self.run_scenario(scenario))
+
+    def test_another_link_secret_that_was_written_after_a_restore(self):
+        """Guards against instances that keep to a secret which newer ones lack."""
+
+        async def scenario(harness):
+            async with Harness({}, name="edge-2", store=harness.store) as second:
+                for item in (harness, second):
+                    await item.wait_until_linked(2)
+                await harness.store.put(await link_secret(harness.store), b"ab" * 32)
+                async with Harness({}, name="edge-3", store=harness.store) as third:
+                    await third.wait_until_linked(3)
+                    return await connected_instances(third)
+
+        self.assertEqual({"edge-1", "edge-2"}, self.run_scenario(scenario))
