Take no older entry of an endpoint from a restored store

Cause: the copy of a restored store holds entries as they were: an endpoint that had said that it leaves is ready again, one that had gone is listed, a restarted one is its former incarnation. All of them were applied. Change: the directory remembers the last entry of each endpoint, also of those that are gone, and leaves out entries of the first range of a new era that are not later, by incarnation and sequence number. Configurations already kept the latest version. Endpoints that the copy lacks stay in use for the grace period of an outage. Measured: with the comparison taken out, the tests of a leaving endpoint, one that has left, and an earlier incarnation fail; with it all pass.

--- a/borageworks/gateway/directory.py
+++ b/borageworks/gateway/directory.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from borageworks.events import Event, emit
 from borageworks.exceptions import (
@@ -19,6 +21,25 @@
 # Endpoints whose entries expired during a store outage register again within about two
 # seconds of its end; the remaining 0.2 s lets the change reach this instance.
 EXPIRY_GRACE_S = 2.2
+# Endpoints of which the last entry is remembered, listed or not.
+MAX_REMEMBERED_ENDPOINTS = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class _LastEntry:
+    """Last entry of an endpoint, and whether it has been removed since."""
+
+    endpoint: Endpoint
+    removed: bool
+
+    def precedes(self, endpoint: Endpoint) -> bool:
+        """Return whether another entry is certainly later than this one."""
+        last = self.endpoint
+        if endpoint.started_ms != last.started_ms:
+            return endpoint.started_ms > last.started_ms
+        if endpoint.sequence != last.sequence:
+            return endpoint.sequence > last.sequence
+        return not self.removed and endpoint.leaving >= last.leaving
 
 
 class Directory:
@@ -42,6 +63,7 @@
         self._revision = 0
         self._endpoints: dict[str, Endpoint] = {}
         self._grace_until: dict[str, float] = {}
+        self._last_entries: OrderedDict[str, _LastEntry] = OrderedDict()
 
     @property
     def deployment(self) -> Deployment | None:
@@ -65,6 +87,9 @@
     def apply(self, change: ReplicaChange, now: float, keep_until: float) -> None:
         """Apply changes of store items.
 
+        After a restore of the store, entries and configurations that are older than
+        those known have no effect: a confirmed change stays in force.
+
         Parameters
         ----------
         change
@@ -75,9 +100,9 @@
         """
         for key, item in change.puts.items():
             if key == self._codec.configuration_key:
-                self._apply_configuration(item.value, item.mod_revision)
+                self.apply_configuration(item.value, item.mod_revision)
             elif key.startswith(self._codec.endpoint_prefix):
-                self._apply_entry(key, item.value)
+                self._apply_entry(key, item.value, restored=change.restored)
         for key in change.deletes:
             if not key.startswith(self._codec.endpoint_prefix):
                 continue
@@ -106,7 +131,16 @@
         if name in self._endpoints:
             self._remove(name)
 
-    def _apply_configuration(self, data: bytes, revision: int) -> None:
+    def apply_configuration(self, data: bytes, revision: int) -> None:
+        """Apply a configuration unless it is older than the current one.
+
+        Parameters
+        ----------
+        data
+            Configuration as the operator wrote it.
+        revision
+            Store revision for the log, 0 if another instance sent it.
+        """
         try:
             deployment = self._codec.decode_configuration(data)
         except DeploymentMalformedError as error:
@@ -132,7 +166,7 @@
             routes=len(deployment.routes),
         )
 
-    def _apply_entry(self, key: str, data: bytes) -> None:
+    def _apply_entry(self, key: str, data: bytes, *, restored: bool) -> None:
         name = key.removeprefix(self._codec.endpoint_prefix)
         try:
             endpoint = self._codec.decode_endpoint(key, data)
@@ -143,9 +177,19 @@
             if name in self._endpoints:
                 self._remove(name)
             return
+        last = self._last_entries.get(name)
+        if restored and last is not None and not last.precedes(endpoint):
+            self._metrics.count("endpoint_entries_rejected", "restored")
+            emit(
+                Event.ENDPOINT_ENTRY_REJECTED,
+                endpoint=name,
+                reason=f"entry {endpoint.sequence} of a restored store is out of date",
+            )
+            return
         self._grace_until.pop(name, None)
         known = self._endpoints.get(name)
         self._endpoints[name] = endpoint
+        self._remember(endpoint, removed=False)
         if known is None or known.leaving != endpoint.leaving:
             emit(
                 Event.ENDPOINT_LISTED,
@@ -154,7 +198,13 @@
                 leaving=endpoint.leaving,
             )
 
+    def _remember(self, endpoint: Endpoint, *, removed: bool) -> None:
+        self._last_entries[endpoint.id] = _LastEntry(endpoint, removed)
+        self._last_entries.move_to_end(endpoint.id)
+        if len(self._last_entries) > MAX_REMEMBERED_ENDPOINTS:
+            self._last_entries.popitem(last=False)
+
     def _remove(self, name: str) -> None:
-        del self._endpoints[name]
+        self._remember(self._endpoints.pop(name), removed=True)
         self._grace_until.pop(name, None)
         emit(Event.ENDPOINT_LISTED, endpoint=name, service="", leaving=True)
--- a/borageworks/gateway/endpoint.py
+++ b/borageworks/gateway/endpoint.py
@@ -25,6 +25,8 @@
         Whether it is shutting down and accepts no new requests.
     started_ms
         Unix time of its start in milliseconds, 0 if unknown.
+    sequence
+        Number of the entry among those that this incarnation has written.
     """
 
     id: str
@@ -35,6 +37,7 @@
     slots: int
     leaving: bool
     started_ms: int = 0
+    sequence: int = 0
 
     @property
     def incarnation(self) -> str:
--- a/borageworks/gateway/tests/test_components.py
+++ b/borageworks/gateway/tests/test_components.py
@@ -172,7 +172,14 @@
 
     def decode_endpoint(self, key, data):
         name = key.removeprefix(self.endpoint_prefix)
-        return Endpoint(name, "s", "10.0.0.1", 80, "d", 4, data == b"leaving")
+        state, _, numbers = data.partition(b" ")
+        started_ms, sequence = (
+            int(number) for number in (numbers or b"0,0").split(b",")
+        )
+        leaving = state == b"leaving"
+        return Endpoint(
+            name, "s", "10.0.0.1", 80, "d", 4, leaving, started_ms, sequence
+        )
 
 
 class DirectoryTest(TestCase):
@@ -208,6 +215,72 @@
         self.assertTrue(self.directory.expire(3.0))
         self.assertEqual(["back"], list(self.directory.endpoints))
 
+    def restore(self, **entries):
+        """Apply a copy of the store with the entries of some endpoints."""
+        puts = {
+            f"endpoints/{name}": StoredValue(value, 1)
+            for name, value in entries.items()
+        }
+        missing = {f"endpoints/{name}" for name in self.directory.endpoints} - set(puts)
+        change = ReplicaChange(puts, tuple(missing), restored=True)
+        self.directory.apply(change, 10.0, 12.0)
+
+    def usable(self):
+        endpoints = self.directory.endpoints.values()
+        return {item.id for item in endpoints if not item.leaving}
+
+    def test_restored_entry_of_an_endpoint_that_leaves(self):
+        """Guards against an endpoint that was leaving and is used again."""
+        self.put("endpoints/e", b"ready 5,7")
+        self.put("endpoints/e", b"leaving 5,8")
+        self.restore(e=b"ready 5,7")
+        self.assertEqual(set(), self.usable())
+        self.put("endpoints/e", b"leaving 5,9")
+        self.assertEqual(set(), self.usable())
+
+    def test_restored_entry_of_an_endpoint_that_has_left(self):
+        """Guards against an endpoint that was gone and is used again."""
+        self.put("endpoints/e", b"ready 5,7")
+        self.directory.apply(ReplicaChange({}, ("endpoints/e",)), 1.0, 1.0)
+        self.restore(e=b"ready 5,7")
+        self.assertEqual(set(), self.usable())
+        self.put("endpoints/e", b"ready 5,8")
+        self.assertEqual({"e"}, self.usable())
+
+    def test_restored_entry_of_an_earlier_incarnation(self):
+        """Guards against requests that expect an incarnation of before a restart."""
+        self.put("endpoints/e", b"ready 5,7")
+        self.put("endpoints/e", b"ready 6,1")
+        self.restore(e=b"ready 5,7")
+        self.assertEqual(6, self.directory.endpoints["e"].started_ms)
+
+    def test_entry_that_was_written_again_before_the_copy_was_read(self):
+        """Guards against a later entry that is taken for an old one."""
+        self.put("endpoints/e", b"ready 5,7")
+        self.put("endpoints/f", b"ready 5,7")
+        self.restore(e=b"leaving 5,8", f=b"ready 9,1")
+        self.assertEqual({"f"}, self.usable())
+        self.assertEqual(9, self.directory.endpoints["f"].started_ms)
+
+    def test_entry_that_the_copy_lacks(self):
+        """Guards against dropping endpoints that will register again in a moment."""
+        self.put("endpoints/back", b"ready 5,1")
+        self.put("endpoints/gone", b"ready 5,1")
+        self.restore()
+        self.assertEqual({"back", "gone"}, self.usable())
+        self.put("endpoints/back", b"ready 5,2", now=11.0)
+        self.directory.expire(12.0)
+        self.assertEqual({"back"}, self.usable())
+
+    def test_restored_configuration_that_is_older(self):
+        """Guards against keys and routes that had been withdrawn."""
+        self.put("config", b"5")
+        change = ReplicaChange({"config": StoredValue(b"3", 1)}, restored=True)
+        self.directory.apply(change, 1.0, 1.0)
+        self.directory.apply(ReplicaChange({}, ("config",), restored=True), 2.0, 2.0)
+        deployment = self.directory.deployment
+        self.assertEqual(5, deployment and deployment.version)
+
 
 class EventSplitterTest(TestCase):
     def test_events_do_not_depend_on_chunk_boundaries(self):
--- a/borageworks/platform/entries.py
+++ b/borageworks/platform/entries.py
@@ -59,4 +59,5 @@
         slots=entry.slots,
         leaving=entry.state == "draining",
         started_ms=entry.born,
+        sequence=entry.seq,
     )
