Tell instances that know only a restored copy the configuration in force

Cause: an instance that starts after a restore, or had missed a change before it, knows only the copy, and serves withdrawn keys and routes until the operator has written them again. The others know better, but replicas pass on only what the store holds. Change: instances compare the versions of their configurations when a link opens and after a restore; who is behind for 0.3 s fetches the configuration of the other one from its relay address.

--- a/borageworks/gateway/directory.py
+++ b/borageworks/gateway/directory.py
@@ -59,12 +59,18 @@
         self._codec = codec
         self._metrics = metrics
         self._deployment: Deployment | None = None
+        self._configuration_data: bytes | None = None
         self._routes = RouteTable(())
         self._revision = 0
         self._endpoints: dict[str, Endpoint] = {}
         self._grace_until: dict[str, float] = {}
         self._last_entries: OrderedDict[str, _LastEntry] = OrderedDict()
 
+    @property
+    def configuration_data(self) -> bytes | None:
+        """Current configuration as the operator wrote it, or None."""
+        return self._configuration_data
+
     @property
     def deployment(self) -> Deployment | None:
         """Current configuration, or None before the first one."""
@@ -157,6 +163,7 @@
             )
             return
         self._deployment = deployment
+        self._configuration_data = data
         self._routes = RouteTable(deployment.routes)
         self._metrics.gauge("deployment_version", deployment.version)
         emit(
--- a/borageworks/gateway/follower.py
+++ b/borageworks/gateway/follower.py
@@ -160,6 +160,25 @@
         keep_until = self._timers.now() + update.lapse_grace_s
         self._apply(self._replica.apply(batch), keep_until)
 
+    async def fetch_configuration(self, address: HostPort) -> None:
+        """Apply the configuration of another instance, which has a later version."""
+        if self._session is None:
+            return
+        url = f"http://{address.host}:{address.port}/configuration"
+        try:
+            async with self._session.get(url) as response:
+                if response.status != HTTP_OK:
+                    return
+                data = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self._metrics.count("relay_failures", type(error).__name__)
+            return
+        previous = self._directory.deployment
+        self._directory.apply_configuration(data, 0)
+        if self._directory.deployment is not previous:
+            self._configured_at = self._timers.now()
+            self._on_change(ReplicaChange())
+
     async def poll_peers(self) -> None:
         """Query other instances while the store does not reply, until cancelled."""
         self._session = aiohttp.ClientSession(
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -34,7 +34,7 @@
 from borageworks.metrics import Metrics
 from borageworks.placement.settings import PlacementSettings
 from borageworks.timers import Timers
-from borageworks.wire.messages import Message, ReplicaNews
+from borageworks.wire.messages import ConfigurationVersion, Message, ReplicaNews
 
 # Fits the field of the links' Hello.
 INCARNATION_BITS = 63
@@ -47,6 +47,8 @@
 REPORT_INTERVAL_S = 1.0
 # The end of a suspicion raises no event, so ownership is re-evaluated periodically.
 OWNER_REVIEW_INTERVAL_S = 0.25
+# Time for a configuration that another instance knows to arrive from the store.
+VERSION_DELAY_S = 0.3
 
 
 class Gateway:
@@ -98,7 +100,7 @@
     async def start(self) -> None:
         """Start all components on the running loop."""
         settings = self._settings
-        timers = Timers()
+        timers = self._timers = Timers()
         self._upstream = Upstream()
         self._upstream.start()
         self._directory = Directory(self._codec, self._metrics)
@@ -245,6 +247,8 @@
     def _receive(self, instance: str, message: Message) -> None:
         self._fleet.record_message(instance)
         match message:
+            case ConfigurationVersion(version=version):
+                self._compare_version(instance, version)
             case ReplicaNews():
                 self._follower.apply_peer_update(message)
             case _:
@@ -256,8 +260,10 @@
             self._instances_changed(name for name in removed if name is not None)
         if self._key_name in change.puts:
             self._spawn(self._open_links(change))
-        elif change.restored:
-            self._spawn(self._fleet.restore_key())
+        if change.restored:
+            self._fleet.broadcast(self._configuration_version())
+            if self._key_name not in change.puts:
+                self._spawn(self._fleet.restore_key())
         self._placer.update()
         self._cache_follower.update()
 
@@ -267,6 +273,27 @@
         self._fleet.update()
         self._connection_limit.set_limit(self._max_caller_connections())
 
+    def _configuration_version(self) -> ConfigurationVersion:
+        deployment = self._directory.deployment
+        return ConfigurationVersion(0 if deployment is None else deployment.version)
+
+    def _compare_version(self, instance: str, version: int) -> None:
+        """Fetch the configuration of an instance if it stays the later one.
+
+        The store usually delivers it within moments. It cannot if it has come back from
+        a copy that is older than the configuration.
+        """
+        if version > self._configuration_version().version:
+            self._timers.after(
+                VERSION_DELAY_S, lambda _now: self._fetch_version(instance, version)
+            )
+
+    def _fetch_version(self, instance: str, version: int) -> None:
+        record = self._instances.others.get(instance)
+        if record is not None and version > self._configuration_version().version:
+            address = HostPort(record.host, record.relay_port)
+            self._spawn(self._follower.fetch_configuration(address))
+
     async def _open_links(self, change: ReplicaChange) -> None:
         await self._fleet.apply(change)
         self._placer.announce()
@@ -288,6 +315,7 @@
         return round(asyncio.get_running_loop().time() - failing, 2)
 
     def _link_opened(self, instance: str) -> None:
+        self._fleet.send(instance, self._configuration_version())
         self._placer.link_opened(instance)
 
     def _link_interrupted(self, instance: str) -> None:
@@ -327,6 +355,7 @@
         status.router.add_get("/metrics", self._serve_metrics)
         relay = web.Application()
         relay.router.add_get("/replica", self._serve_replica)
+        relay.router.add_get("/configuration", self._serve_configuration)
         listeners = [
             (status, self._settings.status_address),
             (relay, self._settings.relay_address),
@@ -354,6 +383,12 @@
     async def _serve_metrics(self, _request: web.Request) -> web.StreamResponse:
         return web.Response(text=self._metrics.render())
 
+    async def _serve_configuration(self, _request: web.Request) -> web.StreamResponse:
+        data = self._directory.configuration_data
+        if data is None:
+            return web.Response(status=204)
+        return web.Response(body=data, content_type="application/json")
+
     async def _serve_replica(self, request: web.Request) -> web.StreamResponse:
         data = self._follower.render(
             _parse_number(request.query.get("era", "")),
--- a/borageworks/wire/fleet.capnp
+++ b/borageworks/wire/fleet.capnp
@@ -40,6 +40,8 @@
 struct ReplicaItem { key @0 :Text; value @1 :Data; revision @2 :UInt64; }
 struct ReplicaNews { after @0 :UInt64; revision @1 :UInt64; ageS @2 :Float32; lapseGraceS @3 :Float32; items @4 :List(ReplicaItem); deletes @5 :List(Text); era @6 :UInt64; }
 
+struct ConfigurationVersion { version @0 :Int64; }
+
 struct MemberUpdate { instance @0 :Text; domain @1 :Text; host @2 :Text; port @3 :UInt16; peerPort @4 :UInt16; incarnation @5 :UInt64; state @6 :UInt8; }
 struct Ping { sequence @0 :UInt32; sender @1 :MemberUpdate; updates @2 :List(MemberUpdate); catalogRevision @3 :UInt64; catalogHash @4 :UInt64; }
 struct PingRequest { sequence @0 :UInt32; sender @1 :MemberUpdate; target @2 :Text; updates @3 :List(MemberUpdate); }
@@ -82,6 +84,7 @@
     shardOwner @32 :ShardOwner;
     crashTrait @33 :CrashTrait;
     endpointStatement @34 :EndpointStatement;
+    configurationVersion @35 :ConfigurationVersion;
   }
 }
 
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -446,6 +446,13 @@
     era: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationVersion:
+    """Tells the version of the configuration that is in force at the sender."""
+
+    version: int
+
+
 @dataclass(frozen=True, slots=True)
 class MemberUpdate:
     """State of one member as known to the sender."""
@@ -527,4 +534,5 @@
     | ShardOwner
     | CrashTrait
     | EndpointStatement
+    | ConfigurationVersion
 )
--- a/borageworks_emulator/platform/tests/test_store_restore.py
+++ b/borageworks_emulator/platform/tests/test_store_restore.py
@@ -24,6 +24,8 @@
 # Time in which two instances that know each other open a link.
 LINK_OPENING_S = 2.0
 MESSAGES = 10
+# Longer than the watch call that an instance may have open when it is cut off.
+CUT_OFF_S = 4.5
 
 
 def desk(name):
@@ -117,3 +119,47 @@
                     return await connected_instances(third)
 
         self.assertEqual({"edge-1", "edge-2"}, self.run_scenario(scenario))
+
+    def test_instance_that_starts_after_a_restore(self):
+        """Guards against keys and routes of the copy at an instance without memory."""
+
+        async def scenario(harness):
+            copy = harness.store.copy()
+            await harness.configure(configuration_without_route(2, "book"))
+            await harness.wait_until_current()
+            await harness.store.restore(copy)
+            async with Harness({}, name="edge-2", store=harness.store) as second:
+                await second.wait_until_linked(2)
+
+                async def applied():
+                    return (await second.send_request("/book/"))[0] == 404
+
+                # Opens the link over which the instances compare their versions.
+                second.gateway._fleet.broadcast(CrashTrait(b"", 0))
+                return await wait_until(applied)
+
+        self.assertTrue(self.run_scenario(scenario) < CONFIG_APPLY_LIMIT_S)
+
+    def test_instance_that_missed_a_change_before_a_restore(self):
+        """Guards against instances with different configurations after a restore."""
+
+        async def scenario(harness):
+            async with Harness({}, name="edge-2", store=harness.store) as second:
+                for item in (harness, second):
+                    await item.wait_until_linked(2)
+                copy = harness.store.copy()
+                url = second.platform_store._base_url
+                second.platform_store._base_url = "http://127.0.0.1:1"
+                second.gateway._follower._peers = list
+                await asyncio.sleep(CUT_OFF_S)
+                await harness.configure(configuration_without_route(2, "book"))
+                await harness.wait_until_current()
+                await harness.store.restore(copy)
+                second.platform_store._base_url = url
+
+                async def applied():
+                    return (await second.send_request("/book/"))[0] == 404
+
+                return await wait_until(applied)
+
+        self.assertTrue(self.run_scenario(scenario) < CONFIG_APPLY_LIMIT_S)
