Refuse entries of endpoints that no instance can use

Cause: an entry of another writer was taken with slots of 10^400, with a port written +80 or in other scripts' digits, with an IPv6 or an id that no header can hold. The first requests that it drew raised OverflowError or ValueError at the owner, for each request again; one with many slots drew all requests of a plain service. The same limits hold for the operator's configuration, whose numbers go into timers and messages. Change: ids are visible ASCII, addresses IPv4, ports and numbers have limits; no endpoint counts with more slots than the service's connections.

--- a/borageworks/gateway/deployment.py
+++ b/borageworks/gateway/deployment.py
@@ -22,10 +22,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceProfile:
-    """A service; `engine` is None for plain services."""
+    """A service; `engine` is None for plain services.
+
+    `max_connections` is the number that each endpoint accepts, None if not stated.
+    """
 
     name: str
     engine: EngineProfile | None
+    max_connections: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -5,7 +5,7 @@
 import heapq
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from borageworks.fair.queue import FairQueue
 from borageworks.gateway.deployment import ServiceProfile
@@ -228,7 +228,7 @@
         self, now: float, endpoints: Iterable[Endpoint]
     ) -> list[Decision]:
         """Replace the list of endpoints."""
-        listed = {endpoint.id: endpoint for endpoint in endpoints}
+        listed = {item.id: self._with_possible_slots(item) for item in endpoints}
         for name in list(self._endpoints):
             if name not in listed:
                 self._remove_endpoint(name)
@@ -247,6 +247,16 @@
         self._selector.invalidate()
         return self._place_waiting(now)
 
+    def _with_possible_slots(self, endpoint: Endpoint) -> Endpoint:
+        """Return an endpoint without the slots that it has no connections for.
+
+        An entry with a number too large would otherwise draw all requests.
+        """
+        limit = self._service.max_connections
+        if limit is None or endpoint.slots <= limit:
+            return endpoint
+        return replace(endpoint, slots=limit)
+
     def submit(self, now: float, work: Work) -> list[Decision]:
         """Place, queue or refuse a request.
 
--- a/borageworks/placement/tests/test_components.py
+++ b/borageworks/placement/tests/test_components.py
@@ -5,18 +5,21 @@
 from testtools import TestCase
 
 from borageworks.gateway.caller_request import Prompt, PromptPart
+from borageworks.gateway.deployment import ServiceProfile
 from borageworks.placement.cache_update import CachedPart, CacheUpdate
+from borageworks.placement.dispatcher import Dispatcher
 from borageworks.placement.part_index import PartIndex
 from borageworks.placement.prefill_speed import PrefillSpeed
 from borageworks.placement.prompt_cache import PromptCache
 from borageworks.placement.retry_window import SAFETY_RATIO, RetryWindow
+from borageworks.placement.settings import PlacementSettings
 from borageworks.placement.shards import (
     MAX_CACHED_PARTS,
     ServiceShards,
     shard_count,
     shard_of_endpoint,
 )
-from borageworks.placement.tests.builders import prompt
+from borageworks.placement.tests.builders import endpoint, prompt, work
 
 SETTINGS = settings(derandomize=True, deadline=None, max_examples=100)
 PARTS = st.lists(
@@ -203,3 +206,16 @@
             self.assertEqual(
                 ServiceShards(names).find(lookup, ""), shards.find(lookup, "")
             )
+
+
+class SlotsTest(TestCase):
+    def test_entry_with_more_slots_than_connections(self):
+        """Guards against an odd entry that draws the requests of a whole service."""
+        profile = ServiceProfile("desk", None, max_connections=6)
+        dispatcher = Dispatcher(profile, PlacementSettings(), "a")
+        members = [endpoint("odd", "desk", 60_000), endpoint("d", "desk", 6)]
+        dispatcher.set_endpoints(0.0, members)
+        for _ in range(8):
+            dispatcher.submit(0.0, work())
+        running = [len(state.running) for state in dispatcher.endpoints.values()]
+        self.assertEqual([4, 4], running)
--- a/borageworks/platform/configuration.py
+++ b/borageworks/platform/configuration.py
@@ -22,7 +22,13 @@
 DEFAULT_MAX_BODY_BYTES = 4_194_304
 DEFAULT_IDLE_TIMEOUT_MS = 15_000.0
 
-Positive = Annotated[float, Field(gt=0)]
+# Numbers beyond these limits do not fit into timers and messages between instances.
+MAX_DURATION_MS = 1e9
+MAX_COUNT = 2**53
+
+Duration = Annotated[float, Field(gt=0, le=MAX_DURATION_MS)]
+Count = Annotated[int, Field(ge=1, le=MAX_COUNT)]
+Size = Annotated[int, Field(ge=0, le=MAX_COUNT)]
 
 
 class _Model(BaseModel):
@@ -31,7 +37,7 @@
 
 class _Split(_Model):
     service: str
-    weight: Annotated[float, Field(ge=0)]
+    weight: Annotated[float, Field(ge=0, allow_inf_nan=False)]
 
 
 class _Route(_Model):
@@ -39,9 +45,9 @@
     hostname: str
     prefix: Annotated[str, Field(pattern=r"^/(.*/)?$")]
     route_type: Literal["idempotent", "non_idempotent", "streaming"]
-    timeout_ms: Positive
-    target_latency_ms: Positive
-    max_attempts: Annotated[int, Field(ge=1)] = 1
+    timeout_ms: Duration
+    target_latency_ms: Duration
+    max_attempts: Count = 1
     public: bool = False
     sticky: bool = False
     resumable: bool = False
@@ -50,20 +56,21 @@
 
 
 class _Engine(_Model):
-    slots: Annotated[int, Field(ge=1)]
-    kv_capacity: Annotated[int, Field(ge=1)]
+    slots: Count
+    kv_capacity: Count
 
 
 class _Service(_Model):
     name: str
+    max_conns: Count | None = None
     engine: _Engine | None = None
 
 
 class _Limits(_Model):
-    max_header_bytes: int = DEFAULT_MAX_HEADER_BYTES
-    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
-    idle_timeout_ms: float = DEFAULT_IDLE_TIMEOUT_MS
-    tokens_per_s: float | None = None
+    max_header_bytes: Size = DEFAULT_MAX_HEADER_BYTES
+    max_body_bytes: Size = DEFAULT_MAX_BODY_BYTES
+    idle_timeout_ms: Duration = DEFAULT_IDLE_TIMEOUT_MS
+    tokens_per_s: Annotated[float, Field(ge=0, allow_inf_nan=False)] | None = None
 
 
 class _Tenant(_Model):
@@ -72,7 +79,7 @@
 
 
 class _Configuration(_Model):
-    version: int
+    version: Size
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
@@ -140,6 +147,7 @@
     return ServiceProfile(
         name=model.name,
         engine=EngineProfile(engine.slots, engine.kv_capacity) if engine else None,
+        max_connections=model.max_conns,
     )
 
 
--- a/borageworks/platform/entries.py
+++ b/borageworks/platform/entries.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import ipaddress
-from typing import Literal
+import re
+from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
@@ -12,6 +13,14 @@
 from borageworks.platform import protocol_names
 
 MAX_PORT = 65_535
+# More requests than ports cannot be open at one address.
+MAX_SLOTS = 65_535
+# Ids are sent in headers; keys of the store may hold any text.
+_ID = re.compile(r"[!-~]{1,200}", re.ASCII)
+_PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
+
+# Number that fits into messages between instances.
+Count = Annotated[int, Field(ge=0, lt=2**63)]
 
 
 class _Entry(BaseModel):
@@ -20,10 +29,10 @@
     service: str
     address: str
     zone: str
-    slots: int = Field(ge=1)
+    slots: int = Field(ge=1, le=MAX_SLOTS)
     state: Literal["ready", "draining"]
-    seq: int
-    born: int = 0
+    seq: Count
+    born: Count = 0
 
 
 def decode_entry(key: str, data: bytes) -> Endpoint:
@@ -40,18 +49,21 @@
         raise EndpointEntryMalformedError(
             f"{key}: {error.error_count()} validation errors"
         ) from error
+    name = key.removeprefix(protocol_names.ENDPOINT_PREFIX)
+    if not _ID.fullmatch(name):
+        raise EndpointEntryMalformedError(f"{key!r:.200}: not an id for a header")
     host, _, port = entry.address.rpartition(":")
     try:
-        ipaddress.ip_address(host)
-        port_number = int(port)
+        ipaddress.IPv4Address(host)
     except ValueError as error:
         raise EndpointEntryMalformedError(
-            f"{key}: invalid address {entry.address!r}"
+            f"{key}: invalid address {entry.address!r:.200}"
         ) from error
+    port_number = int(port) if _PORT.fullmatch(port) else 0
     if not 0 < port_number <= MAX_PORT:
-        raise EndpointEntryMalformedError(f"{key}: port {port_number} out of range")
+        raise EndpointEntryMalformedError(f"{key}: invalid port {port!r:.200}")
     return Endpoint(
-        id=key.removeprefix(protocol_names.ENDPOINT_PREFIX),
+        id=name,
         service=entry.service,
         host=host,
         port=port_number,
