Refuse records of instances that no other can reach

Cause: the record of an instance was taken with any port, host and capacity. A port of 70000 raises OverflowError in the task that connects, an infinite capacity takes all shards from the others, and a record under another key stays when its key is removed. Change: ports, address, incarnation and capacity are checked, and the key has to be that of the instance.

--- a/borageworks/gateway/instances.py
+++ b/borageworks/gateway/instances.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import ipaddress
 import random
 from dataclasses import asdict, dataclass
+from typing import Annotated
 
 import orjson
-from pydantic import TypeAdapter, ValidationError
+from pydantic import AfterValidator, Field, TypeAdapter, ValidationError
 
 from borageworks.events import Event, emit
 from borageworks.exceptions import (
@@ -35,17 +37,26 @@
 RESTORE_GRACE_S = 4.0
 
 
+def _check_address(text: str) -> str:
+    ipaddress.ip_address(text)
+    return text
+
+
+Port = Annotated[int, Field(ge=1, le=65_535)]
+Address = Annotated[str, AfterValidator(_check_address)]
+
+
 @dataclass(frozen=True, slots=True)
 class InstanceRecord:
     """Registration record of an instance."""
 
     instance: str
     domain: str
-    host: str
-    peer_port: int
-    relay_port: int
-    incarnation: int
-    capacity: float = 1.0
+    host: Address
+    peer_port: Port
+    relay_port: Port
+    incarnation: Annotated[int, Field(ge=0, lt=2**63)]
+    capacity: Annotated[float, Field(gt=0, allow_inf_nan=False)] = 1.0
 
 
 _RECORD = TypeAdapter(InstanceRecord)
@@ -126,13 +137,11 @@
             try:
                 record = _RECORD.validate_json(item.value)
             except ValidationError as error:
-                self._metrics.count("instance_records_rejected", "malformed")
-                emit(
-                    Event.PEER_REJECTED,
-                    instance=key,
-                    code="malformed",
-                    reason=str(error.error_count()),
-                )
+                self._reject_record(key, f"{error.error_count()} validation errors")
+                continue
+            if key != self._prefix + record.instance:
+                # It would stay when its key is removed.
+                self._reject_record(key, f"record of instance {record.instance!r:.100}")
                 continue
             if record.instance != self._own_record.instance:
                 self._others[record.instance] = record
@@ -160,6 +169,10 @@
         self._others.pop(name, None)
         self._grace_until.pop(name, None)
 
+    def _reject_record(self, key: str, reason: str) -> None:
+        self._metrics.count("instance_records_rejected", "malformed")
+        emit(Event.PEER_REJECTED, instance=key, code="malformed", reason=reason)
+
     def instance_of_key(self, key: str) -> str | None:
         """Return the instance registered under a store key, None for other keys."""
         return key.removeprefix(self._prefix) if key.startswith(self._prefix) else None
