Replace a links' secret that cannot be used

Cause: a secret that is not hexadecimal raised ValueError in the task that opens the links, which ends the process; all instances ended again after each start. Change: it counts as missing: the instance that knows the secret writes it again, else a new one is written in its place.

--- a/borageworks/gateway/fleet.py
+++ b/borageworks/gateway/fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import random
+import re
 import secrets
 from collections.abc import Callable
 
@@ -24,6 +25,7 @@
 
 LINK_KEY = "link-key"
 KEY_BYTES = 32
+_KEY = re.compile(rf"[0-9a-f]{{{2 * KEY_BYTES}}}", re.ASCII)
 # First exclusion of a suspected instance, slightly longer than a restart takes.
 INITIAL_SUSPICION_S = 1.0
 # Longest exclusion, after which an instance that stays unreachable is tried again.
@@ -99,6 +101,8 @@
         self._on_connected = on_connected
         self._links: PeerLinks | None = None
         self._key: str | None = None
+        # Revision of a secret that cannot be used, 0 if there is none.
+        self._malformed_revision = 0
         self._suspected_until: dict[str, float] = {}
         self._suspicion_s: dict[str, float] = {}
         # Suspected instances that were tried early since another instance reaches them.
@@ -164,6 +168,12 @@
         if item is None:
             return
         key = item.value.decode("ascii", "replace")
+        if not _KEY.fullmatch(key):
+            # Another writer left it; it is replaced like a secret that is missing.
+            self._metrics.count("link_key_failures", "malformed")
+            self._malformed_revision = item.mod_revision
+            await self.restore_key()
+            return
         if self._links is not None:
             if key != self._key:
                 self._key = key
@@ -201,7 +211,7 @@
             await self._write_key(secrets.token_bytes(KEY_BYTES).hex())
 
     async def restore_key(self) -> None:
-        """Write the known secret to a store that has come back without it."""
+        """Write the known secret to a store that does not hold it any more."""
         if self._key is not None:
             await self._write_key(self._key)
 
@@ -209,7 +219,9 @@
         value = key.encode()
         try:
             await self._store.commit(
-                Transaction({self._key_name: 0}, {self._key_name: value})
+                Transaction(
+                    {self._key_name: self._malformed_revision}, {self._key_name: value}
+                )
             )
         except BorageworksError as error:
             # `create_key` retries unless the secret has appeared in the store.
