Follow an engine's cache after an odd report

Cause: a report with an infinite number, or with a deeply nested list where the id of a part belongs, raised OverflowError or RecursionError, which ended the task that follows this engine without a log line. Negative numbers were taken. Change: counts and texts of reports are checked one by one and give the typed error that is retried.

--- a/borageworks/platform/engine_cache.py
+++ b/borageworks/platform/engine_cache.py
@@ -12,6 +12,7 @@
 EVENTS_PATH = "/kv-events"
 LIST_PATH = "/kv-list"
 WAIT_HEADER = "Wait-Ms"
+MAX_COUNT = 2**53
 
 
 def events_target(since: int) -> str:
@@ -31,11 +32,13 @@
         body: Any = orjson.loads(data)
         # Row: sequence number, sign, unused text, part, cached tokens, model.
         changes = tuple(
-            CachedPart(str(row[3]), int(row[4]) if row[1] == "+" else 0, str(row[5]))
+            CachedPart(
+                _text(row[3]), _count(row[4]) if row[1] == "+" else 0, _text(row[5])
+            )
             for row in body["events"]
         )
         return CacheUpdate(
-            str(body["epoch"]), int(body["next"]), bool(body["lost"]), False, changes
+            _epoch(body), _count(body["next"]), bool(body["lost"]), False, changes
         )
     except (ValueError, KeyError, IndexError, TypeError) as error:
         raise EndpointReplyMalformedError(
@@ -49,12 +52,33 @@
         body: Any = orjson.loads(data)
         # Row: unused text, part, cached tokens, model.
         cached_parts = tuple(
-            CachedPart(str(row[1]), int(row[2]), str(row[3])) for row in body["held"]
+            CachedPart(_text(row[1]), _count(row[2]), _text(row[3]))
+            for row in body["held"]
         )
         return CacheUpdate(
-            str(body["epoch"]), int(body["next"]), False, True, cached_parts
+            _epoch(body), _count(body["next"]), False, True, cached_parts
         )
     except (ValueError, KeyError, IndexError, TypeError) as error:
         raise EndpointReplyMalformedError(
             f"malformed cache list of an engine: {error!r}"
         ) from error
+
+
+def _count(value: Any) -> int:
+    """Return a number that sums of many such numbers can hold exactly."""
+    if not isinstance(value, int) or not 0 <= value <= MAX_COUNT:
+        raise ValueError(f"not a count: {value!r:.50}")
+    return int(value)
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"not a text: {type(value).__name__}")
+    return value
+
+
+def _epoch(body: Any) -> str:
+    epoch = body["epoch"]
+    if not isinstance(epoch, str | int | float):
+        raise TypeError(f"not an epoch: {type(epoch).__name__}")
+    return str(epoch)
