Ignore counts of callers that do not fit into messages

Cause: a caller's token count beyond 32 bit could not be encoded in the message to the owner, which lost the whole batch for that instance; one of over 4300 digits raised ValueError before the request had a route. Change: counts have nine digits at most; others count as not stated. Measured: test_counts_that_do_not_fit_into_messages fails on the code before.

--- a/borageworks/platform/requests.py
+++ b/borageworks/platform/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 from collections.abc import Iterable
 
 from multidict import CIMultiDictProxy
@@ -13,6 +14,8 @@
 
 AUTHORIZATION_SCHEME = "token "
 MILLISECONDS_PER_SECOND = 1000.0
+# Larger numbers of tokens or events do not fit into the messages between instances.
+_COUNT = re.compile(r"[0-9]{1,9}", re.ASCII)
 # Only the router may set these: a caller could otherwise choose the endpoint or act as
 # another organisation.
 _RESERVED_HEADERS = frozenset(
@@ -125,7 +128,7 @@
 
 
 def _parse_count(text: str | None) -> int | None:
-    return int(text) if text and text.isascii() and text.isdigit() else None
+    return int(text) if text and _COUNT.fullmatch(text) else None
 
 
 def _decode_prompt(headers: CIMultiDictProxy[str]) -> Prompt | None:
--- a/borageworks/platform/tests/test_decoding.py
+++ b/borageworks/platform/tests/test_decoding.py
@@ -119,6 +119,20 @@
         del body["tenants"]
         self.assertIsNone(decode_configuration(orjson.dumps(body)).organisations)
 
+    def test_numbers_beyond_all_use_raise_a_typed_error(self):
+        """Guards against a configuration that ends each instance that reads it."""
+        plain = orjson.dumps(configuration()).decode()
+        for old, new in {
+            '"version":1': f'"version":{10**30}',
+            '"timeout_ms":3000': '"timeout_ms":1e999',
+            '"target_latency_ms":500': '"target_latency_ms":1e30',
+            '"kv_capacity":100000': f'"kv_capacity":{10**400}',
+            '"tokens_per_s":20000': '"tokens_per_s":-5',
+        }.items():
+            self.assertTrue(old in plain, old)
+            data = plain.replace(old, new).encode()
+            self.assertRaises(DeploymentMalformedError, decode_configuration, data)
+
     def test_arbitrary_json_raises_a_typed_error(self):
         """Guards against a configuration that crashes the process."""
 
@@ -219,6 +233,23 @@
 
         check()
 
+    def test_counts_that_do_not_fit_into_messages(self):
+        """Guards against a caller's number that no instance can send to another."""
+        for digits in (10, 400, 5000):
+            large = "9" * digits
+            values = headers(
+                X_Borageworks_Token_Count=f"{large},{large}", Last_Event_Id=large
+            )
+            request = decode_request("GET", "/", values)
+            self.assertEqual((None, None), (request.prompt, request.last_event_id))
+            parts = headers(
+                X_Borageworks_Token_Count="10,10",
+                X_Borageworks_Prompt_Prefix=f"aa:5,bb:{large}",
+            )
+            prompt = decode_request("GET", "/", parts).prompt
+            assert prompt is not None
+            self.assertEqual(["aa"], [part.id for part in prompt.parts])
+
     def test_callers_cannot_set_reserved_headers(self):
         """Guards against callers that choose their organisation or endpoint."""
         request = decode_request(
@@ -319,6 +350,20 @@
             (CachedPart("aa", 10, "m"),), decode_list(orjson.dumps(listing)).parts
         )
 
+    def test_odd_numbers_and_texts_raise_a_typed_error(self):
+        """Guards against one report that ends what follows an engine's cache."""
+        nested = b"[" * 900 + b"]" * 900
+        for value in (b"-1", b"1e999", b"1.5", b"9" * 400, nested, b"null", b'"x"'):
+            rows = {
+                decode_list: b'{"epoch":"e","next":1,"held":[["","a",%s,"m"]]}',
+                decode_events: b'{"epoch":"e","next":%s,"lost":false,"events":[]}',
+            }
+            for decode, row in rows.items():
+                self.assertRaises(EndpointReplyMalformedError, decode, row % value)
+        for value in (b"7", nested, b"null"):
+            row = b'{"epoch":"e","next":1,"held":[["",%s,1,"m"]]}' % value
+            self.assertRaises(EndpointReplyMalformedError, decode_list, row)
+
     def test_arbitrary_bytes_give_an_update_or_a_typed_error(self):
         """Guards against a response of an engine that crashes the process."""
 
