Refuse requests on a route without a target

Cause: a route whose split is empty, or has only weights of zero, raised an error inside the choice of the service; callers got 500. Change: without targets the request is refused with 503, with weights of zero all targets are equal.

--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -16,6 +16,7 @@
     BodyMalformedError,
     BodyTooLargeError,
     CallerFailedError,
+    EndpointUnavailableError,
     InstanceLeavingError,
     InstanceNotReadyError,
     InstanceOverloadedError,
@@ -289,12 +290,14 @@
         return NO_ORGANISATION if key_organisation is None else key_organisation.name
 
     def _pick_service(self, route: Route) -> str:
-        if len(route.targets) == 1:
-            return route.targets[0].service
-        return self._rng.choices(
-            [target.service for target in route.targets],
-            [target.weight for target in route.targets],
-        )[0]
+        if not route.targets:
+            raise EndpointUnavailableError(
+                f"route {route.name!r} leads to no service",
+                retry_after=NOT_READY_RETRY_AFTER_S,
+            )
+        services = [target.service for target in route.targets]
+        weights = [target.weight for target in route.targets]
+        return self._rng.choices(services, weights if any(weights) else None)[0]
 
     def _refuse(self, request: CallerRequest, refusal: RefusalError) -> web.Response:
         self._count_refusal(refusal)
