Answer all requests before a planned stop ends

Cause: until the balancer is expected to know, requests were accepted whatever time they may take; those still running at the end of the grace were cut by SIGKILL, as the server waited up to 15 s for their handlers, so that the process did not even exit by itself. Change: a request that must not be repeated is refused at once if it may not end in time, and the refusal is true; all others get their final response at 0.9 of the grace: 504, or 503 if they have not run; streams break off. Handlers get 0.1 s to end.

--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -146,6 +146,7 @@
         self._last_event_id = exchange.request.last_event_id
         self._fingerprint = _fingerprint(exchange)
         self._failure_response: BufferedResponse | None = None
+        self._timeout: asyncio.Timeout | None = None
         self.endpoint = ""
         self.first_event_s: float | None = None
         self.longest_pause_s = 0.0
@@ -185,8 +186,11 @@
             If the caller has disconnected.
         """
         try:
-            async with asyncio.timeout_at(self._exchange.deadline):
-                await self._attempt_until_done()
+            async with asyncio.timeout_at(self._exchange.deadline) as self._timeout:
+                try:
+                    await self._attempt_until_done()
+                finally:
+                    self._timeout = None
         except _NoFurtherAttemptError as error:
             await self._send_response(error.response)
         except TimeoutError as error:
@@ -199,6 +203,12 @@
                 retry_after=BUSY_RETRY_AFTER_S,
             ) from error
 
+    def limit_deadline(self, deadline: float) -> None:
+        """End the request at `deadline` if it would take longer."""
+        timeout = self._timeout
+        if timeout is not None and not timeout.expired():
+            timeout.reschedule(min(deadline, self._exchange.deadline))
+
     async def _attempt_until_done(self) -> None:
         while True:
             endpoint, work = await self._place()
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -36,7 +36,7 @@
 from borageworks.gateway.organisation_tally import NO_ORGANISATION, OrganisationTally
 from borageworks.gateway.placer import Placer
 from borageworks.gateway.retry_budgets import RetryBudgets
-from borageworks.gateway.route import Route
+from borageworks.gateway.route import RetryPolicy, Route
 from borageworks.gateway.settings import GatewaySettings
 from borageworks.gateway.shutdown import Shutdown
 from borageworks.gateway.upstream import Upstream
@@ -49,6 +49,8 @@
 # Short, since the caller's next connection reaches another instance.
 LEAVING_RETRY_AFTER_S = 0.02
 OVERLOADED_RETRY_AFTER_S = 0.02
+# Time for handlers to end when their connections are closed.
+CLOSE_TIMEOUT_S = 0.1
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -106,6 +108,7 @@
         self._server: web.Server | None = None
         self._acceptor: Acceptor | None = None
         self._running = 0
+        self._runners: set[ExchangeRunner] = set()
         self._tally = OrganisationTally("callers", "requests")
 
     @property
@@ -133,6 +136,11 @@
             self._acceptor.stop()
             self._acceptor = None
 
+    def limit_deadlines(self) -> None:
+        """Give running requests a final response before the shutdown ends."""
+        for runner in self._runners:
+            runner.limit_deadline(self._shutdown.response_deadline)
+
     def close_idle(self) -> None:
         """Close connections on which no request is running or being received."""
         if self._server is None:
@@ -144,7 +152,7 @@
     async def stop(self) -> None:
         """Close all connections."""
         if self._server is not None:
-            await self._server.shutdown()
+            await self._server.shutdown(CLOSE_TIMEOUT_S)
 
     def _new_protocol(self) -> CallerConnection:
         assert self._server is not None
@@ -214,6 +222,7 @@
                 self._metrics,
                 lambda: self._retry_budgets.take(exchange.service, organisation),
             )
+            self._runners.add(runner)
             await runner.run()
         except RefusalError as refusal:
             self._tally.record_refused(organisation)
@@ -234,6 +243,9 @@
             self._log_request_end(request, received_at, "caller_left", runner)
             self._metrics.count("callers_lost", "caller_left")
             raise
+        finally:
+            if runner is not None:
+                self._runners.discard(runner)
         self._metrics.observe(
             "request",
             asyncio.get_running_loop().time() - received_at,
@@ -255,15 +267,16 @@
         route = self._directory.routes.find(request.host, request.path)
         if route is None:
             raise RouteUnknownError(f"no route for {request.host}{request.path}")
-        if not self._shutdown.accepts(received_at, route.timeout_s):
+        timeout_s = route.timeout_s
+        if request.remaining_s is not None:
+            timeout_s = min(timeout_s, request.remaining_s)
+        repeatable = route.retry_policy is not RetryPolicy.NEVER
+        if not self._shutdown.accepts(received_at, timeout_s, repeatable=repeatable):
             raise InstanceLeavingError(
                 "the instance is shutting down", retry_after=LEAVING_RETRY_AFTER_S
             )
         organisation = _organisation(deployment, route, request)
         body = await _read_body(http_request, deployment.limits.body_bytes)
-        timeout_s = route.timeout_s
-        if request.remaining_s is not None:
-            timeout_s = min(timeout_s, request.remaining_s)
         service = self._pick_service(route)
         self._retry_budgets.record_request(service, organisation or NO_ORGANISATION)
         return Exchange(
@@ -275,7 +288,7 @@
             body=body,
             version=deployment.version,
             received_at=received_at,
-            deadline=received_at + timeout_s,
+            deadline=min(received_at + timeout_s, self._shutdown.response_deadline),
         )
 
     def _key_organisation(self, http_request: web.BaseRequest) -> str:
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -204,6 +204,7 @@
         """Drain requests until the shutdown deadline, then close all components."""
         loop = asyncio.get_running_loop()
         self._shutdown.begin(loop.time())
+        self._frontend.limit_deadlines()
         emit(Event.INSTANCE_STOPPING, instance=self._settings.instance)
         self._fleet.leave()
         self._review(loop.time())
--- a/borageworks/gateway/shutdown.py
+++ b/borageworks/gateway/shutdown.py
@@ -6,15 +6,18 @@
 
 # Fraction of the time until SIGKILL that running requests may use.
 DRAIN_RATIO = 0.93
+# Fraction that is kept for the last responses to reach their callers.
+RESPONSE_RATIO = 0.03
 
 
 class Shutdown:
     """Decides which requests an instance accepts during a graceful shutdown.
 
     The load balancer sends new connections until it detects the shutdown, and callers
-    use their open connections until these are closed. Both are served. Once the load
-    balancer is expected to send no more, requests that might not complete in time are
-    refused, so that callers send them to another instance at once.
+    use their open connections until these are closed. Both are served, but for requests
+    that might not complete in time: those that must not be repeated are refused, and
+    once the load balancer is expected to send no more, all of them, so that callers
+    send them to another instance at once.
 
     Parameters
     ----------
@@ -38,6 +41,14 @@
             return float("inf")
         return self._begun_at + DRAIN_RATIO * self._settings.shutdown_timeout_s
 
+    @property
+    def response_deadline(self) -> float:
+        """Time at which all running requests get their final response."""
+        if self._begun_at is None:
+            return float("inf")
+        ratio = DRAIN_RATIO - RESPONSE_RATIO
+        return self._begun_at + ratio * self._settings.shutdown_timeout_s
+
     @property
     def balancer_updated_at(self) -> float:
         """Time at which the load balancer sends no more new connections."""
@@ -54,8 +65,18 @@
         if self._begun_at is None:
             self._begun_at = now
 
-    def accepts(self, now: float, max_duration_s: float) -> bool:
-        """Return whether to accept a request that takes at most `max_duration_s`."""
-        return (
-            now < self.balancer_updated_at or now + max_duration_s < self.drain_deadline
-        )
+    def accepts(self, now: float, max_duration_s: float, *, repeatable: bool) -> bool:
+        """Return whether to accept a request that takes at most `max_duration_s`.
+
+        Parameters
+        ----------
+        now
+            Time at which the request arrived.
+        max_duration_s
+            Longest time until its response is complete.
+        repeatable
+            Whether a caller may send it again when it was cut off.
+        """
+        if now + max_duration_s < self.response_deadline:
+            return True
+        return repeatable and now < self.balancer_updated_at
--- a/borageworks/gateway/tests/test_components.py
+++ b/borageworks/gateway/tests/test_components.py
@@ -310,10 +310,14 @@
         shutdown = Shutdown(
             replace(GATEWAY, shutdown_timeout_s=8.0, balancer_lag_s=2.8)
         )
-        self.assertTrue(shutdown.accepts(0.0, 100.0))
+        for repeatable in (True, False):
+            self.assertTrue(shutdown.accepts(0.0, 100.0, repeatable=repeatable))
         shutdown.begin(10.0)
         shutdown.begin(50.0)
-        self.assertTrue(shutdown.accepts(12.0, 100.0))
-        self.assertTrue(shutdown.accepts(13.0, 1.0))
-        self.assertFalse(shutdown.accepts(13.0, 5.0))
+        self.assertTrue(shutdown.accepts(12.0, 100.0, repeatable=True))
+        self.assertFalse(shutdown.accepts(12.0, 100.0, repeatable=False))
+        for repeatable in (True, False):
+            self.assertTrue(shutdown.accepts(13.0, 1.0, repeatable=repeatable))
+            self.assertFalse(shutdown.accepts(13.0, 5.0, repeatable=repeatable))
+        self.assertTrue(17.0 < shutdown.response_deadline < shutdown.drain_deadline)
         self.assertTrue(17.0 < shutdown.drain_deadline < 18.0)
