--- a/borageworks_emulator/platform/tests/test_responses.py
+++ b/borageworks_emulator/platform/tests/test_responses.py
@@ -10,7 +10,12 @@
     EmulatedEndpoint,
     event_bytes,
 )
-from borageworks_emulator.platform.harness import ENGINE_SERVICE, PLAIN_SERVICE, Harness
+from borageworks_emulator.platform.harness import (
+    ENGINE_SERVICE,
+    PLAIN_SERVICE,
+    Harness,
+    configuration,
+)
 
 COMPLETE_STREAM = b"".join(event_bytes(event) for event in range(5))
 
@@ -312,3 +317,20 @@
         self.assertEqual(
             [200] * 6, self.run_scenario(PLAIN_SERVICE, endpoints, scenario)
         )
+
+    def test_route_without_a_target_and_with_weights_of_zero(self):
+        """Guards against an internal error while the service of a request is chosen."""
+        endpoints = endpoint_pair(lambda _request: Behaviour(plain_body=True))
+
+        async def scenario(harness):
+            body = configuration(2)
+            for route in body["routes"]:
+                del route["service"]
+            weights = [{"service": PLAIN_SERVICE, "weight": 0}]
+            body["routes"][-1]["traffic_split"] = weights
+            await harness.configure(body)
+            await harness.wait_until_current()
+            return [(await harness.send_request(p))[0] for p in ("/look/", "/open/")]
+
+        statuses = self.run_scenario(PLAIN_SERVICE, endpoints, scenario)
+        self.assertEqual([503, 200], statuses)
