Heed endpoints that say that they leave or want a pause

Cause: the decoder of response heads read neither Server-Leaving nor an endpoint's Retry-After. Leaving was known from the store only, so that with a store away requests went on to an endpoint that had said that it leaves; a pause was not known at all. Change: leaving belongs to the incarnation for good and is told to the owner and by it to all; a pause holds at the instance that was asked for it and is told to the owner, which places its requests elsewhere. What an owner places that does not know yet is given back unrun, without a retry; if all endpoints pause, the refusal tells the end of the first pause.

--- a/borageworks/gateway/endpoint_notice.py
+++ b/borageworks/gateway/endpoint_notice.py
@@ -14,9 +14,16 @@
     limit_per_s
         Requests a second that it takes from all instances together, None if it states
         no limit.
-    limit_malformed
-        Whether it states a limit that cannot be read.
+    leaving
+        Whether it is shutting down and accepts no new requests.
+    pause_s
+        Seconds for which it wants no request from this instance, None if it states
+        none.
+    malformed
+        What it states in a form that cannot be read: `limit` or `pause`.
     """
 
     limit_per_s: float | None = None
-    limit_malformed: bool = False
+    leaving: bool = False
+    pause_s: float | None = None
+    malformed: frozenset[str] = frozenset()
--- a/borageworks/gateway/endpoint_notices.py
+++ b/borageworks/gateway/endpoint_notices.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Callable, Collection, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from borageworks.events import Event, emit
 from borageworks.gateway.endpoint import Endpoint
@@ -20,8 +20,12 @@
 # A statement about an endpoint that is not listed is kept for this long: its entry may
 # be late, or missing for a moment.
 RETENTION_S = 30.0
+# Longest pause that an endpoint can ask for.
+MAX_PAUSE_S = 60.0
 # Number that stands for no limit in messages.
 NO_LIMIT = -1.0
+# Age of the statement of an endpoint that has never had a limit: older than any other.
+MAX_AGE_S = 1e6
 
 
 @dataclass(slots=True)
@@ -29,11 +33,15 @@
     """What one incarnation of an endpoint states.
 
     `stated_at` is the time at which the last response with the limit arrived, or that
-    of the request whose response had no limit any more.
+    of the request whose response had no limit any more. `paused_until` holds for
+    requests of this instance only.
     """
 
     limit_per_s: float | None = None
     stated_at: float = -math.inf
+    leaving: bool = False
+    paused_until: float = -math.inf
+    learned_at: float = -math.inf
 
 
 class EndpointNotices:
@@ -41,11 +49,12 @@
 
     A statement belongs to one incarnation of an endpoint. Responses arrive out of
     order, so that to a request which was sent before the last response with a limit
-    cannot withdraw it.
+    cannot withdraw it. An incarnation that leaves does so for good, whatever its entry
+    in the store says before or after. A pause holds until its latest end.
 
     An instance tells what it learns to the owner that places requests to the endpoint,
-    which tells all others. A new owner, and an instance to which a link opens, are told
-    all that is known.
+    which tells all others, but for pauses. A new owner, and an instance to which a link
+    opens, are told all that is known.
 
     Parameters
     ----------
@@ -62,6 +71,7 @@
         self._statements: dict[str, _Statement] = {}
         self._owner_of: Callable[[str], str | None] = lambda _incarnation: None
         self._on_change: Callable[[str], None] = lambda _incarnation: None
+        self._on_pause: Callable[[str, str, float], None] = lambda *_arguments: None
         # Incarnations whose statements are to be told, and who told them here.
         self._unshared: dict[str, str] = {}
         self._share_timer: TimerSubscription | None = None
@@ -71,6 +81,7 @@
         self,
         owner_of: Callable[[str], str | None],
         on_change: Callable[[str], None],
+        on_pause: Callable[[str, str, float], None],
     ) -> None:
         """Set the part of the gateway that places requests.
 
@@ -80,38 +91,70 @@
             Returns the instance that places requests to an incarnation of an endpoint,
             None if it is not listed.
         on_change
-            Called with the incarnation whose statement has changed.
+            Called with the incarnation whose limit has changed, or that leaves.
+        on_pause
+            Called with an incarnation, an instance from which it wants no requests, and
+            the time at which the pause ends.
         """
         self._owner_of = owner_of
         self._on_change = on_change
+        self._on_pause = on_pause
 
     def limit_per_s(self, incarnation: str) -> float | None:
         """Return the requests a second that an endpoint takes, None if not limited."""
         statement = self._statements.get(incarnation)
         return None if statement is None else statement.limit_per_s
 
+    def is_leaving(self, incarnation: str) -> bool:
+        """Return whether an endpoint has stated that it accepts no new requests."""
+        statement = self._statements.get(incarnation)
+        return statement is not None and statement.leaving
+
+    def accepts(self, incarnation: str) -> bool:
+        """Return whether an endpoint wants requests from this instance now."""
+        statement = self._statements.get(incarnation)
+        return statement is None or not (
+            statement.leaving or self._timers.now() < statement.paused_until
+        )
+
     def observe(
         self, endpoint: Endpoint, notice: EndpointNotice, sent_at: float
     ) -> None:
         """Record the notice in the response to a request that was sent at `sent_at`."""
-        if notice.limit_malformed:
-            self._metrics.count("endpoint_notices_malformed", "limit")
-            return
+        for kind in notice.malformed:
+            self._metrics.count("endpoint_notices_malformed", kind)
         now = self._timers.now()
-        self._merge(endpoint.incarnation, notice.limit_per_s, sent_at, now)
+        incarnation = endpoint.incarnation
+        if "limit" not in notice.malformed:
+            self._merge_limit(incarnation, notice.limit_per_s, sent_at, now)
+        if notice.leaving:
+            self._merge_leaving(incarnation)
+        if notice.pause_s is not None:
+            self._merge_pause(incarnation, now + min(notice.pause_s, MAX_PAUSE_S))
 
     def receive(self, instance: str, message: EndpointStatement) -> None:
         """Apply what another instance tells of an endpoint."""
+        now = self._timers.now()
         limit_per_s = message.limit_per_s if message.limit_per_s >= 0.0 else None
-        stated_at = self._timers.now() - message.age_s
-        self._merge(message.incarnation, limit_per_s, stated_at, stated_at, instance)
+        stated_at = now - message.age_s
+        incarnation = message.incarnation
+        self._merge_limit(incarnation, limit_per_s, stated_at, stated_at, instance)
+        if message.leaving:
+            self._merge_leaving(incarnation, instance)
+        if message.pause_s > 0.0:
+            until = now + min(message.pause_s, MAX_PAUSE_S)
+            self._on_pause(incarnation, instance, until)
 
     def tell(self, instance: str, incarnations: Iterable[str] | None = None) -> None:
-        """Tell an instance all limits, or those of some endpoints."""
+        """Tell an instance all statements, or those of some endpoints."""
         selected = self._statements if incarnations is None else incarnations
         for incarnation in selected:
             statement = self._statements.get(incarnation)
-            if statement is not None and statement.limit_per_s is not None:
+            if statement is not None and (
+                statement.limit_per_s is not None
+                or statement.leaving
+                or statement.paused_until > self._timers.now()
+            ):
                 self._fleet.send(instance, self._message(incarnation, statement))
 
     def retain(self, incarnations: Collection[str]) -> None:
@@ -120,10 +163,10 @@
         self._statements = {
             incarnation: statement
             for incarnation, statement in self._statements.items()
-            if incarnation in incarnations or statement.stated_at > oldest
+            if incarnation in incarnations or statement.learned_at > oldest
         }
 
-    def _merge(
+    def _merge_limit(
         self,
         incarnation: str,
         limit_per_s: float | None,
@@ -131,7 +174,7 @@
         received_at: float,
         source: str = "",
     ) -> None:
-        """Apply a statement unless a later one is known.
+        """Apply a limit, or its end, unless a later statement is known.
 
         Parameters
         ----------
@@ -146,7 +189,7 @@
         if statement is None:
             if limit_per_s is None:
                 return
-            statement = self._statements[incarnation] = _Statement()
+            statement = self._statement(incarnation)
         known_per_s = statement.limit_per_s
         if limit_per_s == known_per_s:
             if limit_per_s is not None:
@@ -159,12 +202,37 @@
             return
         statement.limit_per_s = limit_per_s
         statement.stated_at = sent_at if limit_per_s is None else received_at
+        self._changed(incarnation, statement, source)
+
+    def _merge_leaving(self, incarnation: str, source: str = "") -> None:
+        statement = self._statement(incarnation)
+        if not statement.leaving:
+            statement.leaving = True
+            self._changed(incarnation, statement, source)
+
+    def _merge_pause(self, incarnation: str, until: float) -> None:
+        statement = self._statement(incarnation)
+        if until <= statement.paused_until:
+            return
+        statement.paused_until = until
+        self._changed(incarnation, statement, "")
+        self._on_pause(incarnation, self._fleet.instance, until)
+
+    def _statement(self, incarnation: str) -> _Statement:
+        """Return the statement of an incarnation, a new one if there is none."""
+        return self._statements.setdefault(incarnation, _Statement())
+
+    def _changed(self, incarnation: str, statement: _Statement, source: str) -> None:
+        """Log a change, apply it to placement and schedule to tell others."""
+        now = self._timers.now()
+        statement.learned_at = now
         emit(
             Event.ENDPOINT_NOTICE,
             endpoint=incarnation.rpartition("/")[0],
-            limit_per_s=limit_per_s,
+            limit_per_s=statement.limit_per_s,
+            leaving=statement.leaving,
+            pause_s=round(max(statement.paused_until - now, 0.0), 3),
             source=source,
-            age_s=round(self._timers.now() - sent_at, 4),
         )
         self._on_change(incarnation)
         self._unshared[incarnation] = source
@@ -182,20 +250,28 @@
                 continue
             message = self._message(incarnation, statement)
             if owner == self._fleet.instance:
-                self._fleet.broadcast(message)
+                self._fleet.broadcast(replace(message, pause_s=0.0))
             elif owner != source:
                 self._fleet.send(owner, message)
 
     def _message(self, incarnation: str, statement: _Statement) -> EndpointStatement:
+        now = self._timers.now()
         limit_per_s = statement.limit_per_s
+        never = limit_per_s is None and math.isinf(statement.stated_at)
         return EndpointStatement(
             incarnation,
             NO_LIMIT if limit_per_s is None else limit_per_s,
-            self._timers.now() - statement.stated_at,
+            age_s=MAX_AGE_S if never else now - statement.stated_at,
+            leaving=statement.leaving,
+            pause_s=max(statement.paused_until - now, 0.0),
         )
 
     def _update_gauges(self) -> None:
-        limited = sum(
-            statement.limit_per_s is not None for statement in self._statements.values()
-        )
+        statements = self._statements.values()
+        limited = sum(item.limit_per_s is not None for item in statements)
         self._metrics.gauge("endpoints_limited", limited)
+        leaving = sum(item.leaving for item in statements)
+        self._metrics.gauge("endpoints_leaving", leaving)
+        now = self._timers.now()
+        paused = sum(item.paused_until > now for item in statements)
+        self._metrics.gauge("endpoints_paused", paused)
--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -289,11 +289,17 @@
                 version=exchange.version,
             )
             endpoint = self._directory.endpoints.get(placed.endpoint)
-            if endpoint is not None and not endpoint.leaving:
+            if endpoint is None or endpoint.leaving:
+                # The endpoint has become unavailable since the decision.
+                outcome = WorkOutcome.UNLISTED
+            elif not self._notices.accepts(endpoint.incarnation):
+                # The owner does not know yet what the endpoint told this instance.
+                outcome = WorkOutcome.RETURNED
+                self._metrics.count("placements_returned")
+            else:
                 self.endpoint = endpoint.id
                 return endpoint, work
-            # The endpoint has become unavailable since the decision.
-            self._placer.record_end(work.key, WorkOutcome.UNLISTED)
+            self._placer.record_end(work.key, outcome)
             self._excluded.add(placed.endpoint)
 
     async def _attempt(self, endpoint: Endpoint, work: Work) -> bool:
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -109,7 +109,7 @@
         self._instance = fleet.instance
         self._directory = directory
         self._notices = notices
-        notices.attach(self._owner_of_endpoint, self._apply_limit)
+        notices.attach(self._owner_of_endpoint, self._apply_notice, self._apply_pause)
         self._timers = timers
         self._metrics = metrics
         self._settings = settings
@@ -275,7 +275,7 @@
         }
         self._notices.retain(listed)
         for incarnation in listed:
-            self._apply_limit(incarnation)
+            self._apply_notice(incarnation)
         self.review_owners()
 
     def report(self) -> None:
@@ -477,11 +477,19 @@
         )
         return None if shard is None else self._owner(shard)
 
-    def _apply_limit(self, incarnation: str) -> None:
-        """Apply the rate limit that an endpoint states to the placement on it."""
+    def _apply_notice(self, incarnation: str) -> None:
+        """Apply what an endpoint states about itself to the placement on it."""
+        now = self._timers.now()
         limit_per_s = self._notices.limit_per_s(incarnation)
+        leaving = self._notices.is_leaving(incarnation)
+        for dispatcher in self._dispatchers.values():
+            dispatcher.set_limit(now, incarnation, limit_per_s)
+            if leaving:
+                dispatcher.set_leaving(incarnation)
+
+    def _apply_pause(self, incarnation: str, instance: str, until: float) -> None:
         for dispatcher in self._dispatchers.values():
-            dispatcher.set_limit(self._timers.now(), incarnation, limit_per_s)
+            dispatcher.pause(incarnation, instance, until)
 
     def _withdraw(self, pending: PendingPlacement) -> None:
         key = pending.work.key
--- a/borageworks/gateway/tests/test_endpoint_notices.py
+++ b/borageworks/gateway/tests/test_endpoint_notices.py
@@ -44,6 +44,7 @@
         self.owner = owner
         self.clock: Any = Clock()
         self.sent = []
+        self.pauses = []
         self.metrics = Metrics()
         self.notices = {}
         for name in INSTANCES:
@@ -58,7 +59,11 @@
             ],
         )
         self.notices[name] = EndpointNotices(fleet, self.clock, self.metrics)
-        self.notices[name].attach(lambda _incarnation: self.owner, lambda _i: None)
+        self.notices[name].attach(
+            lambda _incarnation: self.owner,
+            lambda _incarnation: None,
+            lambda *pause: self.pauses.append((name, *pause)),
+        )
 
     def send(self, sender, receiver, message):
         self.sent.append((sender, receiver))
@@ -161,7 +166,7 @@
         network = self.network()
         network.observe("a", LIMITED)
         network.clock.advance()
-        network.observe("a", EndpointNotice(limit_malformed=True), 0.0)
+        network.observe("a", EndpointNotice(malformed=frozenset({"limit"})), 0.0)
         self.assertEqual(2.5, network.limits()[0])
         self.assertEqual(
             1, network.metrics.value("endpoint_notices_malformed", "limit")
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -214,6 +214,18 @@
             state.rate_limit.configure(now, limit_per_s, self._limit_ratio)
         self._selector.invalidate()
 
+    def set_leaving(self, incarnation: str) -> None:
+        """Place no further request on an endpoint."""
+        state = self.find_endpoint(incarnation)
+        if state is not None:
+            state.leaving = True
+
+    def pause(self, incarnation: str, instance: str, until: float) -> None:
+        """Place no request of an instance on an endpoint before `until`."""
+        state = self.find_endpoint(incarnation)
+        if state is not None:
+            state.paused_until[instance] = until
+
     def restart_limits(self, now: float) -> None:
         """Forget unused requests of the rate limits, since another instance placed."""
         for state in self._endpoints.values():
@@ -500,6 +512,8 @@
     def _has_room(self, now: float, state: EndpointState, work: Work) -> bool:
         if len(state.running) >= self._slot_limit(state) or not state.has_token(now):
             return False
+        if state.is_paused(now, work.key[0]):
+            return False
         if self._capacity_ratio < 1.0 and len(self._placed) >= self._total_slot_limit():
             return False
         if work.prompt is None or not state.running:
@@ -650,7 +664,19 @@
         wait_s = min(
             max(wait_s, settings.min_retry_after_s), settings.max_retry_after_s
         )
-        return Refused(work.key, reason, max(wait_s, self._limit_wait_s), work)
+        wait_s = max(wait_s, self._limit_wait_s)
+        if reason is RefusalReason.NO_ENDPOINT:
+            wait_s = max(wait_s, self._pause_s(now, work))
+        return Refused(work.key, reason, wait_s, work)
+
+    def _pause_s(self, now: float, work: Work) -> float:
+        """Return the seconds until an endpoint takes requests of the instance again."""
+        pauses_s = (
+            state.paused_until[work.key[0]] - now
+            for state in self._endpoints.values()
+            if not state.is_leaving and state.is_paused(now, work.key[0])
+        )
+        return min(pauses_s, default=0.0)
 
     def _compute_prefill_wait_s(self, now: float) -> float:
         """Return the seconds in which the endpoints prefill all that is ahead."""
--- a/borageworks/placement/endpoint_state.py
+++ b/borageworks/placement/endpoint_state.py
@@ -100,6 +100,10 @@
         Number of requests that did not start in time since the last one that started.
     rate_limit
         Limit on the requests a second that it takes, None if it states none.
+    leaving
+        Whether it has stated that it accepts no new requests.
+    paused_until
+        Ends of the pauses in which it wants no requests of an instance.
     """
 
     endpoint: Endpoint
@@ -115,9 +119,16 @@
     half_open: bool = False
     overdue: int = 0
     rate_limit: RateLimit | None = None
+    leaving: bool = False
+    paused_until: dict[str, float] = field(default_factory=dict)
     _slowdown: float = 1.0
     _slowdown_at: float = 0.0
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it accepts no new requests, by its entry or by its responses."""
+        return self.leaving or self.endpoint.leaving
+
     def add(self, now: float, key: WorkKey, work: RunningWork) -> None:
         """Add a placed request."""
         if self.uncached_tokens == 0:
@@ -218,16 +229,20 @@
         """Return whether its limit on requests a second allows one now."""
         return self.rate_limit is None or self.rate_limit.tokens(now) >= 1.0
 
+    def is_paused(self, now: float, instance: str) -> bool:
+        """Return whether it wants no requests of an instance now."""
+        return bool(self.paused_until) and now < self.paused_until.get(instance, now)
+
     def usable(self, now: float) -> bool:
         """Return whether it may get a request now."""
-        if self.endpoint.leaving or now < self.suspended_until:
+        if self.is_leaving or now < self.suspended_until:
             return False
         return not (self.half_open and self.running)
 
     def record(self, now: float, outcome: WorkOutcome) -> None:
         """Update the endpoint's health by the end of a request."""
         match outcome:
-            case WorkOutcome.CALLER_DISCONNECTED:
+            case WorkOutcome.CALLER_DISCONNECTED | WorkOutcome.RETURNED:
                 return
             case WorkOutcome.SERVED:
                 self.failure_rate -= FAILURE_RATE_GAIN * self.failure_rate
--- a/borageworks/placement/outcome.py
+++ b/borageworks/placement/outcome.py
@@ -10,8 +10,9 @@
 
     CALLER_DISCONNECTED means that the caller disconnected, REFUSED that the endpoint
     refused for lack of capacity, DISCONNECTED that its connection closed before the
-    response was complete, as at a crash, FAILED that it responded with an error, and
-    UNLISTED that it is no longer listed.
+    response was complete, as at a crash, FAILED that it responded with an error,
+    UNLISTED that it is no longer listed, and RETURNED that it was not sent, since the
+    endpoint wants no requests of the entry instance.
     """
 
     SERVED = 0
@@ -21,3 +22,4 @@
     FAILED = 4
     UNLISTED = 5
     DISCONNECTED = 6
+    RETURNED = 7
--- a/borageworks/placement/selection.py
+++ b/borageworks/placement/selection.py
@@ -101,6 +101,8 @@
             state = self._endpoints[name]
             if name in work.excluded or not state.usable(now):
                 continue
+            if state.is_paused(now, work.key[0]):
+                continue
             cost_s = self.cost_s(now, state, work, seconds_per_token)
             if best is None or cost_s < min_cost_s:
                 best, min_cost_s = name, cost_s
--- a/borageworks/platform/protocol_names.py
+++ b/borageworks/platform/protocol_names.py
@@ -11,6 +11,8 @@
 NOT_EXECUTED = "X-Borageworks-Not-Executed"
 # Requests a second that an endpoint takes from all instances together.
 RATE_LIMIT = "Server-Limit"
+ENDPOINT_LEAVING = "Server-Leaving"
+RETRY_AFTER = "Retry-After"
 # Number that rises by one when the store comes back from an older copy.
 STORE_ERA = "Store-Era"
 LAST_EVENT_ID = "Last-Event-Id"
--- a/borageworks/platform/responses.py
+++ b/borageworks/platform/responses.py
@@ -11,6 +11,7 @@
 from borageworks.platform import protocol_names
 
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 # Digits of other scripts, signs, exponents and underscores, which `float` accepts, are
 # no decimal numbers of the protocol. The length keeps every number finite.
 _DECIMAL = re.compile(r"[0-9]{1,18}(?:\.[0-9]{0,18})?|\.[0-9]{1,18}", re.ASCII)
@@ -24,16 +25,31 @@
         has_seal=protocol_names.RESPONSE_SEAL in headers,
         not_run=protocol_names.NOT_EXECUTED in headers or status == MISDIRECTED_STATUS,
         wrong_endpoint=status == MISDIRECTED_STATUS,
-        notice=_decode_notice(headers),
+        notice=_decode_notice(status, headers),
     )
 
 
-def _decode_notice(headers: CIMultiDictProxy[str]) -> EndpointNotice:
-    values = {value.strip() for value in headers.getall(protocol_names.RATE_LIMIT, ())}
-    if not values:
-        return EndpointNotice()
-    limit_per_s = _parse_decimal(values.pop()) if len(values) == 1 else None
-    return EndpointNotice(limit_per_s, limit_malformed=limit_per_s is None)
+def _decode_notice(status: int, headers: CIMultiDictProxy[str]) -> EndpointNotice:
+    malformed = set()
+    limits = {text.strip() for text in headers.getall(protocol_names.RATE_LIMIT, ())}
+    limit_per_s = _parse_decimal(limits.pop()) if len(limits) == 1 else None
+    if limits or (limit_per_s is None and protocol_names.RATE_LIMIT in headers):
+        malformed.add("limit")
+        limit_per_s = None
+    pause_s = None
+    pauses = headers.getall(protocol_names.RETRY_AFTER, ())
+    if status == UNAVAILABLE_STATUS and pauses:
+        # Dates are not used: they depend on the clocks of two machines.
+        seconds = [_parse_decimal(text.strip()) for text in pauses]
+        pause_s = max((item for item in seconds if item is not None), default=None)
+        if pause_s is None:
+            malformed.add("pause")
+    return EndpointNotice(
+        limit_per_s=limit_per_s,
+        leaving=headers.get(protocol_names.ENDPOINT_LEAVING, "").strip() == "1",
+        pause_s=pause_s,
+        malformed=frozenset(malformed),
+    )
 
 
 def _parse_decimal(text: str) -> float | None:
--- a/borageworks/platform/tests/test_decoding.py
+++ b/borageworks/platform/tests/test_decoding.py
@@ -314,20 +314,47 @@
             "5, 7",
         ):
             notice = decode_response_head(200, headers(Server_Limit=text)).notice
-            self.assertEqual(EndpointNotice(limit_malformed=True), notice, text)
+            self.assertEqual(
+                EndpointNotice(malformed=frozenset({"limit"})), notice, text
+            )
         twice = CIMultiDict([("Server-Limit", "5"), ("server-limit", "7")])
         notice = decode_response_head(200, CIMultiDictProxy(twice)).notice
-        self.assertTrue(notice.limit_malformed)
+        self.assertEqual({"limit"}, notice.malformed)
         self.assertEqual(EndpointNotice(), decode_response_head(200, headers()).notice)
 
     @SETTINGS
-    @given(st.lists(st.text(max_size=30), max_size=3))
-    def test_arbitrary_limits_give_a_notice(self, texts):
+    @given(st.lists(st.text(max_size=30), max_size=3), st.sampled_from((200, 503)))
+    def test_arbitrary_statements_give_a_notice(self, texts, status):
         """Guards against header values that raise an error nobody expects."""
-        values = CIMultiDict([("Server-Limit", text) for text in texts])
-        notice = decode_response_head(200, CIMultiDictProxy(values)).notice
-        if notice.limit_per_s is not None:
-            self.assertTrue(0.0 <= notice.limit_per_s < 1e19)
+        names = ("Server-Limit", "Retry-After", "Server-Leaving")
+        values = CIMultiDict([(name, text) for name in names for text in texts])
+        notice = decode_response_head(status, CIMultiDictProxy(values)).notice
+        for number in (notice.limit_per_s, notice.pause_s):
+            self.assertTrue(number is None or 0.0 <= number < 1e19)
+
+    def test_pause_that_an_endpoint_names(self):
+        """Guards against pauses that are missed, or taken from other responses."""
+        date = "Wed, 21 Oct 2026 07:28:00 GMT"
+        for status, text, pause_s, malformed in (
+            (503, "2", 2.0, set()),
+            (503, "0.25", 0.25, set()),
+            (200, "2", None, set()),
+            (429, "2", None, set()),
+            (503, date, None, {"pause"}),
+            (503, "-1", None, {"pause"}),
+            (503, "soon", None, {"pause"}),
+        ):
+            notice = decode_response_head(status, headers(Retry_After=text)).notice
+            self.assertEqual((pause_s, malformed), (notice.pause_s, notice.malformed))
+        several = CIMultiDict([("Retry-After", "1"), ("Retry-After", "3")])
+        notice = decode_response_head(503, CIMultiDictProxy(several)).notice
+        self.assertEqual(3.0, notice.pause_s)
+
+    def test_endpoint_that_says_that_it_leaves(self):
+        """Guards against endpoints that are taken for leaving, or not."""
+        for text, leaving in {"1": True, " 1 ": True, "0": False, "yes": False}.items():
+            notice = decode_response_head(200, headers(Server_Leaving=text)).notice
+            self.assertEqual(leaving, notice.leaving, text)
 
 
 class EngineMemoryTest(TestCase):
--- a/borageworks/wire/fleet.capnp
+++ b/borageworks/wire/fleet.capnp
@@ -35,12 +35,12 @@
 
 struct CrashTrait { trait @0 :Data; crashes @1 :UInt8; }
 
-struct EndpointStatement { incarnation @0 :Text; limitPerS @1 :Float64; ageS @2 :Float32; }
+struct EndpointStatement { incarnation @0 :Text; limitPerS @1 :Float64; ageS @2 :Float32; leaving @3 :Bool; pauseS @4 :Float64; }
 
 struct ReplicaItem { key @0 :Text; value @1 :Data; revision @2 :UInt64; }
 struct ReplicaNews { after @0 :UInt64; revision @1 :UInt64; ageS @2 :Float32; lapseGraceS @3 :Float32; items @4 :List(ReplicaItem); deletes @5 :List(Text); era @6 :UInt64; }
 
-struct ConfigurationVersion { version @0 :Int64; }
+struct ConfigurationVersion { version @0 :UInt64; }
 
 struct MemberUpdate { instance @0 :Text; domain @1 :Text; host @2 :Text; port @3 :UInt16; peerPort @4 :UInt16; incarnation @5 :UInt64; state @6 :UInt8; }
 struct Ping { sequence @0 :UInt32; sender @1 :MemberUpdate; updates @2 :List(MemberUpdate); catalogRevision @3 :UInt64; catalogHash @4 :UInt64; }
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -411,12 +411,15 @@
 
     `limit_per_s` is the number of requests a second that it takes, negative for any
     number; `age_s` the time since the last response with the limit arrived, or since
-    the request was sent whose response had no limit any more.
+    the request was sent whose response had no limit any more. `leaving` tells that it
+    accepts no new requests, `pause_s` for how long it wants none from the sender.
     """
 
     incarnation: str
     limit_per_s: float
     age_s: float
+    leaving: bool = False
+    pause_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
