--- a/borageworks_emulator/platform/harness.py
+++ b/borageworks_emulator/platform/harness.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import replace
 from typing import Any
 
@@ -232,3 +233,19 @@
             method, path, data=body, headers=self.request_headers(**headers)
         ) as response:
             return response.status, response.headers, await response.read()
+
+
+@asynccontextmanager
+async def linked_fleet(
+    endpoints: Mapping[str, list[EmulatedEndpoint]], instances: int
+) -> AsyncIterator[list[Harness]]:
+    """Run several gateways that know each other, on one store with its endpoints."""
+    async with AsyncExitStack() as stack:
+        first = await stack.enter_async_context(Harness(endpoints))
+        fleet = [first]
+        for number in range(2, instances + 1):
+            harness = Harness({}, name=f"edge-{number}", store=first.store)
+            fleet.append(await stack.enter_async_context(harness))
+        for harness in fleet:
+            await harness.wait_until_linked(instances)
+        yield fleet
--- a/borageworks_emulator/platform/tests/test_notices.py
+++ b/borageworks_emulator/platform/tests/test_notices.py
@@ -1,7 +1,6 @@
 """Tests of endpoints that say that they leave, or that they want a pause."""
 
 import asyncio
-from contextlib import AsyncExitStack
 
 from testtools import TestCase
 
@@ -9,7 +8,7 @@
 from borageworks_emulator.platform.harness import (
     ENGINE_SERVICE,
     PLAIN_SERVICE,
-    Harness,
+    linked_fleet,
 )
 from borageworks_emulator.platform.store import StoreFault
 
@@ -33,14 +32,7 @@
         endpoints = {PLAIN_SERVICE: listed, ENGINE_SERVICE: [EmulatedEndpoint("e-1")]}
 
         async def main():
-            async with AsyncExitStack() as stack:
-                first = await stack.enter_async_context(Harness(endpoints))
-                fleet = [first]
-                for number in range(2, instances + 1):
-                    harness = Harness({}, name=f"edge-{number}", store=first.store)
-                    fleet.append(await stack.enter_async_context(harness))
-                for harness in fleet:
-                    await harness.wait_until_linked(instances)
+            async with linked_fleet(endpoints, instances) as fleet:
                 return await scenario(fleet)
 
         return asyncio.run(main())
--- a/borageworks_emulator/platform/tests/test_rate_limit.py
+++ b/borageworks_emulator/platform/tests/test_rate_limit.py
@@ -1,7 +1,6 @@
 """Tests of endpoints that limit the requests a second that they take."""
 
 import asyncio
-from contextlib import AsyncExitStack
 
 from testtools import TestCase
 
@@ -9,7 +8,7 @@
 from borageworks_emulator.platform.harness import (
     ENGINE_SERVICE,
     PLAIN_SERVICE,
-    Harness,
+    linked_fleet,
 )
 
 LIMIT_PER_S = 0.5
@@ -38,14 +37,7 @@
 class RateLimitTest(TestCase):
     def run_fleet(self, endpoints, scenario, instances=2):
         async def main():
-            async with AsyncExitStack() as stack:
-                first = await stack.enter_async_context(Harness(endpoints))
-                fleet = [first]
-                for number in range(2, instances + 1):
-                    harness = Harness({}, name=f"edge-{number}", store=first.store)
-                    fleet.append(await stack.enter_async_context(harness))
-                for harness in fleet:
-                    await harness.wait_until_linked(instances)
+            async with linked_fleet(endpoints, instances) as fleet:
                 return await scenario(fleet)
 
         return asyncio.run(main())
