Heed what an endpoint states in a response that cannot be used

What callers saw: requests at an endpoint that had said that it leaves, or had asked for a pause, until its entry in the store changed. Cause: a response was checked against the protocol before its statements were read. A 503 that does not say that the request has not run, a refusal without an id on a reused connection and a success without a seal ended the attempt, and with it what the endpoint had said of itself. Change: statements are read first. An unusable response can begin a limit, and ends none. A response to another request still tells nothing.

--- a/borageworks/gateway/endpoint_notices.py
+++ b/borageworks/gateway/endpoint_notices.py
@@ -118,14 +118,32 @@
         )
 
     def observe(
-        self, endpoint: Endpoint, notice: EndpointNotice, sent_at: float
+        self,
+        endpoint: Endpoint,
+        notice: EndpointNotice,
+        sent_at: float,
+        *,
+        usable: bool = True,
     ) -> None:
-        """Record the notice in the response to a request that was sent at `sent_at`."""
+        """Record what a response states about its endpoint.
+
+        Parameters
+        ----------
+        endpoint, notice
+            The endpoint, and what it states.
+        sent_at
+            Time at which the request was sent.
+        usable
+            Whether the response follows the protocol. If not, only what it states
+            counts, and not that it states no limit.
+        """
         for kind in notice.malformed:
             self._metrics.count("endpoint_notices_malformed", kind)
         now = self._timers.now()
         incarnation = endpoint.incarnation
-        if "limit" not in notice.malformed:
+        if "limit" not in notice.malformed and (
+            usable or notice.limit_per_s is not None
+        ):
             self._merge_limit(incarnation, notice.limit_per_s, sent_at, now)
         if notice.leaving:
             self._merge_leaving(incarnation)
--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -331,9 +331,14 @@
                 head = self._codec.decode_response_head(
                     response.status, response.headers
                 )
-                self._check_head(endpoint, head)
+                self._check_request_id(endpoint, head)
+                violation = self._find_violation(endpoint, head)
                 if not head.wrong_endpoint:
-                    self._notices.observe(endpoint, head.notice, sent_at)
+                    self._notices.observe(
+                        endpoint, head.notice, sent_at, usable=violation is None
+                    )
+                if violation is not None:
+                    raise violation
                 if head.not_run:
                     self._may_have_run = may_have_run_before
                     await self._handle_refusal(endpoint, head, response)
@@ -347,28 +352,34 @@
             self._attempts -= 1
             raise
 
-    def _check_head(self, endpoint: Endpoint, head: ResponseHead) -> None:
+    def _check_request_id(self, endpoint: Endpoint, head: ResponseHead) -> None:
         expected = self._exchange.request.id
         if head.request_id is not None and head.request_id != expected:
             raise EndpointReplyCrossedError(
                 f"endpoint {endpoint.id!r} responded to request {head.request_id!r}"
             )
+
+    def _find_violation(
+        self, endpoint: Endpoint, head: ResponseHead
+    ) -> EndpointReplyMalformedError | None:
+        """Return how a response violates the protocol, None if it does not."""
         if head.not_run:
             if head.request_id is None and self._reuses_connections:
                 # It may be the copy of an earlier refusal on the same connection.
-                raise EndpointReplyMalformedError(
+                return EndpointReplyMalformedError(
                     f"refusal of endpoint {endpoint.id!r} names no request"
                 )
-            return
+            return None
         if head.status in SUCCESS_STATUSES and not head.has_seal:
-            raise EndpointReplyMalformedError(
+            return EndpointReplyMalformedError(
                 f"response of endpoint {endpoint.id!r} has no seal header"
             )
         if head.status in NOT_EXECUTED_STATUSES:
-            raise EndpointReplyMalformedError(
+            return EndpointReplyMalformedError(
                 f"endpoint {endpoint.id!r} responded with status {head.status} "
                 "without stating that the request was not executed"
             )
+        return None
 
     async def _handle_refusal(
         self, endpoint: Endpoint, head: ResponseHead, response: aiohttp.ClientResponse
--- a/borageworks/gateway/tests/test_endpoint_notices.py
+++ b/borageworks/gateway/tests/test_endpoint_notices.py
@@ -161,6 +161,19 @@
         self.assertEqual([("a", "b"), ("a", "c")], network.sent)
         self.assertEqual([14.9] * 3, network.limits())
 
+    def test_unusable_response_without_a_limit_ends_none(self):
+        """Guards against a limit that ends with a response that breaks the protocol."""
+        network = self.network()
+        network.observe("a", LIMITED)
+        network.clock.advance()
+        now = network.clock.now()
+        network.notices["a"].observe(E1, UNLIMITED, now, usable=False)
+        self.assertEqual(2.5, network.limits()[0])
+        leaving = EndpointNotice(1.5, leaving=True)
+        network.notices["a"].observe(E1, leaving, now, usable=False)
+        self.assertEqual(1.5, network.limits()[0])
+        self.assertTrue(network.notices["a"].is_leaving(E1.incarnation))
+
     def test_limit_that_cannot_be_read_changes_nothing(self):
         """Guards against malformed headers that end a limit or break the response."""
         network = self.network()
--- a/borageworks_emulator/platform/tests/test_notices.py
+++ b/borageworks_emulator/platform/tests/test_notices.py
@@ -138,6 +138,23 @@
         # Other instances use it, and this one does again after the pause.
         self.assertTrue(others > 0 and after > 0, (others, after))
 
+    def test_endpoint_that_leaves_in_a_response_that_breaks_the_protocol(self):
+        """Guards against a statement that is lost with an unusable response."""
+        listed = desks(2)
+        listed[0].behaviour_of = lambda _request: Behaviour(status=503)
+        listed[0].stated_headers = {"Server-Leaving": "1"}
+
+        async def scenario(fleet):
+            while not listed[0].runs:
+                await self.send(fleet[0], 2)
+            await asyncio.sleep(LEARNING_S)
+            before = len(listed[0].runs)
+            await self.send(fleet[0], 16)
+            return before, len(listed[0].runs)
+
+        before, after = self.run_fleet(listed, scenario, instances=1)
+        self.assertEqual(before, after)
+
     def test_all_endpoints_want_a_pause(self):
         """Guards against callers that come back before any endpoint takes them."""
         listed = desks(2)
