Remember that an endpoint leaves or pauses while its entry is missing

What callers saw: an endpoint that had said that it leaves was used again when its entry came back after more than 30 s, as after an outage or a restore of the store; one that had asked for 60 s of rest got requests after 30 s. Cause: statements of unlisted endpoints were dropped 30 s after they had been learnt, whatever they said. Change: leaving is remembered for the last 1,024 incarnations, a pause until its end; limits as before.

--- a/borageworks/gateway/endpoint_notices.py
+++ b/borageworks/gateway/endpoint_notices.py
@@ -17,9 +17,12 @@
 # Interval of messages to other instances about endpoints that change their statements
 # with each response.
 SHARE_INTERVAL_S = 0.05
-# A statement about an endpoint that is not listed is kept for this long: its entry may
-# be late, or missing for a moment.
+# A limit of an endpoint that is not listed is kept for this long: its entry may be
+# late, or missing for a moment.
 RETENTION_S = 30.0
+# Endpoints without an entry of which it is remembered that they leave or pause: an
+# entry may be missing for as long as the store is unavailable.
+MAX_UNLISTED = 1024
 # Longest pause that an endpoint can ask for.
 MAX_PAUSE_S = 60.0
 # Number that stands for no limit in messages.
@@ -176,13 +179,20 @@
                 self._fleet.send(instance, self._message(incarnation, statement))
 
     def retain(self, incarnations: Collection[str]) -> None:
-        """Forget endpoints that are no longer listed."""
-        oldest = self._timers.now() - RETENTION_S
-        self._statements = {
-            incarnation: statement
-            for incarnation, statement in self._statements.items()
-            if incarnation in incarnations or statement.learned_at > oldest
-        }
+        """Forget endpoints that are no longer listed, but for what still holds."""
+        now = self._timers.now()
+        oldest = now - RETENTION_S
+        unlisted = []
+        for incarnation, statement in list(self._statements.items()):
+            if incarnation in incarnations or statement.learned_at > oldest:
+                continue
+            if statement.leaving or statement.paused_until > now:
+                unlisted.append(incarnation)
+            else:
+                del self._statements[incarnation]
+        unlisted.sort(key=lambda name: self._statements[name].learned_at)
+        for incarnation in unlisted[:-MAX_UNLISTED]:
+            del self._statements[incarnation]
 
     def _merge_limit(
         self,
--- a/borageworks/gateway/tests/test_endpoint_notices.py
+++ b/borageworks/gateway/tests/test_endpoint_notices.py
@@ -7,7 +7,11 @@
 from testtools import TestCase
 
 from borageworks.gateway.endpoint_notice import EndpointNotice
-from borageworks.gateway.endpoint_notices import SHARE_INTERVAL_S, EndpointNotices
+from borageworks.gateway.endpoint_notices import (
+    MAX_UNLISTED,
+    SHARE_INTERVAL_S,
+    EndpointNotices,
+)
 from borageworks.metrics import Metrics
 from borageworks.placement.tests.builders import endpoint
 
@@ -174,6 +178,29 @@
         self.assertEqual(1.5, network.limits()[0])
         self.assertTrue(network.notices["a"].is_leaving(E1.incarnation))
 
+    def test_statements_hold_while_an_entry_is_missing(self):
+        """Guards against an endpoint that leaves, used when its entry comes back."""
+        network = self.network()
+        network.observe("a", EndpointNotice(leaving=True))
+        network.observe("b", EndpointNotice(pause_s=58.0))
+        for _ in range(5):
+            network.clock.advance(10.0)
+            for notices in network.notices.values():
+                notices.retain(())
+        for name in ("a", "b"):
+            self.assertFalse(network.notices[name].accepts(E1.incarnation))
+
+    def test_statements_of_endpoints_that_have_gone_are_bounded(self):
+        """Guards against memory that grows with each endpoint that has ever left."""
+        network = self.network()
+        for number in range(MAX_UNLISTED + 10):
+            gone = endpoint(f"gone{number}", started_ms=5)
+            network.notices["a"].observe(gone, EndpointNotice(leaving=True), 0.0)
+        network.clock.advance(60.0)
+        network.notices["a"].retain(())
+        self.assertEqual(MAX_UNLISTED, len(network.notices["a"]._statements))
+        self.assertFalse(network.notices["a"].accepts(gone.incarnation))
+
     def test_limit_that_cannot_be_read_changes_nothing(self):
         """Guards against malformed headers that end a limit or break the response."""
         network = self.network()
