Check that an endpoint wants a request when its connection is open

What callers saw: a request at an endpoint up to a second after that endpoint had asked the instance for a pause, beyond the half second in which requests may still be on their way. Cause: whether the endpoint wants requests was looked at when the request was placed. Opening a connection may take 1.2 s after that, as with a full queue of connections at the endpoint. Change: the request asks once more when its connection is open, and goes back to placement unsent; that is neither an attempt nor a retry. Measured: test_pause_that_begins_while_connections_are_opened fails on the code before and passes now.

--- a/borageworks/exceptions.py
+++ b/borageworks/exceptions.py
@@ -130,6 +130,12 @@
     code = "endpoint_unreachable"
 
 
+class EndpointDeclinedError(EndpointFailedError):
+    """The endpoint stated that it wants no requests before this one was sent."""
+
+    code = "endpoint_declined"
+
+
 class EndpointRefusedError(EndpointFailedError):
     """The endpoint reported that it did not start the request."""
 
--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -17,6 +17,7 @@
     AnswerLostError,
     AnswerTimeoutError,
     CapacityExceededError,
+    EndpointDeclinedError,
     EndpointDisconnectedError,
     EndpointFailedError,
     EndpointReplyCrossedError,
@@ -221,6 +222,10 @@
             except (EndpointsBusyError, AnswerLostError, _NoFurtherAttemptError):
                 outcome = WorkOutcome.REFUSED
                 raise
+            except EndpointDeclinedError:
+                outcome = WorkOutcome.RETURNED
+                self._metrics.count("placements_returned")
+                done = False
             except EndpointUnreachableError as error:
                 outcome = WorkOutcome.UNREACHABLE
                 self._record_failure(endpoint, error)
@@ -327,6 +332,7 @@
                 headers,
                 exchange.body,
                 fresh=not self._reuses_connections,
+                is_wanted=lambda: self._notices.accepts(endpoint.incarnation),
             ) as response:
                 head = self._codec.decode_response_head(
                     response.status, response.headers
@@ -347,7 +353,7 @@
                     await self._forward_stream(endpoint, response, work)
                     return True
                 return await self._forward_buffered(response, head, work)
-        except EndpointUnreachableError:
+        except (EndpointUnreachableError, EndpointDeclinedError):
             self._may_have_run = may_have_run_before
             self._attempts -= 1
             raise
--- a/borageworks/gateway/upstream.py
+++ b/borageworks/gateway/upstream.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -10,7 +10,11 @@
 
 from borageworks.endpoints.bounded_connector import BoundedConnector
 from borageworks.endpoints.http_errors import convert_http_errors
-from borageworks.endpoints.single_attempt import SingleAttempt
+from borageworks.endpoints.single_attempt import (
+    CheckedRequest,
+    SingleAttempt,
+    always,
+)
 from borageworks.endpoints.sockets import open_socket
 from borageworks.exceptions import EndpointReplyIncompleteError
 from borageworks.gateway.endpoint import Endpoint
@@ -65,6 +69,7 @@
         body: bytes | None,
         *,
         fresh: bool,
+        is_wanted: Callable[[], bool] = always,
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         """Send a request; failures inside the block are raised as typed errors.
 
@@ -80,9 +85,13 @@
             Complete body, or None.
         fresh
             Whether to use a new connection.
+        is_wanted
+            Returns whether the request is still to be sent when a connection is open.
 
         Raises
         ------
+        EndpointDeclinedError
+            If the request was not wanted any more, so that it was not sent.
         EndpointUnreachableError
             If no connection was established, so that the request was not sent.
         EndpointFailedError
@@ -98,7 +107,7 @@
                 data=body,
                 headers=list(headers),
                 allow_redirects=False,
-                middlewares=(SingleAttempt(),),
+                middlewares=(SingleAttempt(is_wanted),),
             ) as response:
                 try:
                     yield response
@@ -135,6 +144,7 @@
 def _new_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=connector,
+        request_class=CheckedRequest,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         max_line_size=MAX_HEADER_BYTES,
--- a/borageworks_emulator/platform/tests/test_notices.py
+++ b/borageworks_emulator/platform/tests/test_notices.py
@@ -4,6 +4,7 @@
 
 from testtools import TestCase
 
+from borageworks.gateway.endpoint_notice import EndpointNotice
 from borageworks_emulator.platform.endpoint import Behaviour, EmulatedEndpoint
 from borageworks_emulator.platform.harness import (
     ENGINE_SERVICE,
@@ -155,6 +156,34 @@
         before, after = self.run_fleet(listed, scenario, instances=1)
         self.assertEqual(before, after)
 
+    def test_pause_that_begins_while_connections_are_opened(self):
+        """Guards against requests that are sent long after a pause has begun."""
+        listed = desks(2)
+        opening = asyncio.Event()
+
+        async def scenario(fleet):
+            await self.send(fleet[0], 8)
+            connector = fleet[0].gateway._upstream._unpooled.connector
+            create = connector.connect
+
+            async def connect(*arguments, **options):
+                await opening.wait()
+                return await create(*arguments, **options)
+
+            connector.connect = connect
+            sent = asyncio.create_task(self.send(fleet[0], 8, "/book/"))
+            await asyncio.sleep(LEARNING_S)
+            before = len(listed[0].runs)
+            notices = fleet[0].gateway._notices
+            endpoint = fleet[0].gateway._directory.endpoints["d-0"]
+            notices.observe(endpoint, EndpointNotice(pause_s=5.0), 0.0)
+            opening.set()
+            return await sent, len(listed[0].runs) - before, len(listed[1].runs)
+
+        statuses, paused, others = self.run_fleet(listed, scenario, instances=1)
+        self.assertEqual(([200] * 8, 0), (statuses, paused))
+        self.assertTrue(others >= 8, others)
+
     def test_all_endpoints_want_a_pause(self):
         """Guards against callers that come back before any endpoint takes them."""
         listed = desks(2)
