Learn from reports of engines' caches that an engine leaves

What callers saw: requests at an engine that had already said in its reports that it leaves; with the store away nothing else told of it until a caller's response did. Cause: only responses to callers' requests were read for statements. Change: the follower of engines' caches, which polls each engine of its shards anyway, records that an engine leaves. Limits are not taken from reports, as a report without one need not end it. Measured: test_engine_that_says_that_it_leaves_in_a_report_of_its_cache had 4 of 4 requests at that engine before and has none now; the other seven tests of the file pass.

--- a/borageworks/gateway/cache_follower.py
+++ b/borageworks/gateway/cache_follower.py
@@ -8,6 +8,7 @@
 from borageworks.exceptions import EndpointFailedError, EndpointReplyMalformedError
 from borageworks.gateway.codec import Codec
 from borageworks.gateway.endpoint import Endpoint
+from borageworks.gateway.endpoint_notices import EndpointNotices
 from borageworks.gateway.placer import Placer
 from borageworks.gateway.upstream import Upstream
 from borageworks.metrics import Metrics
@@ -31,16 +32,22 @@
 
     Parameters
     ----------
-    codec, placer, upstream, metrics
+    codec, placer, upstream, notices, metrics
         Components of the gateway.
     """
 
     def __init__(
-        self, codec: Codec, placer: Placer, upstream: Upstream, metrics: Metrics
+        self,
+        codec: Codec,
+        placer: Placer,
+        upstream: Upstream,
+        notices: EndpointNotices,
+        metrics: Metrics,
     ) -> None:
         self._codec = codec
         self._placer = placer
         self._upstream = upstream
+        self._notices = notices
         self._metrics = metrics
         self._tasks: dict[tuple[Shard, str], asyncio.Task[None]] = {}
         self._reported_at: dict[str, float] = {}
@@ -114,6 +121,9 @@
                 endpoint, "GET", target, headers, None, fresh=False
             ) as response,
         ):
+            head = self._codec.decode_response_head(response.status, response.headers)
+            if head.notice.leaving:
+                self._notices.observe_leaving(endpoint)
             data = await read_bounded(response, MAX_RESPONSE_BYTES)
             if response.status != HTTP_OK:
                 raise EndpointReplyMalformedError(
--- a/borageworks/gateway/endpoint_notices.py
+++ b/borageworks/gateway/endpoint_notices.py
@@ -153,6 +153,10 @@
         if notice.pause_s is not None:
             self._merge_pause(incarnation, now + min(notice.pause_s, MAX_PAUSE_S))
 
+    def observe_leaving(self, endpoint: Endpoint) -> None:
+        """Record that a report of an endpoint states that it leaves."""
+        self._merge_leaving(endpoint.incarnation)
+
     def receive(self, instance: str, message: EndpointStatement) -> None:
         """Apply what another instance tells of an endpoint."""
         now = self._timers.now()
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -147,7 +147,7 @@
             self._store_changed,
         )
         self._cache_follower = CacheFollower(
-            self._codec, self._placer, self._upstream, self._metrics
+            self._codec, self._placer, self._upstream, self._notices, self._metrics
         )
         self._retry_budgets = RetryBudgets(
             settings, timers, lambda: self._instances.count
--- a/borageworks_emulator/platform/endpoint.py
+++ b/borageworks_emulator/platform/endpoint.py
@@ -152,11 +152,14 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == "/kv-list":
-            return web.json_response({"epoch": "1", "next": 1, "held": []})
+            return web.json_response(
+                {"epoch": "1", "next": 1, "held": []}, headers=self.stated_headers
+            )
         if request.path == "/kv-events":
             await asyncio.sleep(float(request.headers.get("Wait-Ms", "0")) / 1000)
             return web.json_response(
-                {"epoch": "1", "next": 1, "lost": False, "events": []}
+                {"epoch": "1", "next": 1, "lost": False, "events": []},
+                headers=self.stated_headers,
             )
         request_id = request.headers.get(ATTEMPT_ID_HEADER, "")
         if request.headers.get("X-Borageworks-Expect-Instance") != self.name:
--- a/borageworks_emulator/platform/tests/test_notices.py
+++ b/borageworks_emulator/platform/tests/test_notices.py
@@ -16,6 +16,8 @@
 # Time in which what an endpoint states is known to all instances.
 LEARNING_S = 0.3
 PAUSE_S = 1.5
+# Time in which each engine reports what it has cached.
+REPORT_INTERVAL_S = 2.0
 # The most requests of one instance that may reach an endpoint during a pause.
 MAX_IN_PAUSE = 2
 
@@ -156,6 +158,20 @@
         before, after = self.run_fleet(listed, scenario, instances=1)
         self.assertEqual(before, after)
 
+    def test_engine_that_says_that_it_leaves_in_a_report_of_its_cache(self):
+        """Guards against requests to an engine whose report says that it leaves."""
+        engines = [EmulatedEndpoint(f"e-{number}") for number in range(2)]
+
+        async def main():
+            async with linked_fleet({ENGINE_SERVICE: engines}, 1) as fleet:
+                engines[0].stated_headers = {"Server-Leaving": "1"}
+                await asyncio.sleep(REPORT_INTERVAL_S)
+                statuses = await self.send(fleet[0], 4, "/resume/")
+                return statuses, len(engines[0].runs)
+
+        statuses, runs = asyncio.run(main())
+        self.assertEqual(([200] * 4, 0), (statuses, runs))
+
     def test_pause_that_begins_while_connections_are_opened(self):
         """Guards against requests that are sent long after a pause has begun."""
         listed = desks(2)
