Log the software of engines and the streams that callers take up

The log named engines without the version of their software, and nothing of the attempt whose stream a caller takes up, so that the three hypotheses looked alike. Change: entries' versions and the header Resumes are decoded; event 408 has the engine's software and the last event, 405 the resumed attempt, 205 the software of a listed engine. An entry without a version, with one of another type or over 200 characters names no engine, like one without an address. No decision has changed. Measured: the tests of decoding with the new cases pass.

--- a/borageworks/gateway/caller_request.py
+++ b/borageworks/gateway/caller_request.py
@@ -59,6 +59,9 @@
         Description of the prompt, or None.
     headers
         Headers to forward, without those that the gateway sets.
+    resumed_attempt
+        Id of the attempt that brought the first event of the stream that the caller
+        resumes, or None if it names none or several.
     """
 
     id: str
@@ -71,3 +74,4 @@
     last_event_id: int | None
     prompt: Prompt | None
     headers: tuple[tuple[str, str], ...]
+    resumed_attempt: str | None = None
--- a/borageworks/gateway/directory.py
+++ b/borageworks/gateway/directory.py
@@ -203,6 +203,7 @@
                 endpoint=name,
                 service=endpoint.service,
                 leaving=endpoint.leaving,
+                software_version=endpoint.software_version,
             )
 
     def _remember(self, endpoint: Endpoint, *, removed: bool) -> None:
--- a/borageworks/gateway/endpoint.py
+++ b/borageworks/gateway/endpoint.py
@@ -27,6 +27,9 @@
         Unix time of its start in milliseconds, 0 if unknown.
     sequence
         Number of the entry among those that this incarnation has written.
+    software_version
+        Version of its software, empty if unknown. Streams of different versions cannot
+        be joined.
     """
 
     id: str
@@ -38,6 +41,7 @@
     leaving: bool
     started_ms: int = 0
     sequence: int = 0
+    software_version: str = ""
 
     @property
     def incarnation(self) -> str:
--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -280,6 +280,7 @@
                 if self._may_have_run:
                     raise AnswerLostError(str(error)) from error
                 raise
+            endpoint = self._directory.endpoints.get(placed.endpoint)
             wait_s = self._loop.time() - now
             self._metrics.observe("placement_wait", wait_s, exchange.route.name)
             emit(
@@ -292,8 +293,9 @@
                 unread_tokens=placed.uncached_tokens,
                 waited_s=round(wait_s, 4),
                 version=exchange.version,
+                software_version=endpoint.software_version if endpoint else "",
+                last_event=self._last_event_id,
             )
-            endpoint = self._directory.endpoints.get(placed.endpoint)
             if endpoint is None or endpoint.leaving:
                 # The endpoint has become unavailable since the decision.
                 outcome = WorkOutcome.UNLISTED
--- a/borageworks/platform/entries.py
+++ b/borageworks/platform/entries.py
@@ -15,6 +15,8 @@
 MAX_PORT = 65_535
 # More requests than ports cannot be open at one address.
 MAX_SLOTS = 65_535
+# Versions are sent in messages between instances.
+MAX_VERSION_LENGTH = 200
 # Ids are sent in headers; keys of the store may hold any text.
 _ID = re.compile(r"[!-~]{1,200}", re.ASCII)
 _PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
@@ -29,6 +31,7 @@
     service: str
     address: str
     zone: str
+    version: str = Field(max_length=MAX_VERSION_LENGTH)
     slots: int = Field(ge=1, le=MAX_SLOTS)
     state: Literal["ready", "draining"]
     seq: Count
@@ -72,4 +75,5 @@
         leaving=entry.state == "draining",
         started_ms=entry.born,
         sequence=entry.seq,
+        software_version=entry.version,
     )
--- a/borageworks/platform/protocol_names.py
+++ b/borageworks/platform/protocol_names.py
@@ -16,6 +16,8 @@
 # Number that rises by one when the store comes back from an older copy.
 STORE_ERA = "Store-Era"
 LAST_EVENT_ID = "Last-Event-Id"
+# Id of the attempt that brought the first event of the stream that a caller takes up.
+RESUMES = "Resumes"
 
 CONFIGURATION_KEY = "op/config"
 ENDPOINT_PREFIX = "servers/"
--- a/borageworks/platform/requests.py
+++ b/borageworks/platform/requests.py
@@ -70,6 +70,7 @@
             if name.lower() not in _RESERVED_HEADERS
             and name.lower() != protocol_names.LAST_EVENT_ID.lower()
         ),
+        resumed_attempt=_decode_resumed_attempt(headers),
     )
 
 
@@ -119,6 +120,11 @@
     return authorization[len(AUTHORIZATION_SCHEME) :].strip()
 
 
+def _decode_resumed_attempt(headers: CIMultiDictProxy[str]) -> str | None:
+    attempts = {text.strip() for text in headers.getall(protocol_names.RESUMES, ())}
+    return (attempts.pop() or None) if len(attempts) == 1 else None
+
+
 def _parse_seconds(text: str | None) -> float | None:
     try:
         seconds = float(text or "") / MILLISECONDS_PER_SECOND
--- a/borageworks/platform/tests/test_decoding.py
+++ b/borageworks/platform/tests/test_decoding.py
@@ -34,6 +34,7 @@
     "zone": "a",
     "slots": 4,
     "state": "ready",
+    "version": "v1",
     "seq": 1,
 }
 JSON = st.recursive(
@@ -167,6 +168,9 @@
             {"address": "10.0.0.1:70000"},
             {"service": None},
             {"seq": None},
+            {"version": None},
+            {"version": 3},
+            {"version": "v" * 201},
         ]
         for change in changes:
             self.assertRaises(
@@ -176,6 +180,16 @@
                 orjson.dumps({**ENTRY, **change}),
             )
 
+    def test_entry_without_a_version_of_its_software(self):
+        """Guards against an entry of another writer that names no version."""
+        entry = {name: ENTRY[name] for name in ENTRY if name != "version"}
+        self.assertRaises(
+            EndpointEntryMalformedError,
+            decode_entry,
+            "servers/i-1",
+            orjson.dumps(entry),
+        )
+
     def test_arbitrary_bytes_give_an_endpoint_or_a_typed_error(self):
         """Guards against an entry that crashes the process."""
 
@@ -250,6 +264,19 @@
             assert prompt is not None
             self.assertEqual(["aa"], [part.id for part in prompt.parts])
 
+    def test_stream_that_a_caller_resumes(self):
+        """Guards against a stream taken up that the request does not name clearly."""
+        for values, expected in (
+            ([], None),
+            (["a1"], "a1"),
+            ([" a1 ", "a1"], "a1"),
+            (["a1", "b2"], None),
+            ([""], None),
+        ):
+            fields = CIMultiDict([("Resumes", value) for value in values])
+            request = decode_request("POST", "/", CIMultiDictProxy(fields))
+            self.assertEqual(expected, request.resumed_attempt)
+
     def test_callers_cannot_set_reserved_headers(self):
         """Guards against callers that choose their organisation or endpoint."""
         request = decode_request(
--- a/borageworks_emulator/platform/endpoint.py
+++ b/borageworks_emulator/platform/endpoint.py
@@ -106,6 +106,8 @@
     ----------
     stated_headers
         Headers of all its responses in which it states something about itself.
+    software_version
+        Version of its software in its entry.
     on_run_started, on_run_finished
         Called when a request starts to run, and when the endpoint has stopped working
         on it.
@@ -123,6 +125,7 @@
         self.runs: list[Run] = []
         self.refused = 0
         self.stated_headers: Mapping[str, str] = {}
+        self.software_version = "v1"
         self.cancelled: list[str] = []
         self.address = ("127.0.0.1", 0)
         self._server: web.Server | None = None
@@ -148,7 +151,9 @@
 
     def entry(self, service: str, *, state: str = "ready", slots: int = 8) -> bytes:
         """Return the store entry that registers the endpoint."""
-        return endpoint_entry(self.address, service, state, slots)
+        return endpoint_entry(
+            self.address, service, state, slots, self.software_version
+        )
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == "/kv-list":
@@ -273,7 +278,11 @@
 
 
 def endpoint_entry(
-    address: tuple[str, int], service: str, state: str = "ready", slots: int = 8
+    address: tuple[str, int],
+    service: str,
+    state: str = "ready",
+    slots: int = 8,
+    software_version: str = "v1",
 ) -> bytes:
     """Return the store entry that registers an endpoint."""
     return orjson.dumps(
@@ -281,7 +290,7 @@
             "service": service,
             "address": f"{address[0]}:{address[1]}",
             "zone": "zone-a",
-            "version": "v1",
+            "version": software_version,
             "slots": slots,
             "state": state,
             "cold_ms": 0,
