--- /dev/null
+++ b/borageworks_emulator/platform/tests/test_stream_versions.py
@@ -0,0 +1,245 @@
+"""Tests that no stream is joined from engines of two software versions."""
+
+import asyncio
+from contextlib import AsyncExitStack
+
+import aiohttp
+from testtools import TestCase
+
+from borageworks_emulator.platform.endpoint import (
+    Behaviour,
+    EmulatedEndpoint,
+    event_bytes,
+)
+from borageworks_emulator.platform.harness import (
+    ENGINE_SERVICE,
+    PLAIN_SERVICE,
+    Harness,
+    configuration,
+    linked_fleet,
+)
+
+EVENTS = 5
+MAX_ATTEMPTS = 4
+# A stream that cannot go on ends within this time, far below its deadline of 3 s.
+AT_ONCE_S = 0.5
+# Time in which the version of a stream is known to the store.
+STORED_S = 1.5
+
+
+def whole_stream(first=0):
+    """Return the events of a stream from one on."""
+    return b"".join(event_bytes(number) for number in range(first, EVENTS))
+
+
+def breaking_engine(name, version, after=2):
+    """Return an engine that resets each new stream after some events."""
+
+    def behave(request):
+        resumed = "Last-Event-Id" in request.headers
+        return Behaviour(reset_after_events=None if resumed else after)
+
+    return engine(name, version, behave)
+
+
+def taking_engine(name, version):
+    """Return an engine that refuses new streams and runs the rest of others."""
+    return engine(
+        name,
+        version,
+        lambda request: Behaviour(not_run="Last-Event-Id" not in request.headers),
+    )
+
+
+def bodies(answers):
+    """Return the bodies of the answers that have any events."""
+    return {body for *_, body, _ in answers if body.startswith(b"id: ")}
+
+
+def engine(name, version, behaviour_of=None):
+    """Return an engine with a version of its software."""
+    emulated = EmulatedEndpoint(name, behaviour_of)
+    emulated.software_version = version
+    return emulated
+
+
+async def allow_attempts(harness, count):
+    """Configure how many engines an attempt of a caller may be sent to."""
+    changed = configuration(2)
+    for route in changed["routes"]:
+        route["max_attempts"] = count
+    await harness.configure(changed)
+    await harness.wait_until_current()
+
+
+async def receive(harness, path="/resume/", **headers):
+    """Send a request; return status, id of the attempt, events and whether they end."""
+    sent = harness.request_headers(**headers)
+    attempt = sent["X-Borageworks-Attempt-Id"]
+    # Requests that share nothing are not taken for those that crash engines.
+    sent["X-Borageworks-Prompt-Prefix"] = f"{attempt.encode().hex()}:300"
+    body = b""
+    try:
+        async with harness.session.post(
+            path, data=attempt.encode(), headers=sent
+        ) as response:
+            async for data in response.content.iter_any():
+                body += data
+            return response.status, attempt, body, True
+    except aiohttp.ClientError:
+        return 0, attempt, body, False
+
+
+class StreamVersionTest(TestCase):
+    def run_engines(self, engines, scenario, instances=1):
+        async def main():
+            services = {ENGINE_SERVICE: engines, PLAIN_SERVICE: []}
+            async with linked_fleet(services, instances) as fleet:
+                await allow_attempts(fleet[0], MAX_ATTEMPTS)
+                async with asyncio.timeout(20.0):
+                    return await scenario(fleet)
+
+        return asyncio.run(main())
+
+    def test_broken_stream_does_not_go_on_at_another_version(self):
+        """Guards against an answer with events of two software versions."""
+        new = [taking_engine("e-2", "v2"), taking_engine("e-3", "v2")]
+
+        async def scenario(fleet):
+            started_at = asyncio.get_running_loop().time()
+            answers = [await receive(fleet[0]) for _ in range(4)]
+            return answers, asyncio.get_running_loop().time() - started_at
+
+        answers, taken_s = self.run_engines(
+            [breaking_engine("e-1", "v1"), *new], scenario
+        )
+        self.assertEqual({event_bytes(0) + event_bytes(1)}, bodies(answers))
+        self.assertEqual([], [run for emulated in new for run in emulated.runs])
+        self.assertTrue(taken_s < 4 * AT_ONCE_S, taken_s)
+
+    def test_broken_stream_goes_on_at_its_own_version(self):
+        """Guards against streams that are cut beside an engine of their version."""
+        old = [breaking_engine("e-1", "v1"), breaking_engine("e-2", "v1")]
+        new = [taking_engine("e-3", "v2"), taking_engine("e-4", "v2")]
+
+        async def scenario(fleet):
+            return [await receive(fleet[0]) for _ in range(4)]
+
+        answers = self.run_engines([*old, *new], scenario)
+        self.assertEqual({whole_stream()}, bodies(answers))
+        self.assertEqual([], [run for emulated in new for run in emulated.runs])
+
+    def test_stream_without_an_event_begins_at_any_version(self):
+        """Guards against retries that are bound before the caller has an event."""
+        engines = [
+            engine("e-1", "v1", lambda _request: Behaviour(reset_after_events=0)),
+            engine("e-2", "v2"),
+        ]
+
+        async def scenario(fleet):
+            return [await receive(fleet[0]) for _ in range(4)]
+
+        answers = self.run_engines(engines, scenario)
+        self.assertEqual({whole_stream()}, bodies(answers))
+
+
+async def begin(harness, count):
+    """Begin streams that break off; return attempt and number of events of each."""
+    begun = []
+    while len(begun) < count:
+        status, attempt, body, complete = await receive(harness)
+        if status in (0, 200) and not complete and body:
+            begun.append((attempt, body.count(b"id: ")))
+    return begun
+
+
+async def take_up(harness, attempt, events, **headers):
+    """Take up a stream; return the status, and whether the answer is its rest."""
+    status, _, body, _ = await receive(
+        harness, Resumes=attempt, Last_Event_Id=str(events - 1), **headers
+    )
+    return status, body == whole_stream(events)
+
+
+def resumed_runs(engines):
+    """Return the attempt that each resumed run of some engines goes on from."""
+    return {
+        run.headers.get("Resumes")
+        for emulated in engines
+        for run in emulated.runs
+        if "Last-Event-Id" in run.headers
+    }
+
+
+def new_runs(engines):
+    """Return the ids of the runs of some engines that began a stream."""
+    return {
+        run.id
+        for emulated in engines
+        for run in emulated.runs
+        if "Last-Event-Id" not in run.headers
+    }
+
+
+class ResumedStreamTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.old = [breaking_engine(f"old-{n}", "v1") for n in range(2)]
+        self.new = [breaking_engine(f"new-{n}", "v2") for n in range(2)]
+        for emulated in [*self.old, *self.new]:
+            emulated.behaviour_of = lambda request: Behaviour(
+                reset_after_events=None if "Resumes" in request.headers else 2
+            )
+
+    def run_scenario(self, scenario):
+        async def main():
+            async with AsyncExitStack() as stack:
+                services = {ENGINE_SERVICE: [*self.old, *self.new], PLAIN_SERVICE: []}
+                first = await stack.enter_async_context(Harness(services))
+                async with asyncio.timeout(40.0):
+                    return await scenario(first, stack)
+
+        return asyncio.run(main())
+
+    async def start(self, first, stack, name):
+        return await stack.enter_async_context(
+            Harness({}, name=name, store=first.store)
+        )
+
+    def check_versions(self, begun):
+        """Check that each resumed run is at the version that began its stream."""
+        attempts = {attempt for attempt, _ in begun}
+        for same, other in ((self.old, self.new), (self.new, self.old)):
+            self.assertEqual(
+                set(), resumed_runs(same) & attempts & new_runs(other) - new_runs(same)
+            )
+
+    def test_streams_taken_up_at_another_instance(self):
+        """Guards against a stream that a caller takes up at another version."""
+
+        async def scenario(first, stack):
+            second = await self.start(first, stack, "edge-2")
+            for harness in (first, second):
+                await harness.wait_until_linked(2)
+            begun = await begin(first, 12)
+            return begun, [await take_up(second, *stream) for stream in begun]
+
+        begun, answers = self.run_scenario(scenario)
+        self.check_versions(begun)
+        self.assertEqual([(200, True)] * 12, answers)
+
+    def test_streams_taken_up_after_all_instances_were_killed(self):
+        """Guards against streams joined after all memory of them has been lost."""
+
+        async def scenario(first, stack):
+            begun = await begin(first, 12)
+            await asyncio.sleep(STORED_S)
+            begun += await begin(first, 6)
+            await first.gateway.close()
+            again = await self.start(first, stack, "edge-1")
+            return begun, [await take_up(again, *stream) for stream in begun]
+
+        begun, answers = self.run_scenario(scenario)
+        self.check_versions(begun)
+        self.assertEqual([(200, True)] * 12, answers[:12])
+        self.assertEqual(set(), {*answers[12:]} - {(200, True), (503, False)})
