Go on with a broken stream at engines of its own version only

What callers saw: an answer whose events were made by engines of two software versions, complete and with the signature of the first one. Cause: the version of an engine's software was not known to placement, so that a stream that had broken off went on at whatever engine was cheapest. Class: two runs are taken for the same because they have the same request. Change: the first event that goes to the caller binds the answer to the version of its engine. Only engines of that version are considered, also where the service has several shards; none left is a refusal at once, which breaks the connection. Requests bound to a version wait behind others of that version and hold back no new ones.

--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -146,6 +146,8 @@
         self._may_have_run = False
         self._last_event_id = exchange.request.last_event_id
         self._fingerprint = _fingerprint(exchange)
+        # Set by the first event that is sent to the caller.
+        self._software_version: str | None = None
         self._failure_response: BufferedResponse | None = None
         self._timeout: asyncio.Timeout | None = None
         self.endpoint = ""
@@ -269,6 +271,7 @@
                 else None,
                 excluded=frozenset(self._excluded),
                 fingerprint=self._fingerprint,
+                software_version=self._software_version,
             )
             try:
                 placed = await self._placer.place(
@@ -476,6 +479,7 @@
                 await self._sink.write(data)
                 continue
             for event in events:
+                self._software_version = endpoint.software_version
                 if event.id is not None:
                     self._check_event_order(endpoint, event.id)
                     self._last_event_id = event.id
--- a/borageworks/gateway/placement_messages.py
+++ b/borageworks/gateway/placement_messages.py
@@ -33,6 +33,8 @@
         work.max_wait_s,
         tuple(sorted(work.excluded)),
         fingerprint=work.fingerprint,
+        version_bound=work.software_version is not None,
+        software_version=work.software_version or "",
     )
     prompt = work.prompt
     if prompt is None:
@@ -65,6 +67,7 @@
         prompt,
         frozenset(request.excluded),
         request.fingerprint,
+        request.software_version if request.version_bound else None,
     )
 
 
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -153,11 +153,7 @@
         CapacityExceededError
             If no endpoint can respond in time.
         """
-        service_shards = self._service_shards.get(service)
-        shard = (
-            service,
-            service_shards.find(work.prompt, request_id) if service_shards else 0,
-        )
+        shard = self._find_shard(service, request_id, work)
         if shard not in self._dispatchers:
             raise EndpointUnavailableError(
                 f"service {service!r} has no endpoints",
@@ -193,6 +189,23 @@
                 self._withdraw(pending)
             raise
 
+    def _find_shard(self, service: str, request_id: str, work: Work) -> Shard:
+        """Return the shard of a request, another one if no endpoint there may run it.
+
+        The endpoints of one version of their software may all be in other shards.
+        """
+        service_shards = self._service_shards.get(service)
+        if service_shards is None:
+            return service, 0
+        found = service_shards.find(work.prompt, request_id)
+        if work.software_version is None:
+            return service, found
+        for number in (found, *range(service_shards.count)):
+            dispatcher = self._dispatchers.get((service, number))
+            if dispatcher is not None and dispatcher.may_run(work):
+                return service, number
+        return service, found
+
     def record_start(self, key: WorkKey) -> None:
         """Record that the response to a request has begun."""
         pending = self._requests.get(key[1])
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -102,6 +102,8 @@
         self._waiting_tokens: dict[str, float] = {}
         self._waiting_requests: dict[str, int] = {}
         self._waiting_per_organisation: dict[str, int] = {}
+        # Those of them that go on with a stream, so that few endpoints may run them.
+        self._bound_per_organisation: dict[str, int] = {}
         self._part_index = PartIndex()
         self._selector = EndpointSelector(
             self._endpoints,
@@ -199,6 +201,13 @@
             return None
         return state
 
+    def may_run(self, work: Work) -> bool:
+        """Return whether an endpoint that is not leaving may run a request."""
+        return any(
+            work.may_run_at(state.endpoint) and not state.is_leaving
+            for state in self._endpoints.values()
+        )
+
     def set_limit(
         self, now: float, incarnation: str, limit_per_s: float | None
     ) -> None:
@@ -412,7 +421,7 @@
             self._reselect_endpoint(now, waiting)
         decisions = self._place_waiting(now)
         for waiting in list(self._waiting.values()):
-            if now >= waiting.expires_at:
+            if now >= waiting.expires_at or not self.may_run(waiting.work):
                 del self._waiting[waiting.work.key]
                 self._count_waiting(now, waiting, -1)
                 decisions.append(
@@ -486,7 +495,7 @@
                 state
                 for name, state in self._endpoints.items()
                 if (same_preferred or not state.prefilling)
-                and name not in work.excluded
+                and work.may_run_at(state.endpoint)
                 and state.usable(now)
                 and not self._waiting_tokens.get(name)
                 and self._has_room(now, state, work)
@@ -546,9 +555,18 @@
         if not self._waiting:
             return False
         virtual_time = self._fair_queue.virtual_time(work.organisation)
+        if work.software_version is not None:
+            # Such requests compete for the endpoints of their version only.
+            return any(
+                item.work.software_version == work.software_version
+                and self._fair_queue.virtual_time(item.work.organisation)
+                <= virtual_time
+                for item in self._waiting.values()
+            )
         return any(
             self._fair_queue.virtual_time(name) <= virtual_time
-            for name in self._waiting_per_organisation
+            for name, count in self._waiting_per_organisation.items()
+            if count > self._bound_per_organisation.get(name, 0)
         )
 
     def _is_next_at_limit(
@@ -590,7 +608,11 @@
             and self._fair_queue.virtual_time(item.work.organisation) <= virtual_time
         ]
         # Requests to plain services may use any endpoint.
-        states = [state] if work.prompt is not None else self._endpoints.values()
+        states = [
+            item
+            for item in self._endpoints.values()
+            if item is state or (work.prompt is None and work.may_run_at(item.endpoint))
+        ]
         slot_wait_s = self._slot_wait_s(now, states, len(ahead))
         if work.prompt is None:
             return slot_wait_s
@@ -724,6 +746,11 @@
             self._waiting_per_organisation[organisation] = count
         else:
             self._waiting_per_organisation.pop(organisation, None)
+        if waiting.work.software_version is not None:
+            bound = self._bound_per_organisation.get(organisation, 0) + change
+            self._bound_per_organisation[organisation] = bound
+            if not bound:
+                del self._bound_per_organisation[organisation]
         self._fair_queue.set_demand(now, _FAIR_QUEUE_ENTRY, organisation, count)
         self._count_waiting_tokens(waiting, change)
 
--- a/borageworks/placement/selection.py
+++ b/borageworks/placement/selection.py
@@ -99,7 +99,7 @@
         min_cost_s = math.inf
         for name in self._candidates(now, work, seconds_per_token):
             state = self._endpoints[name]
-            if name in work.excluded or not state.usable(now):
+            if not work.may_run_at(state.endpoint) or not state.usable(now):
                 continue
             if state.is_paused(now, work.key[0]):
                 continue
@@ -171,7 +171,11 @@
             or self._placements >= MAX_ORDER_PLACEMENTS
         ):
             self._renew_order(now, seconds_per_token)
-        usable = [name for name in self._order if name not in work.excluded]
+        usable = [
+            name
+            for name in self._order
+            if work.may_run_at(self._endpoints[name].endpoint)
+        ]
         candidates = dict.fromkeys(usable[:CANDIDATES])
         parts = work.prompt.parts
         # The last part may be that of a session, which an engine has cached as well.
--- a/borageworks/placement/work.py
+++ b/borageworks/placement/work.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from borageworks.gateway.caller_request import Prompt
+from borageworks.gateway.endpoint import Endpoint
 
 WorkKey = tuple[str, int]
 # Generating a token costs an engine about twice as much as prefilling one, and the
@@ -37,6 +38,9 @@
         Endpoints that must not run it, since an attempt failed there.
     fingerprint
         Hash that identical requests of an organisation share, empty if unknown.
+    software_version
+        Version of the only endpoints that may run it, as it goes on with a stream of
+        that version; None for any endpoint.
     """
 
     key: WorkKey
@@ -46,6 +50,16 @@
     prompt: Prompt | None
     excluded: frozenset[str] = frozenset()
     fingerprint: bytes = b""
+    software_version: str | None = None
+
+    def may_run_at(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint may run it, now or later."""
+        if endpoint.id in self.excluded:
+            return False
+        if self.software_version is None:
+            return True
+        # Endpoints of an unknown version may differ from each other.
+        return endpoint.software_version == self.software_version != ""
 
     @property
     def traits(self) -> tuple[bytes, ...]:
--- a/borageworks/wire/fleet.capnp
+++ b/borageworks/wire/fleet.capnp
@@ -25,7 +25,7 @@
 struct AloneGrant { requestId @0 :UInt64; grant @1 :Grant; }
 struct Suspect { fingerprint @0 :Data; endpoint @1 :Text; incarnation @2 :Text; alone @3 :Bool; }
 struct PromptPiece { id @0 :Text; tokens @1 :UInt32; }
-struct PlaceRequest { number @0 :UInt64; service @1 :Text; shard @2 :UInt16; organisation @3 :Text; aimS @4 :Float32; patienceS @5 :Float32; excluded @6 :List(Text); prompt @7 :Bool; model @8 :Text; promptTokens @9 :UInt32; generatedTokens @10 :UInt32; pieces @11 :List(PromptPiece); fingerprint @12 :Data; }
+struct PlaceRequest { number @0 :UInt64; service @1 :Text; shard @2 :UInt16; organisation @3 :Text; aimS @4 :Float32; patienceS @5 :Float32; excluded @6 :List(Text); prompt @7 :Bool; model @8 :Text; promptTokens @9 :UInt32; generatedTokens @10 :UInt32; pieces @11 :List(PromptPiece); fingerprint @12 :Data; versionBound @13 :Bool; softwareVersion @14 :Text; }
 struct PlaceReply { number @0 :UInt64; state @1 :UInt8; endpoint @2 :Text; unreadTokens @3 :UInt32; reason @4 :UInt8; retryAfterS @5 :Float32; secondsPerToken @6 :Float32; startS @7 :Float32; }
 struct PlaceWithdraw { number @0 :UInt64; }
 struct WorkStarted { number @0 :UInt64; delayed @1 :Bool; }
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -312,7 +312,8 @@
 
     `aim_s` is the time left of the target latency and `patience_s` the maximum wait for
     an endpoint, both in seconds from now. The fields after `prompt` describe a prompt
-    only if it is true.
+    only if it is true. If `version_bound` is true, only endpoints with that
+    `software_version` may run the request.
     """
 
     number: int
@@ -328,6 +329,8 @@
     generated_tokens: int = 0
     pieces: tuple[PromptPiece, ...] = ()
     fingerprint: bytes = b""
+    version_bound: bool = False
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/borageworks_emulator/platform/tests/test_stream_versions.py
+++ b/borageworks_emulator/platform/tests/test_stream_versions.py
@@ -145,7 +145,7 @@
 
 async def begin(harness, count):
     """Begin streams that break off; return attempt and number of events of each."""
-    begun = []
+    begun: list[tuple[str, int]] = []
     while len(begun) < count:
         status, attempt, body, complete = await receive(harness)
         if status in (0, 200) and not complete and body:
