Resume streams only at the version that began them

What callers saw: a stream taken up again after its instance had been killed was answered 200 and ran to its end, but its rest came from another software version. Cause: a request with Last-Event-Id was placed like a new one; nothing knew which engine had begun the stream, and after a kill of all instances nothing could. Class: two runs are taken for the same because they have the same request. Change: the attempt that brought the first event names a stream, together with organisation and service. Its version is recorded where it is placed and where it is forwarded, told to the owner that would take over, and written to the store twice a second while a service has several versions. While it has had one version only, the store holds that version, written when it changes, and no stream is recorded there. What is not known is refused at once, unrun, and so is a stream whose version is gone. An instance whose list of engines is not confirmed infers nothing.

--- a/borageworks/events.py
+++ b/borageworks/events.py
@@ -50,6 +50,8 @@
     PLACEMENT_STATE = (410, "placement_state")
     CRASH_TRAIT = (411, "crash_trait")
     ENDPOINT_NOTICE = (412, "endpoint_notice")
+    STREAM_RESOLVED = (413, "stream_resolved")
+    VERSIONS_STORED = (414, "versions_stored")
     ENDPOINT_DOWN = (501, "endpoint_down")
     ENDPOINT_UP = (502, "endpoint_up")
     ENDPOINT_OWNED = (503, "endpoint_owned")
--- a/borageworks/exceptions.py
+++ b/borageworks/exceptions.py
@@ -435,6 +435,22 @@
     title = "No endpoint of the service can be reached"
 
 
+class StreamUnknownError(RefusalError):
+    """Where a resumed stream began is not known; the request did not run."""
+
+    code = "stream_unknown"
+    status = 503
+    title = "The stream cannot be resumed"
+
+
+class StreamVersionGoneError(RefusalError):
+    """No endpoint can go on with a resumed stream; the request did not run."""
+
+    code = "stream_version_gone"
+    status = 503
+    title = "The stream cannot be resumed"
+
+
 class AnswerLostError(RefusalError):
     """The endpoint failed after the request was sent; it may have run."""
 
--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -37,9 +37,12 @@
 from borageworks.gateway.placer import Placer
 from borageworks.gateway.response_head import ResponseHead
 from borageworks.gateway.route import RetryPolicy, Route
+from borageworks.gateway.stream_versions import StreamVersions
 from borageworks.gateway.upstream import Upstream, read_body
 from borageworks.metrics import Metrics
+from borageworks.placement.decisions import Placed
 from borageworks.placement.outcome import WorkOutcome
+from borageworks.placement.stream_origins import stream_id
 from borageworks.placement.work import Work
 
 # Fraction of the target latency that a request may wait for a free endpoint although it
@@ -112,7 +115,7 @@
         The request to forward.
     sink
         Receives the response.
-    codec, directory, placer, upstream, notices, metrics
+    codec, directory, placer, upstream, notices, streams, metrics
         Components of the gateway.
     take_retry
         Takes one retry from the fleet's budget; returns False if none is left.
@@ -127,6 +130,7 @@
         placer: Placer,
         upstream: Upstream,
         notices: EndpointNotices,
+        streams: StreamVersions,
         metrics: Metrics,
         take_retry: Callable[[], bool],
     ) -> None:
@@ -137,6 +141,7 @@
         self._placer = placer
         self._upstream = upstream
         self._notices = notices
+        self._streams = streams
         self._metrics = metrics
         self._take_retry = take_retry
         self._loop = asyncio.get_running_loop()
@@ -146,8 +151,12 @@
         self._may_have_run = False
         self._last_event_id = exchange.request.last_event_id
         self._fingerprint = _fingerprint(exchange)
-        # Set by the first event that is sent to the caller.
+        # Version of the engine whose events the caller has, None before its first event
+        # and for a stream that it resumes until its version is known.
         self._software_version: str | None = None
+        resumable = exchange.route.retry_policy is RetryPolicy.RESUME
+        self._resumed = resumable and exchange.request.last_event_id is not None
+        self._stream = _stream(exchange, self._resumed) if resumable else b""
         self._failure_response: BufferedResponse | None = None
         self._timeout: asyncio.Timeout | None = None
         self.endpoint = ""
@@ -272,6 +281,9 @@
                 excluded=frozenset(self._excluded),
                 fingerprint=self._fingerprint,
                 software_version=self._software_version,
+                stream=self._stream,
+                stream_lifetime_s=self._stream_lifetime_s(),
+                resumed=self._resumed and self._software_version is None,
             )
             try:
                 placed = await self._placer.place(
@@ -299,7 +311,11 @@
                 software_version=endpoint.software_version if endpoint else "",
                 last_event=self._last_event_id,
             )
-            if endpoint is None or endpoint.leaving:
+            if (
+                endpoint is None
+                or endpoint.leaving
+                or not self._may_go_on_at(endpoint, placed)
+            ):
                 # The endpoint has become unavailable since the decision.
                 outcome = WorkOutcome.UNLISTED
             elif not self._notices.accepts(endpoint.incarnation):
@@ -308,10 +324,29 @@
                 self._metrics.count("placements_returned")
             else:
                 self.endpoint = endpoint.id
+                if self._resumed:
+                    self._software_version = endpoint.software_version
                 return endpoint, work
             self._placer.record_end(work.key, outcome)
             self._excluded.add(placed.endpoint)
 
+    def _may_go_on_at(self, endpoint: Endpoint, placed: Placed) -> bool:
+        """Return whether an endpoint has the version that it was chosen for.
+
+        It may have started again with other software, of which this instance or the
+        one that placed the request does not know yet.
+        """
+        if not self._resumed and self._software_version is None:
+            return True
+        return endpoint.software_version == placed.software_version
+
+    def _stream_lifetime_s(self) -> float:
+        """Return the seconds for which the caller may resume its stream."""
+        exchange = self._exchange
+        remaining_s = exchange.request.remaining_s or 0.0
+        remaining_s -= self._loop.time() - exchange.received_at
+        return max(remaining_s, exchange.route.timeout_s)
+
     async def _attempt(self, endpoint: Endpoint, work: Work) -> bool:
         """Send the request once; return whether its response has been forwarded.
 
@@ -479,7 +514,8 @@
                 await self._sink.write(data)
                 continue
             for event in events:
-                self._software_version = endpoint.software_version
+                if self._software_version is None:
+                    self._record_first_event(endpoint)
                 if event.id is not None:
                     self._check_event_order(endpoint, event.id)
                     self._last_event_id = event.id
@@ -490,6 +526,18 @@
             )
         await self._sink.finish()
 
+    def _record_first_event(self, endpoint: Endpoint) -> None:
+        """Bind the stream to the version whose event goes to the caller."""
+        self._software_version = endpoint.software_version
+        if self._stream:
+            self._streams.origins.learn(
+                self._loop.time(),
+                self._stream,
+                endpoint.software_version,
+                self._stream_lifetime_s(),
+                "own",
+            )
+
     def _check_event_order(self, endpoint: Endpoint, event: int) -> None:
         if self._last_event_id is not None and event != self._last_event_id + 1:
             raise EndpointReplyMalformedError(
@@ -526,6 +574,15 @@
         return EndpointUnavailableError(detail, retry_after=BUSY_RETRY_AFTER_S)
 
 
+def _stream(exchange: Exchange, resumed: bool) -> bytes:
+    """Return the id of a caller's stream, empty if the request does not name it."""
+    request = exchange.request
+    attempt = request.resumed_attempt if resumed else request.id
+    if not attempt:
+        return b""
+    return stream_id(exchange.organisation, exchange.service, attempt)
+
+
 def _fingerprint(exchange: Exchange) -> bytes:
     """Return a hash that identifies equal requests of an organisation."""
     digest = xxhash.xxh3_64((exchange.organisation or "").encode())
--- a/borageworks/gateway/follower.py
+++ b/borageworks/gateway/follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from base64 import b64decode, b64encode
 from collections.abc import Callable, Iterable
@@ -94,6 +95,13 @@
         """Local replica of the store's items."""
         return self._replica
 
+    @property
+    def confirmed_age_s(self) -> float:
+        """Seconds since the replica was current, infinite before that."""
+        if self._confirmed_at is None:
+            return math.inf
+        return self._timers.now() - self._confirmed_at
+
     async def follow_store(self) -> None:
         """Follow the store until cancelled."""
         while True:
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -39,6 +39,7 @@
 from borageworks.gateway.route import RetryPolicy, Route
 from borageworks.gateway.settings import GatewaySettings
 from borageworks.gateway.shutdown import Shutdown
+from borageworks.gateway.stream_versions import StreamVersions
 from borageworks.gateway.upstream import Upstream
 from borageworks.metrics import Metrics
 
@@ -61,7 +62,7 @@
     ----------
     settings
         Settings of the process.
-    codec, directory, placer, upstream, notices, retry_budgets, metrics
+    codec, directory, placer, upstream, notices, streams, retry_budgets, metrics
         Components of the gateway.
     shutdown
         Decides which requests are accepted during shutdown.
@@ -83,6 +84,7 @@
         placer: Placer,
         upstream: Upstream,
         notices: EndpointNotices,
+        streams: StreamVersions,
         retry_budgets: RetryBudgets,
         metrics: Metrics,
         shutdown: Shutdown,
@@ -97,6 +99,7 @@
         self._placer = placer
         self._upstream = upstream
         self._notices = notices
+        self._streams = streams
         self._retry_budgets = retry_budgets
         self._metrics = metrics
         self._shutdown = shutdown
@@ -219,6 +222,7 @@
                 self._placer,
                 self._upstream,
                 self._notices,
+                self._streams,
                 self._metrics,
                 lambda: self._retry_budgets.take(exchange.service, organisation),
             )
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -30,11 +30,18 @@
 from borageworks.gateway.settings import GatewaySettings, HostPort
 from borageworks.gateway.shutdown import Shutdown
 from borageworks.gateway.store import FollowedStore
+from borageworks.gateway.stream_store import StreamStore
+from borageworks.gateway.stream_versions import StreamVersions
 from borageworks.gateway.upstream import Upstream
 from borageworks.metrics import Metrics
 from borageworks.placement.settings import PlacementSettings
 from borageworks.timers import Timers
-from borageworks.wire.messages import ConfigurationVersion, Message, ReplicaNews
+from borageworks.wire.messages import (
+    ConfigurationVersion,
+    Message,
+    ReplicaNews,
+    StreamsBegan,
+)
 
 # Fits the field of the links' Hello.
 INCARNATION_BITS = 63
@@ -127,6 +134,18 @@
             self._link_opened,
         )
         self._notices = EndpointNotices(self._fleet, timers, self._metrics)
+        self._streams = StreamVersions(
+            timers.now(), self._is_replica_current, complete=settings.first_start
+        )
+        self._stream_store = StreamStore(
+            self._codec.own_prefix,
+            self._streams,
+            self._fleet,
+            self._store,
+            timers,
+            self._metrics,
+            self._spawn,
+        )
         self._placer = Placer(
             self._fleet,
             self._directory,
@@ -135,6 +154,7 @@
             self._metrics,
             PlacementSettings(),
             lambda: self._loop_lag.overloaded,
+            self._streams,
         )
         self._feed = Feed(settings, self._fleet, timers, self._metrics)
         self._follower = Follower(
@@ -165,6 +185,7 @@
             self._placer,
             self._upstream,
             self._notices,
+            self._streams,
             self._retry_budgets,
             self._metrics,
             self._shutdown,
@@ -252,6 +273,8 @@
                 self._compare_version(instance, version)
             case ReplicaNews():
                 self._follower.apply_peer_update(message)
+            case StreamsBegan():
+                self._stream_store.receive(message)
             case _:
                 self._placer.receive(instance, message)
 
@@ -265,9 +288,22 @@
             self._fleet.broadcast(self._configuration_version())
             if self._key_name not in change.puts:
                 self._spawn(self._fleet.restore_key())
+        self._stream_store.apply(change)
+        self._update_versions()
         self._placer.update()
         self._cache_follower.update()
 
+    def _update_versions(self) -> None:
+        deployment = self._directory.deployment
+        if deployment is not None:
+            now = self._timers.now()
+            endpoints = self._directory.endpoints.values()
+            self._streams.update(now, deployment, endpoints)
+            self._stream_store.review()
+
+    def _is_replica_current(self) -> bool:
+        return self._follower.confirmed_age_s <= self._settings.recovery_grace_s
+
     def _instances_changed(self, removed: Iterable[str]) -> None:
         for name in removed:
             self._fleet.schedule_close(name)
@@ -332,6 +368,7 @@
             self._instances_changed(expired)
         self._placer.review_owners()
         self._cache_follower.update()
+        self._stream_store.review()
 
     def _report(self, _now: float) -> None:
         self._frontend.report()
--- a/borageworks/gateway/placement_messages.py
+++ b/borageworks/gateway/placement_messages.py
@@ -9,6 +9,8 @@
     CrashingRequestError,
     EndpointUnavailableError,
     RefusalError,
+    StreamUnknownError,
+    StreamVersionGoneError,
 )
 from borageworks.gateway.caller_request import Prompt, PromptPart
 from borageworks.placement.decisions import Decision, Placed, RefusalReason, Refused
@@ -35,6 +37,9 @@
         fingerprint=work.fingerprint,
         version_bound=work.software_version is not None,
         software_version=work.software_version or "",
+        stream=work.stream,
+        stream_lifetime_s=work.stream_lifetime_s,
+        resumed=work.resumed,
     )
     prompt = work.prompt
     if prompt is None:
@@ -68,6 +73,9 @@
         frozenset(request.excluded),
         request.fingerprint,
         request.software_version if request.version_bound else None,
+        request.stream,
+        request.stream_lifetime_s,
+        request.resumed,
     )
 
 
@@ -88,6 +96,7 @@
                 if prefill_speed and learned
                 else 0.0,
                 start_s=prefill_speed.start_s if prefill_speed and learned else 0.0,
+                software_version=decision.software_version,
             )
         case Refused():
             return PlaceReply(
@@ -114,6 +123,14 @@
             return CapacityExceededError(
                 "no endpoint became free in time", retry_after=refused.retry_after_s
             )
+        case RefusalReason.STREAM_UNKNOWN:
+            return StreamUnknownError(
+                "the version of the engine that began the stream is not known"
+            )
+        case RefusalReason.VERSION_GONE:
+            return StreamVersionGoneError(
+                "no engine of the version that began the stream is left"
+            )
         case RefusalReason.SUSPECTED:
             return CrashingRequestError(
                 "three endpoints disconnected while running the request",
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -6,7 +6,7 @@
 import itertools
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import asdict
+from dataclasses import asdict, replace
 from typing import Any
 
 from borageworks.events import Event, emit
@@ -25,6 +25,7 @@
     encode_work,
     refusal_error,
 )
+from borageworks.gateway.stream_versions import StreamVersions
 from borageworks.metrics import Metrics
 from borageworks.placement.cache_update import CacheUpdate
 from borageworks.placement.crash_evidence import CrashEvidence
@@ -93,6 +94,8 @@
         Settings of placement.
     is_overloaded
         Returns whether this process notices events late.
+    streams
+        Versions of the engines that began streams.
     """
 
     def __init__(
@@ -104,6 +107,7 @@
         metrics: Metrics,
         settings: PlacementSettings,
         is_overloaded: Callable[[], bool] = lambda: False,
+        streams: StreamVersions | None = None,
     ) -> None:
         self._fleet = fleet
         self._instance = fleet.instance
@@ -114,6 +118,7 @@
         self._metrics = metrics
         self._settings = settings
         self._is_overloaded = is_overloaded
+        self._streams = StreamVersions() if streams is None else streams
         self._dispatchers: dict[Shard, Dispatcher] = {}
         self._service_shards: dict[str, ServiceShards] = {}
         self._most_endpoints: dict[str, int] = {}
@@ -153,6 +158,7 @@
         CapacityExceededError
             If no endpoint can respond in time.
         """
+        work = self._bind(self._timers.now(), service, work)
         shard = self._find_shard(service, request_id, work)
         if shard not in self._dispatchers:
             raise EndpointUnavailableError(
@@ -263,7 +269,12 @@
                 dispatcher = self._dispatchers.get(shard)
                 if dispatcher is None:
                     dispatcher = Dispatcher(
-                        profile, self._settings, self._fleet.domain, self._evidence
+                        profile,
+                        self._settings,
+                        self._fleet.domain,
+                        self._evidence,
+                        self._streams.origins,
+                        number,
                     )
                     self._dispatchers[shard] = dispatcher
                 if profile.engine is not None and deployment.tokens_per_s:
@@ -462,9 +473,44 @@
         dispatcher.set_capacity_ratio(1.0 if owns else 1.0 / self._fleet.count)
         dispatcher.set_limit_ratio(now, self._limit_ratio(shard, owns))
         self._tally(shard).record_requested(work.organisation, work.units)
-        self._deliver(self._count_refusals(shard, dispatcher.submit(now, work)))
+        decisions = self._submit_bound(now, shard[0], dispatcher, work)
+        self._deliver(self._count_refusals(shard, decisions))
         self._ensure_ticking()
 
+    def _bind(self, now: float, service: str, work: Work) -> Work:
+        """Bind a request that resumes a stream to the version of the stream.
+
+        It stays unbound if the version is not known to this instance.
+        """
+        if not work.resumed:
+            return work
+        resolved = self._streams.resolve(now, service, work.stream)
+        source = "unknown" if resolved is None else resolved.source
+        self._metrics.count("streams_resolved", source)
+        emit(
+            Event.STREAM_RESOLVED,
+            service=service,
+            stream=work.stream.hex(),
+            entry=work.key[0],
+            software_version=None if resolved is None else resolved.version,
+            source=source,
+        )
+        if resolved is None:
+            return work
+        return replace(work, software_version=resolved.version, resumed=False)
+
+    def _submit_bound(
+        self, now: float, service: str, dispatcher: Dispatcher, work: Work
+    ) -> list[Decision]:
+        """Place a request, one that goes on with a stream at the stream's version."""
+        work = self._bind(now, service, work)
+        if work.resumed:
+            return [Refused(work.key, RefusalReason.STREAM_UNKNOWN, 0.0, work)]
+        version = work.software_version
+        if version is not None and not dispatcher.has_version(version):
+            return [Refused(work.key, RefusalReason.VERSION_GONE, 0.0, work)]
+        return dispatcher.submit(now, work)
+
     def _limit_ratio(self, shard: Shard, owns: bool) -> float:
         """Return the fraction of the endpoints' rate limits that is for this instance.
 
@@ -548,8 +594,8 @@
         owns = owner == self._instance
         dispatcher.set_limit_ratio(now, self._limit_ratio(shard, owns))
         self._tally(shard).record_requested(work.organisation, work.units)
-        decisions = self._count_refusals(shard, dispatcher.submit(now, work))
-        self._deliver(decisions, dispatcher.prefill_speed)
+        decisions = self._submit_bound(now, shard[0], dispatcher, work)
+        self._deliver(self._count_refusals(shard, decisions), dispatcher.prefill_speed)
         if all(decision.key != work.key for decision in decisions):
             self._fleet.send(
                 instance, PlaceReply(request.number, PlacementState.WAITING)
@@ -583,7 +629,13 @@
                         reply.seconds_per_token, reply.start_s
                     )
                 self._resolve(
-                    Placed(key, reply.endpoint, reply.unread_tokens, instance)
+                    Placed(
+                        key,
+                        reply.endpoint,
+                        reply.unread_tokens,
+                        instance,
+                        reply.software_version,
+                    )
                 )
             case PlacementState.REFUSED:
                 reason = RefusalReason(reply.reason)
--- a/borageworks/gateway/settings.py
+++ b/borageworks/gateway/settings.py
@@ -50,6 +50,8 @@
     balancer_lag_s
         Time for which the load balancer still sends new connections to an instance
         that is no longer ready.
+    first_start
+        Whether the whole system starts for the first time.
     """
 
     instance: str
@@ -72,3 +74,4 @@
     retry_allowance: float
     balancer_lag_s: float
     metrics_port: int | None = None
+    first_start: bool = False
--- a/borageworks/placement/decisions.py
+++ b/borageworks/placement/decisions.py
@@ -15,6 +15,8 @@
     NO_CAPACITY = 1
     WAIT_TIMEOUT = 2
     SUSPECTED = 3
+    STREAM_UNKNOWN = 4
+    VERSION_GONE = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,13 +24,15 @@
     """Sends the request to an endpoint.
 
     `uncached_tokens` is the number of prompt tokens that the endpoint is expected to
-    prefill; `placed_by` is the instance that decided, if it was another one.
+    prefill; `placed_by` is the instance that decided, if it was another one, and
+    `software_version` the version of the endpoint as known to it.
     """
 
     key: WorkKey
     endpoint: str
     uncached_tokens: int = 0
     placed_by: str = ""
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -21,6 +21,7 @@
 from borageworks.placement.rate_limit import MIN_PER_S, RateLimit
 from borageworks.placement.selection import EndpointSelector
 from borageworks.placement.settings import PlacementSettings
+from borageworks.placement.stream_origins import StreamOrigins
 from borageworks.placement.summary import PlacementSummary
 from borageworks.placement.work import (
     GENERATED_WEIGHT,
@@ -85,6 +86,10 @@
         Failure domain of the instance.
     evidence
         Crashes of endpoints, shared by all dispatchers of the instance.
+    origins
+        Versions of the engines that began streams, shared likewise.
+    shard
+        Number of the shard of the service whose endpoints these are.
     """
 
     def __init__(
@@ -93,6 +98,8 @@
         settings: PlacementSettings,
         domain: str,
         evidence: CrashEvidence | None = None,
+        origins: StreamOrigins | None = None,
+        shard: int = 0,
     ) -> None:
         self._service = service
         self._settings = settings
@@ -119,6 +126,8 @@
         self._limit_ratio = 1.0
         self._mean_duration_s = 0.0
         self._evidence = CrashEvidence() if evidence is None else evidence
+        self._origins = StreamOrigins() if origins is None else origins
+        self._scope = f"{service.name}/{shard}"
         self._unconfirmed: set[WorkKey] = set()
         self._prefill_wait_s = 0.0
         self._limit_wait_s = 0.0
@@ -201,6 +210,13 @@
             return None
         return state
 
+    def has_version(self, version: str) -> bool:
+        """Return whether an endpoint of a version is listed and not leaving."""
+        return version != "" and any(
+            state.endpoint.software_version == version and not state.is_leaving
+            for state in self._endpoints.values()
+        )
+
     def may_run(self, work: Work) -> bool:
         """Return whether an endpoint that is not leaving may run a request."""
         return any(
@@ -290,7 +306,7 @@
         state = self._endpoints.get(self._placed.get(work.key, ""))
         if state is not None:
             running = state.running[work.key]
-            return [Placed(work.key, state.endpoint.id, running.uncached_tokens)]
+            return [self._placed_at(state, work, running)]
         if self._evidence.verdict(now, work.traits) is Verdict.REFUSED:
             reason = RefusalReason.SUSPECTED
             return [Refused(work.key, reason, SUSPECT_RETRY_AFTER_S, work)]
@@ -336,7 +352,7 @@
         if work.key not in self._placed:
             self._add_running(now, state, work).adopted = True
         if started:
-            state.start(now, work.key)
+            self._record_stream(now, state, state.start(now, work.key))
 
     def start(
         self, now: float, key: WorkKey, *, delayed: bool = False
@@ -348,6 +364,8 @@
         self._unconfirmed.discard(key)
         state = self._endpoints.get(self._placed.get(key, ""))
         started = state.start(now, key) if state is not None else None
+        if state is not None:
+            self._record_stream(now, state, started)
         if (
             state is not None
             and started is not None
@@ -363,6 +381,19 @@
             self._prefill_speed.record(tokens, first_token_s / state.slowdown(now))
         return self._place_waiting(now, state)
 
+    def _record_stream(
+        self, now: float, state: EndpointState, started: RunningWork | None
+    ) -> None:
+        """Record the version at which a stream begins or goes on."""
+        if started is not None and started.stream:
+            self._origins.record(
+                now,
+                started.stream,
+                state.endpoint.software_version,
+                started.stream_lifetime_s,
+                self._scope,
+            )
+
     def end(self, now: float, key: WorkKey, outcome: WorkOutcome) -> list[Decision]:
         """Record the end of a placed request."""
         self._unconfirmed.discard(key)
@@ -655,8 +686,17 @@
         self._fair_queue.charge(work.organisation, self._charged_units(state, work))
         if state.rate_limit is not None:
             state.rate_limit.take(now)
-        running = self._add_running(now, state, work)
-        return Placed(work.key, state.endpoint.id, running.uncached_tokens)
+        return self._placed_at(state, work, self._add_running(now, state, work))
+
+    def _placed_at(
+        self, state: EndpointState, work: Work, running: RunningWork
+    ) -> Placed:
+        return Placed(
+            work.key,
+            state.endpoint.id,
+            running.uncached_tokens,
+            software_version=state.endpoint.software_version,
+        )
 
     def _add_running(self, now: float, state: EndpointState, work: Work) -> RunningWork:
         uncached = self._uncached_tokens(state, work)
@@ -667,6 +707,8 @@
             backlog_tokens=backlog + uncached,
             placed_at=now,
             traits=work.traits,
+            stream=work.stream,
+            stream_lifetime_s=work.stream_lifetime_s,
         )
         self._evidence.begin(now, running.traits)
         state.add(now, work.key, running)
--- a/borageworks/placement/endpoint_state.py
+++ b/borageworks/placement/endpoint_state.py
@@ -55,6 +55,8 @@
         Whether another instance placed it, at an unknown time.
     prefilled
         Whether its prompt no longer counts as work ahead of later requests.
+    stream, stream_lifetime_s
+        Id of its event stream, and seconds for which the caller may resume it.
     """
 
     uncached_tokens: int
@@ -65,6 +67,8 @@
     traits: tuple[bytes, ...] = ()
     adopted: bool = False
     prefilled: bool = False
+    stream: bytes = b""
+    stream_lifetime_s: float = 0.0
 
     def started_recently(self, now: float) -> bool:
         """Return whether it has not started yet, or only just.
--- a/borageworks/placement/work.py
+++ b/borageworks/placement/work.py
@@ -41,6 +41,13 @@
     software_version
         Version of the only endpoints that may run it, as it goes on with a stream of
         that version; None for any endpoint.
+    stream
+        Id of the event stream that it begins or goes on with, empty if its caller
+        cannot resume it or does not name it.
+    stream_lifetime_s
+        Seconds for which the caller may resume the stream.
+    resumed
+        Whether the caller resumes a stream whose version is not known yet.
     """
 
     key: WorkKey
@@ -51,6 +58,9 @@
     excluded: frozenset[str] = frozenset()
     fingerprint: bytes = b""
     software_version: str | None = None
+    stream: bytes = b""
+    stream_lifetime_s: float = 0.0
+    resumed: bool = False
 
     def may_run_at(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint may run it, now or later."""
--- a/borageworks/platform/settings.py
+++ b/borageworks/platform/settings.py
@@ -90,6 +90,7 @@
     limits: _Limits = _Limits()
     bounds: _Bounds
     platform: _Store
+    bootstrap: bool = False
 
 
 def load_settings(path: Path) -> GatewaySettings:
@@ -182,6 +183,7 @@
         retry_window_s=bounds.budget_window_s,
         retry_allowance=bounds.budget_extra,
         balancer_lag_s=BALANCER_LAG_S,
+        first_start=model.bootstrap,
     )
 
 
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -313,7 +313,8 @@
     `aim_s` is the time left of the target latency and `patience_s` the maximum wait for
     an endpoint, both in seconds from now. The fields after `prompt` describe a prompt
     only if it is true. If `version_bound` is true, only endpoints with that
-    `software_version` may run the request.
+    `software_version` may run the request. `stream` is the id of its event stream, of
+    which the receiver has to find the version if `resumed` is true.
     """
 
     number: int
@@ -331,6 +332,9 @@
     fingerprint: bytes = b""
     version_bound: bool = False
     software_version: str = ""
+    stream: bytes = b""
+    stream_lifetime_s: float = 0.0
+    resumed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -339,7 +343,7 @@
 
     `unread_tokens` counts the uncached tokens. `seconds_per_token` and `start_s` are
     the prefill speed of engines as measured by the owner, for the next owner of the
-    shard; 0 if it has not been measured.
+    shard; 0 if it has not been measured. `software_version` is that of the endpoint.
     """
 
     number: int
@@ -350,6 +354,7 @@
     retry_after_s: float = 0.0
     seconds_per_token: float = 0.0
     start_s: float = 0.0
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -425,6 +430,18 @@
     pause_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class StreamsBegan:
+    """Tells which streams began at engines with a version of their software.
+
+    Callers may resume them for `lifetime_s` seconds.
+    """
+
+    version: str
+    lifetime_s: float
+    streams: tuple[bytes, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ReplicaItem:
     """An item of the platform's store and its revision."""
@@ -541,4 +558,5 @@
     | CrashTrait
     | EndpointStatement
     | ConfigurationVersion
+    | StreamsBegan
 )
--- a/borageworks_emulator/platform/harness.py
+++ b/borageworks_emulator/platform/harness.py
@@ -35,6 +35,7 @@
     name: str = "edge-1",
     grace_s: float = 8,
     domain: str = "zone-a",
+    bootstrap: bool = False,
 ) -> str:
     """Return the text of a gateway's settings file."""
     front, ready, control, peer = ports
@@ -57,6 +58,7 @@
             "bounds.budget_extra=50",
             f"platform.address={store[0]}:{store[1]}",
             "some_new_field=1",
+            f"bootstrap={str(bootstrap).lower()}",
         )
     )
 
@@ -149,7 +151,13 @@
             await self.configure(configuration())
         self.ports = free_ports(4)
         settings = parse_settings(
-            settings_text(self.store.address, self.ports, self._name, self._grace_s)
+            settings_text(
+                self.store.address,
+                self.ports,
+                self._name,
+                self._grace_s,
+                bootstrap=self._owns_store,
+            )
         )
         # All components share one event loop, so its lag does not show how loaded the
         # gateway is.
@@ -181,13 +189,14 @@
 
     async def wait_until_current(self) -> None:
         """Wait until the gateway has applied all changes of the store."""
-        await self._wait_until(lambda: self.gateway.revision >= self.store.revision)
+        await self.wait_until(lambda: self.gateway.revision >= self.store.revision)
 
     async def wait_until_linked(self, count: int) -> None:
         """Wait until the gateway knows and can reach `count` instances."""
-        await self._wait_until(lambda: self.gateway.linked_instances >= count)
+        await self.wait_until(lambda: self.gateway.linked_instances >= count)
 
-    async def _wait_until(self, condition: Callable[[], bool]) -> None:
+    async def wait_until(self, condition: Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
         async with asyncio.timeout(READY_TIMEOUT_S):
             while not condition():  # noqa: ASYNC110
                 await asyncio.sleep(POLL_INTERVAL_S)
--- a/borageworks_emulator/platform/tests/test_stream_versions.py
+++ b/borageworks_emulator/platform/tests/test_stream_versions.py
@@ -12,12 +12,14 @@
     event_bytes,
 )
 from borageworks_emulator.platform.harness import (
+    API_KEY,
     ENGINE_SERVICE,
     PLAIN_SERVICE,
     Harness,
     configuration,
     linked_fleet,
 )
+from borageworks_emulator.platform.store import StoreFault
 
 EVENTS = 5
 MAX_ATTEMPTS = 4
@@ -25,6 +27,8 @@
 AT_ONCE_S = 0.5
 # Time in which the version of a stream is known to the store.
 STORED_S = 1.5
+# Time in which other instances know it.
+SHARED_S = 0.3
 
 
 def whole_stream(first=0):
@@ -161,13 +165,18 @@
     return status, body == whole_stream(events)
 
 
+def stores(harness, kind):
+    """Return whether the store holds a key of the gateway of some kind."""
+    return any(key.startswith(f"borageworks/{kind}/") for key in harness.store.keys)
+
+
 def resumed_runs(engines):
     """Return the attempt that each resumed run of some engines goes on from."""
     return {
-        run.headers.get("Resumes")
+        run.headers["Resumes"]
         for emulated in engines
         for run in emulated.runs
-        if "Last-Event-Id" in run.headers
+        if "Resumes" in run.headers and "Last-Event-Id" in run.headers
     }
 
 
@@ -243,3 +252,141 @@
         self.check_versions(begun)
         self.assertEqual([(200, True)] * 12, answers[:12])
         self.assertEqual(set(), {*answers[12:]} - {(200, True), (503, False)})
+
+    def test_streams_taken_up_after_their_instance_was_killed(self):
+        """Guards against streams that only the instance which began them knows."""
+
+        async def scenario(first, stack):
+            others = [await self.start(first, stack, f"edge-{n}") for n in (2, 3)]
+            for harness in (first, *others):
+                await harness.wait_until_linked(3)
+            begun = await begin(first, 8)
+            first.store.fault = StoreFault.SILENT
+            begun += await begin(first, 8)
+            await asyncio.sleep(SHARED_S)
+            await first.gateway.close()
+            answers = []
+            for number, stream in enumerate(begun):
+                answers.append(await take_up(others[number % 2], *stream))
+            return begun, answers
+
+        begun, answers = self.run_scenario(scenario)
+        self.check_versions(begun)
+        self.assertEqual([(200, True)] * 16, answers)
+
+    def test_stream_taken_up_for_the_third_and_fourth_time(self):
+        """Guards against a stream that is only known by its last attempt."""
+        for emulated in [*self.old, *self.new]:
+            emulated.behaviour_of = lambda request: Behaviour(reset_after_events=1)
+
+        async def scenario(first, stack):
+            second = await self.start(first, stack, "edge-2")
+            for harness in (first, second):
+                await harness.wait_until_linked(2)
+                await allow_attempts(harness, 1)
+            begun = await begin(first, 6)
+            for attempt, events in begun:
+                for taken in range(1, 4):
+                    harness = (first, second)[taken % 2]
+                    answer = await receive(
+                        harness, Resumes=attempt, Last_Event_Id=str(events + taken - 2)
+                    )
+                    self.assertEqual(event_bytes(events + taken - 1), answer[2])
+            return begun
+
+        self.check_versions(self.run_scenario(scenario))
+
+    def test_streams_that_cannot_be_told_are_refused_at_once(self):
+        """Guards against guesses, and against others' streams that callers learn of."""
+
+        async def scenario(first, stack):
+            await first.configure(
+                configuration(
+                    2,
+                    tenants=[
+                        {"name": "workshop", "api_keys": [API_KEY]},
+                        {"name": "other", "api_keys": ["key-2"]},
+                    ],
+                )
+            )
+            await first.wait_until_current()
+            ((attempt, _),) = await begin(first, 1)
+            started_at = asyncio.get_running_loop().time()
+            odd = [
+                await take_up(first, "unknown", 2),
+                await take_up(first, "", 2),
+                await take_up(first, "\u00e4" * 50, 2),
+                await take_up(first, attempt, 2, Authorization="Token key-2"),
+            ]
+            status, *_ = await receive(first, Last_Event_Id="1")
+            taken_s = asyncio.get_running_loop().time() - started_at
+            return odd, status, taken_s, await take_up(first, attempt, 2)
+
+        odd, unnamed, taken_s, sound = self.run_scenario(scenario)
+        self.assertEqual([(503, False)] * 4, odd)
+        self.assertEqual((503, (200, True)), (unnamed, sound))
+        self.assertTrue(taken_s < 5 * AT_ONCE_S, taken_s)
+        self.assertEqual(1, len(resumed_runs([*self.old, *self.new])))
+
+    def test_request_that_names_a_stream_of_which_it_has_nothing(self):
+        """Guards against new streams and other routes that `Resumes` holds up."""
+        for emulated in [*self.old, *self.new]:
+            emulated.behaviour_of = lambda _request: Behaviour()
+
+        async def scenario(first, stack):
+            begun = await receive(first, Resumes="unknown")
+            other = await receive(first, "/once/", Resumes="unknown", Last_Event_Id="1")
+            return begun[2], other[0]
+
+        self.assertEqual((whole_stream(), 200), self.run_scenario(scenario))
+
+    def test_streams_of_a_service_with_one_version_are_always_taken_up(self):
+        """Guards against streams refused after a kill of all without need."""
+        self.new = []
+
+        async def scenario(first, stack):
+            await first.wait_until(lambda: stores(first, "software"))
+            begun = await begin(first, 6)
+            await first.gateway.close()
+            again = await self.start(first, stack, "edge-1")
+            stored = stores(first, "streams")
+            return stored, [await take_up(again, *stream) for stream in begun]
+
+        stored, answers = self.run_scenario(scenario)
+        self.assertEqual((False, [(200, True)] * 6), (stored, answers))
+
+    def test_stream_whose_version_has_gone_is_refused_at_once(self):
+        """Guards against a caller that waits for engines which have been replaced."""
+
+        async def scenario(first, stack):
+            begun = await begin(first, 6)
+            for emulated in self.old:
+                await first.register(emulated, ENGINE_SERVICE, state="draining")
+            await first.wait_until_current()
+            started_at = asyncio.get_running_loop().time()
+            answers = [await take_up(first, *stream) for stream in begun]
+            return begun, answers, asyncio.get_running_loop().time() - started_at
+
+        begun, answers, taken_s = self.run_scenario(scenario)
+        self.check_versions(begun)
+        new = new_runs(self.new)
+        expected = [(200, True) if a in new else (503, False) for a, _ in begun]
+        self.assertEqual(expected, answers)
+        self.assertTrue(taken_s < 6 * AT_ONCE_S, taken_s)
+
+    def test_engine_that_starts_again_with_other_software(self):
+        """Guards against a stream that goes on where it was, at another version."""
+
+        async def scenario(first, stack):
+            begun = await begin(first, 8)
+            for emulated in self.old:
+                emulated.software_version = "v3"
+                entry = emulated.entry(ENGINE_SERVICE)
+                entry = entry.replace(b'"seq":1', b'"seq":1,"born":7')
+                await first.store.put(f"servers/{emulated.name}", entry)
+            await first.wait_until_current()
+            return begun, [await take_up(first, *stream) for stream in begun]
+
+        begun, _ = self.run_scenario(scenario)
+        began_at_old = {attempt for attempt, _ in begun} & new_runs(self.old)
+        self.assertEqual(set(), began_at_old & resumed_runs([*self.old, *self.new]))
