--- a/borageworks/gateway/stream_store.py
+++ b/borageworks/gateway/stream_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
@@ -27,11 +28,11 @@
 SHARE_INTERVAL_S = 0.1
 # Interval of writes to the store. What began since the last one is lost if all
 # instances end at the same moment.
-STORE_INTERVAL_S = 0.5
-# Keys a shard, overwritten in turn; together they hold the streams of 30 s.
-KEYS_PER_SHARD = 60
+STORE_INTERVAL_S = 0.25
 # Time for which a stream that the store tells of may be resumed: its age is not known.
-STORED_LIFETIME_S = 30.0
+STORED_LIFETIME_S = 20.0
+# Keys of a shard, overwritten in turn.
+KEYS_PER_SHARD = math.ceil(STORED_LIFETIME_S / STORE_INTERVAL_S)
 # Streams in one value, well below the largest value of the store.
 MAX_STREAMS_PER_KEY = 8192
 # Keys in one transaction of the store.
