Let the soak's callers resume streams at engines of several versions

New guarantee ONE_VERSION, with tests that it is reported within one answer and over tries; the other checks compare whole streams as before, now with the version in each event.

--- a/borageworks_emulator/platform/endpoint.py
+++ b/borageworks_emulator/platform/endpoint.py
@@ -52,6 +52,8 @@
         Whether the response has a plain body instead of an event stream.
     with_request_id
         Whether body and events contain the request id.
+    with_version
+        Whether events contain the version of the endpoint's software.
     response_delay_s
         Seconds before the response, or the first event of a stream.
     copy_delay_s
@@ -73,6 +75,7 @@
     dribbles: bool = False
     plain_body: bool = False
     with_request_id: bool = False
+    with_version: bool = False
     response_delay_s: float = 0.0
     copy_delay_s: float | None = None
 
@@ -247,6 +250,7 @@
         while behaviour.dribbles:
             await response.write(b":")
             await asyncio.sleep(behaviour.event_interval_s)
+        version = f"@{self.software_version}" if behaviour.with_version else ""
         first = int(request.headers.get("Last-Event-Id", "-1")) + 1
         for sent, event in enumerate(range(first, behaviour.events)):
             if sent == behaviour.reset_after_events:
@@ -256,7 +260,7 @@
                 await asyncio.sleep(RESET_DELAY_S)
                 _reset(request)
                 return response
-            await response.write(event_bytes(event, request_id))
+            await response.write(event_bytes(event, request_id + version))
             await asyncio.sleep(behaviour.event_interval_s)
         await response.write_eof()
         return response
--- a/borageworks_emulator/soak/call.py
+++ b/borageworks_emulator/soak/call.py
@@ -39,6 +39,14 @@
         Number of events of the response, 0 for plain responses.
     sent_at
         Event loop time of sending.
+    first_event
+        Event at which the response begins, not 0 if the caller resumes a stream.
+    origin
+        Id of the request that brought the first event, empty for this one.
+    software_version
+        Version of the engine that wrote the events received, empty before the first.
+    received
+        Number of complete events received.
     """
 
     id: str
@@ -48,6 +56,10 @@
     tokens: int
     events: int
     sent_at: float
+    first_event: int = 0
+    origin: str = ""
+    software_version: str = ""
+    received: int = 0
     ended_at: float | None = None
     first_bytes_at: float | None = None
     ending: Ending | None = None
--- a/borageworks_emulator/soak/caller.py
+++ b/borageworks_emulator/soak/caller.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import aiohttp
 
@@ -28,6 +28,9 @@
 GENERATED_TOKENS_RANGE = (12, 60)
 # Fraction of requests whose caller disconnects before the response is complete.
 DISCONNECT_RATIO = 0.05
+# Tries to resume a stream, and pauses between them.
+MAX_RESUMPTIONS = 4
+RESUMPTION_PAUSE_RANGE_S = (0.05, 0.8)
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,11 +102,10 @@
             async with _session() as session:
                 for _ in range(self._rng.randint(1, MAX_REQUESTS_PER_CONNECTION)):
                     disconnects = self._rng.random() < DISCONNECT_RATIO
-                    call = await self._send(
-                        session,
-                        self._next_call(gateway, self._pick_route()),
-                        disconnects,
-                    )
+                    request = self._next_call(gateway, self._pick_route())
+                    call = await self._send(session, request, disconnects)
+                    if call.ending is Ending.CUT and call.route == "resume":
+                        await self._resume(*request)
                     await asyncio.sleep(self._pause_s(call))
                     if call.ending in (Ending.CUT, Ending.CLOSED, Ending.UNCONNECTED):
                         break
@@ -113,6 +115,42 @@
         async with _session() as session:
             return await self._send(session, self._next_call(gateway, route), False)
 
+    async def _resume(self, call: Call, headers: Mapping[str, str]) -> None:
+        """Resume a stream that has broken off, at the gateway that the balancer picks.
+
+        A few tries are made, and only if the caller has an event of the stream.
+        """
+        for _ in range(MAX_RESUMPTIONS):
+            next_event = call.first_event + call.received
+            if not next_event:
+                return
+            self._request_count += 1
+            call = replace(
+                call,
+                id=f"{self._name}-{self._request_count}",
+                gateway=self._balancer.pick(self._address),
+                sent_at=asyncio.get_running_loop().time(),
+                first_event=next_event,
+                origin=call.origin or call.id,
+                received=0,
+                ended_at=None,
+                first_bytes_at=None,
+                ending=None,
+                status=None,
+                detail="",
+            )
+            headers = {
+                **headers,
+                ATTEMPT_ID_HEADER: call.id,
+                "Resumes": call.origin,
+                "Last-Event-Id": str(next_event - 1),
+            }
+            async with _session() as session:
+                call = await self._send(session, (call, headers), False)
+            if call.ending in (Ending.ANSWERED, Ending.FAILED, Ending.WAITED):
+                return
+            await asyncio.sleep(self._rng.uniform(*RESUMPTION_PAUSE_RANGE_S))
+
     def _pick_route(self) -> str:
         weights = self._profile.route_weights
         return self._rng.choices(list(weights), list(weights.values()))[0]
@@ -130,7 +168,7 @@
     async def _send(
         self,
         session: aiohttp.ClientSession,
-        request: tuple[Call, dict[str, str]],
+        request: tuple[Call, Mapping[str, str]],
         disconnects: bool,
     ) -> Call:
         call, headers = request
--- a/borageworks_emulator/soak/endpoints.py
+++ b/borageworks_emulator/soak/endpoints.py
@@ -9,7 +9,10 @@
 from aiohttp import web
 
 from borageworks_emulator.platform.endpoint import Behaviour, EmulatedEndpoint, Run
-from borageworks_emulator.soak.guarantee_checker import GuaranteeChecker
+from borageworks_emulator.soak.guarantee_checker import (
+    SOFTWARE_VERSIONS,
+    GuaranteeChecker,
+)
 
 ENGINE_SLOTS = 8
 # Requests that an endpoint accepts beyond its slots before it refuses.
@@ -50,6 +53,8 @@
         self.service = service
         self.engine = engine
         self.misbehaviour: Misbehaviour = regular
+        self._generation = int(name.rpartition("-")[2])
+        self.software_version = self._version()
         self._checker = checker
         self._running: set[int] = set()
         self._cached_parts: set[str] = set()
@@ -65,9 +70,15 @@
     def restart_as(self, name: str) -> None:
         """Become a new incarnation with an empty prompt cache."""
         self.name = name
+        self._generation += 1
+        self.software_version = self._version()
         self._cached_parts.clear()
         self._prefill_free_at = 0.0
 
+    def _version(self) -> str:
+        """Return the version of its software, which each restart may change."""
+        return SOFTWARE_VERSIONS[self._generation % len(SOFTWARE_VERSIONS)]
+
     def _behaviour_of(self, request: web.BaseRequest) -> Behaviour:
         if len(self._running) >= self.slots + ENDPOINT_QUEUE_LENGTH:
             return Behaviour(not_run=True)
@@ -84,6 +95,7 @@
         return self.misbehaviour(
             Behaviour(
                 with_request_id=True,
+                with_version=True,
                 events=event_count(generated_tokens),
                 event_interval_s=EVENT_INTERVAL_S,
                 response_delay_s=self._prefill_delay_s(
--- a/borageworks_emulator/soak/guarantee.py
+++ b/borageworks_emulator/soak/guarantee.py
@@ -13,6 +13,7 @@
     ATTEMPTS = "a request runs at most as often as its route allows"
     UNCHANGED_REQUEST = "an endpoint gets the request as the caller sent it"
     OWN_ANSWER = "a caller gets its own answer, whole and in order"
+    ONE_VERSION = "a stream has events of one version of the engines' software"
     TRUE_REFUSAL = "a request that was refused as not run has not run"
     LEAVING_ENDPOINT = "an endpoint that leaves gets no requests after its delay"
     CONFIGURATION_APPLIED = "a configuration is in force after its delay"
--- a/borageworks_emulator/soak/guarantee_checker.py
+++ b/borageworks_emulator/soak/guarantee_checker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -19,6 +20,9 @@
 from borageworks_emulator.soak.disturbances import STORE, Disturbances
 from borageworks_emulator.soak.guarantee import Guarantee, Violation
 
+# Versions of the engines' software; events name the one that wrote them.
+SOFTWARE_VERSIONS = ("v0", "v1", "v2")
+_VERSION = re.compile(rb"@(v\d)\n\n")
 # Non-idempotent routes of the emulated platform's configuration.
 NON_IDEMPOTENT_ROUTES = frozenset(("once", "book"))
 # Prefix of the ids of requests that probe which configuration is in effect.
@@ -182,7 +186,8 @@
             )
             return
         if call.events:
-            expected = stream_bytes(call)
+            self.record_events(call, body)
+            expected = stream_bytes(call, call.software_version)
         else:
             expected = plain_body_text(seal.removeprefix("seal-of-"), call.id).encode()
         if body != expected:
@@ -194,11 +199,28 @@
 
     def check_partial_response(self, call: Call, body: bytes) -> None:
         """Check what arrived of a stream before it was cut."""
-        if call.events and not stream_bytes(call).startswith(body):
+        if not call.events:
+            return
+        self.record_events(call, body)
+        versions = [call.software_version] if call.received else SOFTWARE_VERSIONS
+        if not any(stream_bytes(call, item).startswith(body) for item in versions):
             self.report(
                 Guarantee.OWN_ANSWER, f"{_describe(call)} was cut after {body[-120:]!r}"
             )
 
+    def record_events(self, call: Call, body: bytes) -> None:
+        """Record the events received, and check that one version wrote them."""
+        versions = [found.decode() for found in _VERSION.findall(body)]
+        call.received = len(versions)
+        known = {*versions, call.software_version} - {""}
+        if len(known) > 1:
+            self.report(
+                Guarantee.ONE_VERSION,
+                f"{_describe(call)}, from event {call.first_event} of "
+                f"{call.origin or call.id}, has events of {sorted(known)}",
+            )
+        call.software_version = versions[-1] if versions else call.software_version
+
     def _check_shutdown(self, request: _Request) -> None:
         call = request.call
         assert call.ended_at is not None
@@ -233,9 +255,12 @@
         return self._disturbances.undisturbed(gateway, since - CONTACT_BOUND_S, until)
 
 
-def stream_bytes(call: Call) -> bytes:
-    """Return the complete stream that responds to a request."""
-    return b"".join(event_bytes(event, call.id) for event in range(call.events))
+def stream_bytes(call: Call, version: str) -> bytes:
+    """Return the complete stream with which a version responds to a request."""
+    return b"".join(
+        event_bytes(event, f"{call.id}@{version}")
+        for event in range(call.first_event, call.events)
+    )
 
 
 def _describe(call: Call) -> str:
--- a/borageworks_emulator/soak/report.py
+++ b/borageworks_emulator/soak/report.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from borageworks_emulator.soak.call import Call
+from borageworks_emulator.soak.call import Call, Ending
 from borageworks_emulator.soak.fault_planner import PlannedFault
 from borageworks_emulator.soak.guarantee import Violation
 from borageworks_emulator.soak.settings import SoakSettings
@@ -48,10 +48,13 @@
             f"{count} {ending.value if ending else 'open'}"
             for ending, count in endings.most_common()
         )
+        resumed = [call for call in self.calls if call.origin]
+        went_on = sum(call.ending is Ending.ANSWERED for call in resumed)
         recovery = "-" if self.recovery_s is None else f"{self.recovery_s:.1f} s"
         return [
             f"seed {self.settings.seed}: {len(self.plan)} faults in "
             f"{self.settings.duration_s:g} s, {len(self.calls)} requests ({counts}), "
+            f"{len(resumed)} streams resumed ({went_on} answered), "
             f"recovery {recovery}, {len(self.violations)} broken promises",
             *(violation.line() for violation in self.violations),
         ]
--- a/borageworks_emulator/soak/tests/test_checkers.py
+++ b/borageworks_emulator/soak/tests/test_checkers.py
@@ -1,5 +1,6 @@
 """Tests that each check of a soak reports its violations and no others."""
 
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any, cast
 
@@ -133,7 +134,7 @@
 class ResponseTest(CheckerTestCase):
     def test_crossed_truncated_and_corrupt_responses_are_reported(self):
         call = self.send_call("resume", events=3)
-        complete = stream_bytes(call)
+        complete = stream_bytes(call, "v0")
         self.checker.check_response(call, "", call.id, complete)
         self.checker.check_partial_response(call, complete[:10])
         self.assert_violations()
@@ -142,6 +143,31 @@
         self.checker.check_partial_response(call, complete[5:])
         self.assert_violations(*[Guarantee.OWN_ANSWER] * 3)
 
+    def test_stream_of_two_versions_is_reported(self):
+        """Guards against a soak that does not see streams joined."""
+        call = self.send_call("resume", events=4)
+        old, new = (stream_bytes(call, version) for version in ("v0", "v1"))
+        event = old.index(b"\n\n") + 2
+        joined = old[:event] + new[event:]
+        self.checker.check_partial_response(call, joined)
+        self.assertIn(
+            Guarantee.ONE_VERSION, {item.guarantee for item in self.checker.violations}
+        )
+
+    def test_resumed_stream_of_another_version_is_reported(self):
+        """Guards against a soak that checks single answers only."""
+        call = self.send_call("resume", events=4)
+        whole = stream_bytes(call, "v0")
+        self.checker.check_partial_response(call, whole[: whole.index(b"\n\n") + 2])
+        resumed = replace(call, id="r-2", first_event=1, origin=call.id, received=0)
+        self.checker.request_sent(resumed)
+        rest = stream_bytes(resumed, "v0")
+        self.checker.check_response(resumed, "", "r-2", rest)
+        self.assert_violations()
+        rest = stream_bytes(resumed, "v1")
+        self.checker.check_response(resumed, "", "r-2", rest)
+        self.assert_violations(Guarantee.ONE_VERSION)
+
     def test_cut_at_shutdown_is_reported(self):
         call = self.send_call()
         self.start_run(call)
