Resume no stream of the product's own interface at other software

A broken model stream goes on at any engine that agrees to resume it, which generates the rest by its own software. Change: events that state a system_fingerprint bind the stream to it; an engine whose first resumed content states another one is taken for one that did not resume, and another is tried. Engines that state none go on as before. Measured: test_stream_is_not_resumed_by_an_engine_with_other_software fails on the code before and passes now, with the tests of endpoints and routers.

--- a/borageworks/endpoints/engine.py
+++ b/borageworks/endpoints/engine.py
@@ -112,6 +112,9 @@
             events = decoder.feed(data)
             if not events:
                 continue
+            if not first_content_at:
+                for event in events:
+                    _check_software(event, progress)
             if not sink.started:
                 await sink.start(200, end_to_end(response.headers.items()))
             forwarded = [event for event in events if _is_forwarded(event, call)]
@@ -158,6 +161,18 @@
     return value if isinstance(value, int) and value > 0 else 0
 
 
+def _check_software(event: StreamEvent, progress: Progress) -> None:
+    """Check that a resumed stream goes on with the software that began it."""
+    if not event.content or not event.software:
+        return
+    if progress.content_bytes and progress.software not in ("", event.software):
+        raise EndpointReplyIncompleteError(
+            f"software {event.software!r} does not go on with a stream of "
+            f"{progress.software!r}"
+        )
+    progress.software = event.software
+
+
 def _is_forwarded(event: StreamEvent, call: Call) -> bool:
     return call.wants_usage or not event.only_usage
 
--- a/borageworks/endpoints/progress.py
+++ b/borageworks/endpoints/progress.py
@@ -16,6 +16,8 @@
     content_bytes
         Bytes of generated content sent to the caller; a resumed stream starts at this
         offset.
+    software
+        Version of the software that generated the content, empty if not stated.
     sent
         Whether the request may have reached an endpoint in any attempt.
     last_received_at
@@ -27,3 +29,4 @@
     content_bytes: int = 0
     sent: bool = False
     last_received_at: float = 0.0
+    software: str = ""
--- a/borageworks/endpoints/stream.py
+++ b/borageworks/endpoints/stream.py
@@ -29,6 +29,8 @@
         Whether this is the end marker.
     only_usage
         Whether the event has no choices, like the usage event that ends a stream.
+    software
+        Version of the software that generated the content, empty if not stated.
     """
 
     raw: bytes
@@ -36,6 +38,7 @@
     usage: dict[str, Any] | None = None
     done: bool = False
     only_usage: bool = False
+    software: str = ""
 
 
 class StreamDecoder:
@@ -79,11 +82,13 @@
         raise EndpointReplyMalformedError("stream event has no 'choices' list")
     choices = body["choices"]
     usage = body.get("usage")
+    software = body.get("system_fingerprint")
     return StreamEvent(
         raw,
         content=b"".join(_content(choice) for choice in choices),
         usage=usage if isinstance(usage, dict) else None,
         only_usage=not choices,
+        software=software if isinstance(software, str) else "",
     )
 
 
--- a/borageworks/endpoints/tests/test_clients.py
+++ b/borageworks/endpoints/tests/test_clients.py
@@ -25,11 +25,11 @@
 )
 
 
-def token_event(text):
-    return (
-        b"data: %b\n\n"
-        % json.dumps({"choices": [{"index": 0, "delta": {"content": text}}]}).encode()
-    )
+def token_event(text, software=None):
+    event = {"choices": [{"index": 0, "delta": {"content": text}}]}
+    if software is not None:
+        event["system_fingerprint"] = software
+    return b"data: %b\n\n" % json.dumps(event).encode()
 
 
 USAGE_EVENT = (
@@ -217,6 +217,28 @@
         self.assertEqual(token_event("cd") + DONE_EVENT, sink.body)
         self.assertEqual(4, progress.content_bytes)
 
+    def test_stream_is_not_resumed_by_an_engine_with_other_software(self):
+        """Guards against a stream joined from two versions of the engines' software."""
+        head = response_head(200, "text/event-stream", "Transfer-Encoding: chunked")
+        head += b"Resume-Offset: 2\r\n\r\n"
+        for software, forwarded in (("v1", True), ("v2", False), (None, True)):
+            interrupted = Progress(content_bytes=2, sent=True, software="v1")
+            rest = token_event("cd", software)
+            result, sink, progress, _ = self.exchange(
+                "engine",
+                make_call(),
+                head + chunked(rest, DONE_EVENT),
+                progress=interrupted,
+            )
+            if forwarded:
+                self.assertEqual(rest + DONE_EVENT, sink.body)
+            else:
+                self.assertIsInstance(result, EndpointReplyIncompleteError)
+                self.assertEqual((b"", 2), (sink.body, progress.content_bytes))
+        begun = STREAM_HEAD + chunked(token_event("ab", "v1"), DONE_EVENT)
+        *_, progress, _ = self.exchange("engine", make_call(), begun)
+        self.assertEqual("v1", progress.software)
+
     def test_stream_that_was_not_resumed_is_not_forwarded(self):
         """Guards against appending a complete response to its own beginning."""
         interrupted = Progress(content_bytes=2, sent=True)
