Tell an instance of another failure domain which streams began

The owner of a shard told one successor, which may be in its own failure domain: with that domain lost and the store away, streams of several versions were unknown to the rest, and refused. Change: two successors, one of them the next owner after the loss of the whole domain. Measured: the tests of ownership with the new cases pass.

--- a/borageworks/gateway/fleet.py
+++ b/borageworks/gateway/fleet.py
@@ -302,6 +302,24 @@
         owners = ranked(key, self._candidates)
         return owners[1] if len(owners) > 1 else None
 
+    def successors(self, key: str) -> set[str]:
+        """Return the instances that own a key after the loss of its owner.
+
+        One of them does so after the loss of the owner's whole failure domain.
+        """
+        if self._candidates is None:
+            self._candidates = self._find_candidates()
+        owners = ranked(key, self._candidates)
+        if len(owners) < 2:
+            return set()
+        domain = self._domain_of(owners[0])
+        elsewhere = (name for name in owners if self._domain_of(name) != domain)
+        return {owners[1], next(elsewhere, owners[1])}
+
+    def _domain_of(self, instance: str) -> str:
+        record = self._instances.others.get(instance)
+        return self.domain if record is None else record.domain
+
     def readers(self) -> list[str]:
         """Return the instances that read the store for this failure domain.
 
--- a/borageworks/gateway/stream_store.py
+++ b/borageworks/gateway/stream_store.py
@@ -24,7 +24,7 @@
 
 HISTORY_PREFIX = "software/"
 STREAMS_PREFIX = "streams/"
-# Interval at which the instance that would take over a shard is told of its streams.
+# Interval at which the instances that may take over a shard are told of its streams.
 SHARE_INTERVAL_S = 0.1
 # Interval of writes to the store. What began since the last one is lost if all
 # instances end at the same moment.
@@ -159,16 +159,16 @@
                 self._record(stream, origin)
 
     def _share(self, now: float) -> None:
-        """Tell the owner of a shard and the one that would take over from it."""
+        """Tell the owner of a shard and those that may take over from it."""
         self._share_timer = None
         unshared, self._unshared = self._unshared, {}
         for scope, streams in unshared.items():
-            receivers = {self._fleet.owner(scope), self._fleet.stand_in(scope)}
+            receivers = {self._fleet.owner(scope), *self._fleet.successors(scope)}
             for version, ids in _by_version(streams).items():
                 lifetime_s = max(streams[item].expires_at for item in ids) - now
                 message = StreamsBegan(version, max(lifetime_s, 0.0), tuple(ids))
-                for receiver in receivers - {self._fleet.instance, None}:
-                    self._fleet.send(str(receiver), message)
+                for receiver in receivers - {self._fleet.instance}:
+                    self._fleet.send(receiver, message)
 
     def _schedule_store(self, delay_s: float) -> None:
         if self._store_timer is None:
--- a/borageworks/gateway/tests/test_fleet.py
+++ b/borageworks/gateway/tests/test_fleet.py
@@ -14,6 +14,7 @@
 from borageworks.gateway.instances import InstanceRecord
 from borageworks.gateway.tests.test_components import GATEWAY
 from borageworks.metrics import Metrics
+from borageworks.routing.rendezvous import rendezvous
 
 
 class FakeTimers:
@@ -56,6 +57,37 @@
     return fleet
 
 
+class SuccessorTest(TestCase):
+    def test_one_successor_is_in_another_failure_domain(self):
+        """Guards against facts that are lost with a failure domain."""
+        fleet = make_fleet({f"near-{number}": 1.0 for number in range(6)})
+        self.assertEqual(1, len(fleet.successors("s/0")))
+        others = fleet._instances.others
+        for number in range(6):
+            name = f"far-{number}"
+            others[name] = InstanceRecord(name, "e", "10.0.0.2", 1, 2, 3, 1.0)
+        fleet._candidates = None
+        for number in range(20):
+            key = f"s/{number}"
+            lost = fleet._domain_of(fleet.owner(key))
+            left = {
+                name for name in fleet.successors(key) if fleet._domain_of(name) != lost
+            }
+            expected = rendezvous(
+                key,
+                {
+                    name: 1.0
+                    for name in (*others, fleet.instance)
+                    if fleet._domain_of(name) != lost
+                },
+            )
+            self.assertEqual({expected}, left)
+
+    def test_instance_without_others_has_no_successor(self):
+        """Guards against an instance that tells itself."""
+        self.assertEqual(set(), make_fleet({}).successors("s/0"))
+
+
 class OwnerTest(TestCase):
     def fleet(self, **capacities):
         self.timers = FakeTimers()
