Tell callers to come back if another instance may know their stream

An instance that placed a request beside a silent owner refused a stream that it did not know like one that nobody knows. Change: that refusal has a Retry-After; those of the owner and of versions that have gone have none, as waiting does not help.

--- a/borageworks/gateway/placement_messages.py
+++ b/borageworks/gateway/placement_messages.py
@@ -125,7 +125,8 @@
             )
         case RefusalReason.STREAM_UNKNOWN:
             return StreamUnknownError(
-                "the version of the engine that began the stream is not known"
+                "the version of the engine that began the stream is not known",
+                retry_after=refused.retry_after_s or None,
             )
         case RefusalReason.VERSION_GONE:
             return StreamVersionGoneError(
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -473,7 +473,7 @@
         dispatcher.set_capacity_ratio(1.0 if owns else 1.0 / self._fleet.count)
         dispatcher.set_limit_ratio(now, self._limit_ratio(shard, owns))
         self._tally(shard).record_requested(work.organisation, work.units)
-        decisions = self._submit_bound(now, shard[0], dispatcher, work)
+        decisions = self._submit_bound(now, shard, dispatcher, work)
         self._deliver(self._count_refusals(shard, decisions))
         self._ensure_ticking()
 
@@ -500,12 +500,14 @@
         return replace(work, software_version=resolved.version, resumed=False)
 
     def _submit_bound(
-        self, now: float, service: str, dispatcher: Dispatcher, work: Work
+        self, now: float, shard: Shard, dispatcher: Dispatcher, work: Work
     ) -> list[Decision]:
         """Place a request, one that goes on with a stream at the stream's version."""
-        work = self._bind(now, service, work)
+        work = self._bind(now, shard[0], work)
         if work.resumed:
-            return [Refused(work.key, RefusalReason.STREAM_UNKNOWN, 0.0, work)]
+            # Beside the owner, another instance may know the stream.
+            wait_s = 0.0 if self.owns(shard) else self._settings.min_retry_after_s
+            return [Refused(work.key, RefusalReason.STREAM_UNKNOWN, wait_s, work)]
         version = work.software_version
         if version is not None and not dispatcher.has_version(version):
             return [Refused(work.key, RefusalReason.VERSION_GONE, 0.0, work)]
@@ -594,7 +596,7 @@
         owns = owner == self._instance
         dispatcher.set_limit_ratio(now, self._limit_ratio(shard, owns))
         self._tally(shard).record_requested(work.organisation, work.units)
-        decisions = self._submit_bound(now, shard[0], dispatcher, work)
+        decisions = self._submit_bound(now, shard, dispatcher, work)
         self._deliver(self._count_refusals(shard, decisions), dispatcher.prefill_speed)
         if all(decision.key != work.key for decision in decisions):
             self._fleet.send(
