Explain a resumed stream by the attempt that began it

Change: events 405 and 408 name the stream, and the timeline has the events of the first attempt and of the search (413). Measured: test_timeline_of_a_resumed_stream_has_the_attempt_that_began_it passes.

--- a/borageworks/commands/tests/test_explain.py
+++ b/borageworks/commands/tests/test_explain.py
@@ -52,6 +52,20 @@
         self.assertNotIn("long before", result.stdout)
         self.assertEqual(3, result.stdout.count("*"))
 
+    def test_timeline_of_a_resumed_stream_has_the_attempt_that_began_it(self):
+        """Guards against a stream whose version cannot be explained."""
+        lines = [
+            log_line(Event.REQUEST_PLACED, 1.0, request_id="r1", software_version="v7"),
+            log_line(Event.STREAM_RESOLVED, 20.0, "edge-2", stream="ab", source="own"),
+            log_line(Event.STREAM_RESOLVED, 20.0, "edge-2", stream="cd", source="x"),
+            log_line(Event.REQUEST_PLACED, 20.1, request_id="r2", stream="ab"),
+            log_line(Event.REQUEST_ENDED, 20.4, request_id="r2", resumed_attempt="r1"),
+        ]
+        result = self.run_explain("r2", b"\n".join(lines))
+        self.assertIn("software_version=v7", result.stdout)
+        self.assertIn("source=own", result.stdout)
+        self.assertNotIn("source=x", result.stdout)
+
     def test_truncated_and_foreign_lines_are_counted(self):
         """Guards against a traceback for a truncated log."""
         data = (
--- a/borageworks/commands/timeline.py
+++ b/borageworks/commands/timeline.py
@@ -110,7 +110,13 @@
             "",
             None,
         }
+        # The attempt that began a stream which the request resumes, and the stream.
+        origins = {entry.fields.get("resumed_attempt") for entry in self._matches}
+        streams = {entry.fields.get("stream") for entry in self._matches} - {"", None}
         for entry in self._entries:
+            if entry.fields.get("request_id") in origins - {None}:
+                yield _format_entry(entry, entry.timestamp - first, False)
+                continue
             if not first - CONTEXT_S <= entry.timestamp <= last + CONTEXT_S:
                 continue
             of_request = entry in self._matches
@@ -121,7 +127,8 @@
                 entry.fields.get("endpoint") in endpoints
                 and "request_id" not in entry.fields
             )
-            if of_request or instance_wide or of_endpoint:
+            of_stream = entry.fields.get("stream") in streams
+            if of_request or instance_wide or of_endpoint or of_stream:
                 yield _format_entry(entry, entry.timestamp - first, of_request)
 
 
--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -178,6 +178,11 @@
         """Organisation of the request, or None if there is none."""
         return self._exchange.organisation
 
+    @property
+    def resumed_stream(self) -> str:
+        """Id of the stream that the caller resumes, empty if it begins one."""
+        return self._stream.hex() if self._resumed else ""
+
     @property
     def route(self) -> str:
         """Name of the request's route."""
@@ -310,6 +315,7 @@
                 version=exchange.version,
                 software_version=endpoint.software_version if endpoint else "",
                 last_event=self._last_event_id,
+                stream=self.resumed_stream,
             )
             if (
                 endpoint is None
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -372,6 +372,7 @@
             store_silent_s=self._store_outage_s(),
             attempts=runner.attempts if runner else 0,
             resumed_attempt=request.resumed_attempt,
+            stream=runner.resumed_stream if runner else "",
             first_event_s=_rounded(runner.first_event_s if runner else None),
             longest_pause_s=_rounded(runner.longest_pause_s if runner else None),
             detail=refusal.detail if refusal else "",
