Resume a stream at the service that began it

A route that leads to several services picked one by weight for a resumed stream as well, so that half of them were refused as unknown at the wrong service. Change: the service of which this instance remembers the stream is taken. Measured: test_stream_of_a_route_to_two_services fails on the code before and passes now.

--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -42,6 +42,7 @@
 from borageworks.gateway.stream_versions import StreamVersions
 from borageworks.gateway.upstream import Upstream
 from borageworks.metrics import Metrics
+from borageworks.placement.stream_origins import stream_id
 
 # Limits in force until the operator's configuration has been received.
 INITIAL_MAX_HEADER_BYTES = 65_536
@@ -281,7 +282,7 @@
             )
         organisation = _organisation(deployment, route, request)
         body = await _read_body(http_request, deployment.limits.body_bytes)
-        service = self._pick_service(route)
+        service = self._pick_service(route, request, organisation)
         self._retry_budgets.record_request(service, organisation or NO_ORGANISATION)
         return Exchange(
             request=request,
@@ -306,13 +307,22 @@
         )
         return NO_ORGANISATION if key_organisation is None else key_organisation.name
 
-    def _pick_service(self, route: Route) -> str:
+    def _pick_service(
+        self, route: Route, request: CallerRequest, organisation: str | None
+    ) -> str:
+        """Return a service of a route, for a resumed stream the one that began it."""
         if not route.targets:
             raise EndpointUnavailableError(
                 f"route {route.name!r} leads to no service",
                 retry_after=NOT_READY_RETRY_AFTER_S,
             )
         services = [target.service for target in route.targets]
+        if request.resumed_attempt is not None and len(services) > 1:
+            now = asyncio.get_running_loop().time()
+            for service in services:
+                stream = stream_id(organisation, service, request.resumed_attempt)
+                if self._streams.origins.find(now, stream) is not None:
+                    return service
         weights = [target.weight for target in route.targets]
         return self._rng.choices(services, weights if any(weights) else None)[0]
 
--- a/borageworks_emulator/platform/tests/test_stream_versions.py
+++ b/borageworks_emulator/platform/tests/test_stream_versions.py
@@ -374,6 +374,29 @@
         self.assertEqual(expected, answers)
         self.assertTrue(taken_s < 6 * AT_ONCE_S, taken_s)
 
+    def test_stream_of_a_route_to_two_services(self):
+        """Guards against a stream that is looked for at another service."""
+
+        async def scenario(first, stack):
+            for emulated in self.new:
+                await first.register(emulated, PLAIN_SERVICE)
+            changed = configuration(2)
+            for route in changed["routes"]:
+                if route["name"] == "resume":
+                    del route["service"]
+                    route["traffic_split"] = [
+                        {"service": name, "weight": 1}
+                        for name in (ENGINE_SERVICE, PLAIN_SERVICE)
+                    ]
+            await first.configure(changed)
+            await first.wait_until_current()
+            begun = await begin(first, 10)
+            return begun, [await take_up(first, *stream) for stream in begun]
+
+        begun, answers = self.run_scenario(scenario)
+        self.check_versions(begun)
+        self.assertEqual([(200, True)] * 10, answers)
+
     def test_engine_that_starts_again_with_other_software(self):
         """Guards against a stream that goes on where it was, at another version."""
 
