Remove the streams of all shards from the store when one version is left

Keys of shards but the first were left in the store for good, as they could not be told from those of other services. Change: keys name service and shard.

--- a/borageworks/gateway/stream_store.py
+++ b/borageworks/gateway/stream_store.py
@@ -137,9 +137,9 @@
             if versions and history.is_complete(now) and versions != history.stored:
                 self._storing = True
                 self._spawn(self._write_history(service, versions))
-            elif not mixed and self._keys_of(f"{service}/0"):
+            elif not mixed and self._keys_of(service):
                 self._storing = True
-                self._spawn(self._remove_streams(f"{service}/0"))
+                self._spawn(self._remove_streams(service))
 
     def _record(self, stream: bytes, origin: StreamOrigin) -> None:
         """Schedule to tell others of a stream that began here."""
@@ -215,8 +215,8 @@
         else:
             self._history_retry_at = self._timers.now() + RETRY_DELAY_S
 
-    async def _remove_streams(self, scope: str) -> None:
-        keys = self._keys_of(scope)[:MAX_KEYS_PER_TRANSACTION]
+    async def _remove_streams(self, service: str) -> None:
+        keys = self._keys_of(service)[:MAX_KEYS_PER_TRANSACTION]
         if not await self._commit(Transaction(deletes=tuple(keys))):
             self._history_retry_at = self._timers.now() + RETRY_DELAY_S
 
@@ -259,13 +259,15 @@
     def _history_key(self, service: str) -> str:
         return self._history_prefix + _digest(service)
 
-    def _keys_of(self, scope: str) -> list[str]:
-        prefix = f"{self._streams_prefix}{_digest(scope)}/"
+    def _keys_of(self, service: str) -> list[str]:
+        """Return the keys with streams of a service that the store holds."""
+        prefix = f"{self._streams_prefix}{_digest(service)}/"
         return [key for key in self._keys if key.startswith(prefix)]
 
     def _next_key(self, scope: str) -> str:
         """Return the key of a shard that is unused, or was written first."""
-        prefix = f"{self._streams_prefix}{_digest(scope)}/"
+        service, _, shard = scope.rpartition("/")
+        prefix = f"{self._streams_prefix}{_digest(service)}/{shard}/"
         keys = [f"{prefix}{number:02d}" for number in range(KEYS_PER_SHARD)]
         key = min(keys, key=lambda item: self._keys.get(item, 0))
         # Until the store has reported this write, the next one takes another key.
