--- a/borageworks/gateway/stream_store.py
+++ b/borageworks/gateway/stream_store.py
@@ -89,7 +89,7 @@
         self._storing = False
         # Revision of each of the keys with streams.
         self._keys: dict[str, int] = {}
-        self._history_retry_at = 0.0
+        self._retry_at = 0.0
         versions.origins.attach(self._record)
 
     def apply(self, change: ReplicaChange) -> None:
@@ -128,7 +128,7 @@
                 self._mixed.discard(service)
             if (
                 self._storing
-                or now < self._history_retry_at
+                or now < self._retry_at
                 or not self._fleet.linked
                 or self._fleet.owner(f"{service}/0") != self._fleet.instance
             ):
@@ -213,12 +213,16 @@
             self._versions.history(now, service).apply_stored(now, versions)
             emit(Event.VERSIONS_STORED, service=service, versions=sorted(versions))
         else:
-            self._history_retry_at = self._timers.now() + RETRY_DELAY_S
+            self._retry_at = self._timers.now() + RETRY_DELAY_S
 
     async def _remove_streams(self, service: str) -> None:
         keys = self._keys_of(service)[:MAX_KEYS_PER_TRANSACTION]
         if not await self._commit(Transaction(deletes=tuple(keys))):
-            self._history_retry_at = self._timers.now() + RETRY_DELAY_S
+            self._retry_at = self._timers.now() + RETRY_DELAY_S
+            return
+        # A key whose write failed is not in the store, which reports no removal of it.
+        for key in keys:
+            self._keys.pop(key, None)
 
     async def _commit(self, transaction: Transaction) -> bool:
         try:
