--- a/borageworks_emulator/platform/tests/test_stream_versions.py
+++ b/borageworks_emulator/platform/tests/test_stream_versions.py
@@ -3,14 +3,9 @@
 import asyncio
 from contextlib import AsyncExitStack
 
-import aiohttp
 from testtools import TestCase
 
-from borageworks_emulator.platform.endpoint import (
-    Behaviour,
-    EmulatedEndpoint,
-    event_bytes,
-)
+from borageworks_emulator.platform.endpoint import Behaviour, event_bytes
 from borageworks_emulator.platform.harness import (
     API_KEY,
     ENGINE_SERVICE,
@@ -19,9 +14,22 @@
     configuration,
     linked_fleet,
 )
+from borageworks_emulator.platform.resuming_caller import (
+    allow_attempts,
+    begin,
+    bodies,
+    breaking_engine,
+    continuing_engine,
+    engine,
+    new_runs,
+    receive,
+    resumed_runs,
+    stores,
+    take_up,
+    whole_stream,
+)
 from borageworks_emulator.platform.store import StoreFault
 
-EVENTS = 5
 MAX_ATTEMPTS = 4
 # A stream that cannot go on ends within this time, far below its deadline of 3 s.
 AT_ONCE_S = 0.5
@@ -31,69 +39,6 @@
 SHARED_S = 0.3
 
 
-def whole_stream(first=0):
-    """Return the events of a stream from one on."""
-    return b"".join(event_bytes(number) for number in range(first, EVENTS))
-
-
-def breaking_engine(name, version, after=2):
-    """Return an engine that resets each new stream after some events."""
-
-    def behave(request):
-        resumed = "Last-Event-Id" in request.headers
-        return Behaviour(reset_after_events=None if resumed else after)
-
-    return engine(name, version, behave)
-
-
-def taking_engine(name, version):
-    """Return an engine that refuses new streams and runs the rest of others."""
-    return engine(
-        name,
-        version,
-        lambda request: Behaviour(not_run="Last-Event-Id" not in request.headers),
-    )
-
-
-def bodies(answers):
-    """Return the bodies of the answers that have any events."""
-    return {body for *_, body, _ in answers if body.startswith(b"id: ")}
-
-
-def engine(name, version, behaviour_of=None):
-    """Return an engine with a version of its software."""
-    emulated = EmulatedEndpoint(name, behaviour_of)
-    emulated.software_version = version
-    return emulated
-
-
-async def allow_attempts(harness, count):
-    """Configure how many engines an attempt of a caller may be sent to."""
-    changed = configuration(2)
-    for route in changed["routes"]:
-        route["max_attempts"] = count
-    await harness.configure(changed)
-    await harness.wait_until_current()
-
-
-async def receive(harness, path="/resume/", **headers):
-    """Send a request; return status, id of the attempt, events and whether they end."""
-    sent = harness.request_headers(**headers)
-    attempt = sent["X-Borageworks-Attempt-Id"]
-    # Requests that share nothing are not taken for those that crash engines.
-    sent["X-Borageworks-Prompt-Prefix"] = f"{attempt.encode().hex()}:300"
-    body = b""
-    try:
-        async with harness.session.post(
-            path, data=attempt.encode(), headers=sent
-        ) as response:
-            async for data in response.content.iter_any():
-                body += data
-            return response.status, attempt, body, True
-    except aiohttp.ClientError:
-        return 0, attempt, body, False
-
-
 class StreamVersionTest(TestCase):
     def run_engines(self, engines, scenario, instances=1):
         async def main():
@@ -107,7 +52,7 @@
 
     def test_broken_stream_does_not_go_on_at_another_version(self):
         """Guards against an answer with events of two software versions."""
-        new = [taking_engine("e-2", "v2"), taking_engine("e-3", "v2")]
+        new = [continuing_engine("e-2", "v2"), continuing_engine("e-3", "v2")]
 
         async def scenario(fleet):
             started_at = asyncio.get_running_loop().time()
@@ -124,7 +69,7 @@
     def test_broken_stream_goes_on_at_its_own_version(self):
         """Guards against streams that are cut beside an engine of their version."""
         old = [breaking_engine("e-1", "v1"), breaking_engine("e-2", "v1")]
-        new = [taking_engine("e-3", "v2"), taking_engine("e-4", "v2")]
+        new = [continuing_engine("e-3", "v2"), continuing_engine("e-4", "v2")]
 
         async def scenario(fleet):
             return [await receive(fleet[0]) for _ in range(4)]
@@ -147,49 +92,6 @@
         self.assertEqual({whole_stream()}, bodies(answers))
 
 
-async def begin(harness, count):
-    """Begin streams that break off; return attempt and number of events of each."""
-    begun: list[tuple[str, int]] = []
-    while len(begun) < count:
-        status, attempt, body, complete = await receive(harness)
-        if status in (0, 200) and not complete and body:
-            begun.append((attempt, body.count(b"id: ")))
-    return begun
-
-
-async def take_up(harness, attempt, events, **headers):
-    """Take up a stream; return the status, and whether the answer is its rest."""
-    status, _, body, _ = await receive(
-        harness, Resumes=attempt, Last_Event_Id=str(events - 1), **headers
-    )
-    return status, body == whole_stream(events)
-
-
-def stores(harness, kind):
-    """Return whether the store holds a key of the gateway of some kind."""
-    return any(key.startswith(f"borageworks/{kind}/") for key in harness.store.keys)
-
-
-def resumed_runs(engines):
-    """Return the attempt that each resumed run of some engines goes on from."""
-    return {
-        run.headers["Resumes"]
-        for emulated in engines
-        for run in emulated.runs
-        if "Resumes" in run.headers and "Last-Event-Id" in run.headers
-    }
-
-
-def new_runs(engines):
-    """Return the ids of the runs of some engines that began a stream."""
-    return {
-        run.id
-        for emulated in engines
-        for run in emulated.runs
-        if "Last-Event-Id" not in run.headers
-    }
-
-
 class ResumedStreamTest(TestCase):
     def setUp(self):
         super().setUp()
@@ -291,7 +193,7 @@
                     answer = await receive(
                         harness, Resumes=attempt, Last_Event_Id=str(events + taken - 2)
                     )
-                    self.assertEqual(event_bytes(events + taken - 1), answer[2])
+                    self.assertEqual(event_bytes(events + taken - 1), answer.body)
             return begun
 
         self.check_versions(self.run_scenario(scenario))
@@ -318,9 +220,9 @@
                 await take_up(first, "\u00e4" * 50, 2),
                 await take_up(first, attempt, 2, Authorization="Token key-2"),
             ]
-            status, *_ = await receive(first, Last_Event_Id="1")
+            unnamed = await receive(first, Last_Event_Id="1")
             taken_s = asyncio.get_running_loop().time() - started_at
-            return odd, status, taken_s, await take_up(first, attempt, 2)
+            return odd, unnamed.status, taken_s, await take_up(first, attempt, 2)
 
         odd, unnamed, taken_s, sound = self.run_scenario(scenario)
         self.assertEqual([(503, False)] * 4, odd)
@@ -336,7 +238,7 @@
         async def scenario(first, stack):
             begun = await receive(first, Resumes="unknown")
             other = await receive(first, "/once/", Resumes="unknown", Last_Event_Id="1")
-            return begun[2], other[0]
+            return begun.body, other.status
 
         self.assertEqual((whole_stream(), 200), self.run_scenario(scenario))
 
