Suspend no endpoint over a version that its owner does not know yet

Found by reading the diff: a resumed stream that an owner placed at an engine whose entry the entry instance knew to be another was given back as unlisted, which suspends the engine for all requests. Change: it is given back unrun, like one at an endpoint that wants a pause. SoftwareHistory.list is record_listed. Measured: the tests of stream versions, notices and placement pass.

--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -317,15 +317,13 @@
                 last_event=self._last_event_id,
                 stream=self.resumed_stream,
             )
-            if (
-                endpoint is None
-                or endpoint.leaving
-                or not self._may_go_on_at(endpoint, placed)
-            ):
+            if endpoint is None or endpoint.leaving:
                 # The endpoint has become unavailable since the decision.
                 outcome = WorkOutcome.UNLISTED
-            elif not self._notices.accepts(endpoint.incarnation):
-                # The owner does not know yet what the endpoint told this instance.
+            elif not self._may_go_on_at(endpoint, placed) or not self._notices.accepts(
+                endpoint.incarnation
+            ):
+                # The owner does not know yet what this instance knows of the endpoint.
                 outcome = WorkOutcome.RETURNED
                 self._metrics.count("placements_returned")
             else:
--- a/borageworks/gateway/stream_versions.py
+++ b/borageworks/gateway/stream_versions.py
@@ -81,7 +81,7 @@
         longest_s = max((route.timeout_s for route in deployment.routes), default=0.0)
         for service, versions in listed.items():
             history = self.history(now, service, max(MIN_RETENTION_S, longest_s))
-            history.list(now, versions)
+            history.record_listed(now, versions)
 
     def history(
         self, now: float, service: str, retention_s: float = MIN_RETENTION_S
--- a/borageworks/gateway/tests/test_stream_versions.py
+++ b/borageworks/gateway/tests/test_stream_versions.py
@@ -78,7 +78,7 @@
         self.streams.review()
 
     def list(self, *versions):
-        self.versions.history(self.time, "engines").list(self.time, versions)
+        self.versions.history(self.time, "engines").record_listed(self.time, versions)
         self.streams.review()
 
     def begin(self, stream, version):
--- a/borageworks/placement/software_history.py
+++ b/borageworks/placement/software_history.py
@@ -37,7 +37,7 @@
         """Versions in the stored history, None if there is none."""
         return self._stored
 
-    def list(self, now: float, versions: Iterable[str]) -> None:
+    def record_listed(self, now: float, versions: Iterable[str]) -> None:
         """Record the versions of the engines that are listed now."""
         for version in self._listed:
             self._seen_at[version] = now
--- a/borageworks/placement/tests/test_stream_origins.py
+++ b/borageworks/placement/tests/test_stream_origins.py
@@ -77,18 +77,18 @@
     def test_version_counts_after_its_last_engine_has_gone(self):
         """Guards against streams of a former version that go on at the present one."""
         history = self.history()
-        history.list(0.0, ["v1"])
+        history.record_listed(0.0, ["v1"])
         self.assertEqual("v1", history.only_version(500.0))
-        history.list(500.0, ["v1", "v2"])
+        history.record_listed(500.0, ["v1", "v2"])
         self.assertIsNone(history.only_version(500.0))
-        history.list(510.0, ["v2"])
+        history.record_listed(510.0, ["v2"])
         self.assertIsNone(history.only_version(569.0))
         self.assertEqual("v2", history.only_version(571.0))
 
     def test_instance_that_starts_knows_nothing_of_before(self):
         """Guards against a guess from the engines that are left after a restart."""
         history = self.history(complete=False)
-        history.list(0.0, ["v2"])
+        history.record_listed(0.0, ["v2"])
         self.assertIsNone(history.only_version(59.0))
         self.assertEqual("v2", history.only_version(61.0))
 
@@ -96,11 +96,11 @@
         """Guards against a restart that forgets a version whose engines have gone."""
         history = self.history(complete=False)
         history.apply_stored(0.0, ["v1", "v2"])
-        history.list(0.0, ["v2"])
+        history.record_listed(0.0, ["v2"])
         self.assertIsNone(history.only_version(59.0))
         history = self.history(complete=False)
         history.apply_stored(0.0, ["v2"])
-        history.list(0.0, ["v2"])
+        history.record_listed(0.0, ["v2"])
         self.assertEqual("v2", history.only_version(1.0))
         # The history of an older copy of the store.
         history.apply_stored(2.0, ["v1"])
@@ -109,5 +109,5 @@
     def test_engines_that_name_no_version_may_differ(self):
         """Guards against streams joined from engines of unknown versions."""
         history = self.history()
-        history.list(0.0, [""])
+        history.record_listed(0.0, [""])
         self.assertIsNone(history.only_version(1.0))
