Tell all instances of a small fleet which streams began

What callers saw: 2 of 14 streams resumed at the only instance that had not been killed went on. Cause: traced in: four streams, asked for again and again, had begun within 0.4 s before the kill. Their owner had told two successors, which were killed with it, and the store had not been written yet. Change: up to 16 instances, all are told, after 0.05 instead of 0.1 s; beyond that, owner and successors as before.

--- a/borageworks/gateway/stream_store.py
+++ b/borageworks/gateway/stream_store.py
@@ -24,8 +24,10 @@
 
 HISTORY_PREFIX = "software/"
 STREAMS_PREFIX = "streams/"
-# Interval at which the instances that may take over a shard are told of its streams.
-SHARE_INTERVAL_S = 0.1
+# Interval at which other instances are told of streams.
+SHARE_INTERVAL_S = 0.05
+# Up to this number, all instances are told: any of them may be the last one.
+MAX_INSTANCES_TOLD = 16
 # Interval of writes to the store. What began since the last one is lost if all
 # instances end at the same moment.
 STORE_INTERVAL_S = 0.25
@@ -159,7 +161,7 @@
                 self._record(stream, origin)
 
     def _share(self, now: float) -> None:
-        """Tell the owner of a shard and those that may take over from it."""
+        """Tell others of streams: in a large fleet only those that may be asked."""
         self._share_timer = None
         unshared, self._unshared = self._unshared, {}
         for scope, streams in unshared.items():
@@ -167,6 +169,9 @@
             for version, ids in _by_version(streams).items():
                 lifetime_s = max(streams[item].expires_at for item in ids) - now
                 message = StreamsBegan(version, max(lifetime_s, 0.0), tuple(ids))
+                if self._fleet.count <= MAX_INSTANCES_TOLD:
+                    self._fleet.broadcast(message)
+                    continue
                 for receiver in receivers - {self._fleet.instance}:
                     self._fleet.send(receiver, message)
 
