Log what each organisation was owed, got and was refused below its share

No log line told what an organisation asked placement for in the unit of its share, what it was owed, or whether its refusals fell while it was ahead of the others, so the hypotheses about FAIR could not be told apart.

Event 415, once a second while requests are refused, gives the max-min even share of what was placed and, for the organisations that missed most of it, the amounts owed, requested, placed, refused on arrival, refused after a wait and refused while not ahead of the share. share_missed_total counts by organisation. borageworks shares adds the lines of owners and entry instances up: did an organisation get its share from one time to another, and who refused the rest.

Tests: test_share_tally, test_shares; 210 tests of placement, commands, gateway and config pass.

--- a/borageworks/__main__.py
+++ b/borageworks/__main__.py
@@ -8,6 +8,7 @@
 from borageworks.commands.explain import explain
 from borageworks.commands.measure import measure
 from borageworks.commands.run import run
+from borageworks.commands.shares import shares
 from borageworks.commands.soak import soak
 from borageworks.commands.status import status
 from borageworks.commands.ticket import ticket
@@ -24,6 +25,7 @@
 cli.add_command(explain)
 cli.add_command(measure)
 cli.add_command(run)
+cli.add_command(shares)
 cli.add_command(soak)
 cli.add_command(status)
 cli.add_command(ticket)
--- a/borageworks/events.py
+++ b/borageworks/events.py
@@ -52,6 +52,7 @@
     ENDPOINT_NOTICE = (412, "endpoint_notice")
     STREAM_RESOLVED = (413, "stream_resolved")
     VERSIONS_STORED = (414, "versions_stored")
+    ORGANISATION_SHARES = (415, "organisation_shares")
     ENDPOINT_DOWN = (501, "endpoint_down")
     ENDPOINT_UP = (502, "endpoint_up")
     ENDPOINT_OWNED = (503, "endpoint_owned")
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import asdict, replace
@@ -35,6 +36,7 @@
 from borageworks.placement.prefill_speed import PrefillSpeed
 from borageworks.placement.settings import PlacementSettings
 from borageworks.placement.shards import ServiceShards, Shard
+from borageworks.placement.share_tally import OrganisationAmounts, ShareReport
 from borageworks.placement.summary import PlacementSummary
 from borageworks.placement.work import Work, WorkKey
 from borageworks.timers import Timers, TimerSubscription
@@ -309,7 +311,18 @@
             refused = tally.report(service=service, shard=number)
             reasons = self._refusal_reasons.pop(shard, Counter())
             dispatcher = self._dispatchers.get(shard)
-            if refused and dispatcher is not None:
+            if dispatcher is None:
+                continue
+            shares = dispatcher.report_shares()
+            if refused:
+                emit(
+                    Event.ORGANISATION_SHARES,
+                    service=service,
+                    shard=number,
+                    owned=self.owns(shard),
+                    **_share_fields(shares),
+                )
+                self._count_missed_shares(shares)
                 state = dispatcher.summarise(self._timers.now())
                 emit(
                     Event.PLACEMENT_STATE,
@@ -320,6 +333,13 @@
                     **_rounded(state),
                 )
 
+    def _count_missed_shares(self, report: ShareReport) -> None:
+        """Count what organisations were owed and did not get, for the metrics."""
+        for name, amounts in report.organisations.items():
+            missed = report.owed(amounts) - amounts.placed
+            if missed > 0.0:
+                self._metrics.count("share_missed", name, round(missed))
+
     def announce(self) -> None:
         """Announce the shards that this instance took for its own without links."""
         for shard in self._dispatchers:
@@ -755,6 +775,31 @@
             self._tick_timer = None
 
 
+def _share_fields(report: ShareReport) -> dict[str, Any]:
+    """Return the fields of a report on shares, null for an unlimited share."""
+    unlimited = math.isinf(report.even_share)
+    return {
+        "even_share": None if unlimited else round(report.even_share),
+        "organisations": {
+            name: _amount_fields(report.owed(item), item)
+            for name, item in report.organisations.items()
+        },
+        "others": [report.others_count, *_amount_fields(0.0, report.others)[1:]],
+    }
+
+
+def _amount_fields(owed: float, amounts: OrganisationAmounts) -> list[int]:
+    """Return the amounts in the order that docs/events.md gives for event 415."""
+    return [
+        round(owed),
+        round(amounts.requested),
+        round(amounts.placed),
+        round(amounts.refused_on_arrival),
+        round(amounts.refused_after_wait),
+        round(amounts.refused_below_share),
+    ]
+
+
 def _rounded(state: PlacementSummary) -> dict[str, Any]:
     """Return the fields of a summary with the precision that a log line needs."""
     fields = asdict(state)
--- a/borageworks/metrics.py
+++ b/borageworks/metrics.py
@@ -20,6 +20,7 @@
     "first_event": "route",
     "placement_wait": "route",
     "request": "route",
+    "share_missed": "organisation",
 }
 
 
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -21,6 +21,7 @@
 from borageworks.placement.rate_limit import MIN_PER_S, RateLimit
 from borageworks.placement.selection import EndpointSelector
 from borageworks.placement.settings import PlacementSettings
+from borageworks.placement.share_tally import ShareReport, ShareTally
 from borageworks.placement.stream_origins import StreamOrigins
 from borageworks.placement.summary import PlacementSummary
 from borageworks.placement.work import (
@@ -121,6 +122,7 @@
             domain,
         )
         self._fair_queue = FairQueue()
+        self._shares = ShareTally()
         self._prefill_speed = PrefillSpeed(DEFAULT_TOKENS_PER_S)
         self._capacity_ratio = 1.0
         self._limit_ratio = 1.0
@@ -186,6 +188,10 @@
             leads=self._fair_queue.leads(MAX_NAMED_LEADS),
         )
 
+    def report_shares(self) -> ShareReport:
+        """Return what organisations got and were owed since the last report."""
+        return self._shares.report()
+
     def set_capacity_ratio(self, ratio: float) -> None:
         """Set the fraction of each endpoint's capacity that this instance may use.
 
@@ -307,6 +313,7 @@
         if state is not None:
             running = state.running[work.key]
             return [self._placed_at(state, work, running)]
+        self._shares.record_requested(work.organisation, work.units)
         if self._evidence.verdict(now, work.traits) is Verdict.REFUSED:
             reason = RefusalReason.SUSPECTED
             return [Refused(work.key, reason, SUSPECT_RETRY_AFTER_S, work)]
@@ -600,6 +607,11 @@
             if count > self._bound_per_organisation.get(name, 0)
         )
 
+    def _is_ahead_of_share(self, work: Work) -> bool:
+        """Return whether an organisation got more than others that were served."""
+        lead = self._fair_queue.virtual_time(work.organisation)
+        return lead > self._fair_queue.pool_virtual_time
+
     def _is_next_at_limit(
         self, state: EndpointState, work: Work, wait_s: float
     ) -> bool:
@@ -684,6 +696,7 @@
     def _place(self, now: float, state: EndpointState, work: Work) -> Placed:
         self._fair_queue.record_service(work.organisation)
         self._fair_queue.charge(work.organisation, self._charged_units(state, work))
+        self._shares.record_placed(work.organisation, work.units)
         if state.rate_limit is not None:
             state.rate_limit.take(now)
         return self._placed_at(state, work, self._add_running(now, state, work))
@@ -731,6 +744,12 @@
         wait_s = max(wait_s, self._limit_wait_s)
         if reason is RefusalReason.NO_ENDPOINT:
             wait_s = max(wait_s, self._pause_s(now, work))
+        self._shares.record_refused(
+            work.organisation,
+            work.units,
+            reason,
+            below_share=not self._is_ahead_of_share(work),
+        )
         return Refused(work.key, reason, wait_s, work)
 
     def _pause_s(self, now: float, work: Work) -> float:
