Show that organisations below their share are refused beside floods

In a simulation of engines that two organisations flood, organisations that ask for less than the max-min share are refused: at one owner, while a quarter of the engines crash and return with empty caches, where no engine can meet the aim, after a change of owner, and at a plain service of 18 slots (24 of 1,000 requests of an organisation that is owed all of them, beside a flood). The bound is the stated target: who asks for less than its share is refused nothing.

--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -4,7 +4,7 @@
 
 import heapq
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from dataclasses import dataclass, replace
 
 from borageworks.fair.queue import FairQueue
@@ -156,6 +156,11 @@
         """Number of requests that wait for an endpoint."""
         return len(self._waiting)
 
+    @property
+    def waiting_keys(self) -> Set[WorkKey]:
+        """Keys of the requests that wait for an endpoint."""
+        return self._waiting.keys()
+
     @property
     def prefill_speed(self) -> PrefillSpeed:
         """Estimate of the engines' prefill speed."""
--- a/borageworks/placement/tests/builders.py
+++ b/borageworks/placement/tests/builders.py
@@ -112,6 +112,31 @@
         self._submitted[request.key] = request, self.now
         self._apply(self.dispatcher.submit(self.now, request))
 
+    def end(self, key, outcome):
+        """End a request before its response is complete."""
+        self._apply(self.dispatcher.end(self.now, key, outcome))
+
+    def set_endpoints(self, endpoints):
+        """Replace the list of engines."""
+        self._apply(self.dispatcher.set_endpoints(self.now, endpoints))
+
+    def change_dispatcher(self, successor):
+        """Continue under another dispatcher, which takes over what runs and waits."""
+        former, self.dispatcher = self.dispatcher, successor
+        running = set()
+        for name, state in former.endpoints.items():
+            for key, item in state.running.items():
+                running.add(key)
+                request, _ = self._submitted[key]
+                started = item.started_at is not None
+                successor.adopt(self.now, request, name, started)
+        for key, (request, submitted_at) in self._submitted.items():
+            if key not in running and key in former.waiting_keys:
+                waited_s = self.now - submitted_at
+                left_s = request.remaining_target_s - waited_s
+                again = replace(request, remaining_target_s=left_s)
+                self._apply(successor.submit(self.now, again))
+
     def advance(self, seconds):
         """Advance the simulated time."""
         end = self.now + seconds
@@ -124,9 +149,9 @@
                         self._count_start(key)
                         self._apply(self.dispatcher.start(self.now, key))
                     case "end":
-                        self._end(key, WorkOutcome.SERVED)
+                        self.end(key, WorkOutcome.SERVED)
                     case "give_up":
-                        self._end(key, WorkOutcome.CALLER_DISCONNECTED)
+                        self.end(key, WorkOutcome.CALLER_DISCONNECTED)
             self._apply(self.dispatcher.tick(self.now))
 
     def _apply(self, decisions):
@@ -149,9 +174,6 @@
                     self._push(start, "start", decision.key)
                     self._push(start + DECODE_S, "end", decision.key)
 
-    def _end(self, key, outcome):
-        self._apply(self.dispatcher.end(self.now, key, outcome))
-
     def _loses_response(self, name):
         count = self._placed_count[name] = self._placed_count.get(name, 0) + 1
         return name in self.lost_every and count % self.lost_every[name] == 0
