Move the waiting requests of placement out of the dispatcher

WaitingQueue holds them now, with the fair queue and its charges, so that admission by share has one place to ask. No change of behaviour: the tests of placement and gateway pass; test_dispatcher_totals checks the same totals at the new part.

--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -5,9 +5,8 @@
 import heapq
 import math
 from collections.abc import Iterable, Set
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
-from borageworks.fair.queue import FairQueue
 from borageworks.gateway.deployment import ServiceProfile
 from borageworks.gateway.endpoint import Endpoint
 from borageworks.placement.cache_update import CacheUpdate
@@ -24,6 +23,7 @@
 from borageworks.placement.share_tally import ShareReport, ShareTally
 from borageworks.placement.stream_origins import StreamOrigins
 from borageworks.placement.summary import PlacementSummary
+from borageworks.placement.waiting import WaitingQueue, WaitingWork
 from borageworks.placement.work import (
     GENERATED_WEIGHT,
     PLAIN_UNITS,
@@ -56,18 +56,6 @@
 LIMIT_WAIT_MARGIN_S = 0.04
 # Organisations named in the summary for the log, so that its length is bounded.
 MAX_NAMED_LEADS = 8
-# The single entry under which the fair queue counts all demand.
-_FAIR_QUEUE_ENTRY = ""
-
-
-@dataclass(slots=True)
-class _WaitingWork:
-    work: Work
-    arrived_at: float
-    expires_at: float
-    preferred: str | None
-    selected_at: float
-    tokens: int
 
 
 class Dispatcher:
@@ -106,22 +94,16 @@
         self._settings = settings
         self._endpoints: dict[str, EndpointState] = {}
         self._placed: dict[WorkKey, str] = {}
-        self._waiting: dict[WorkKey, _WaitingWork] = {}
-        self._waiting_tokens: dict[str, float] = {}
-        self._waiting_requests: dict[str, int] = {}
-        self._waiting_per_organisation: dict[str, int] = {}
-        # Those of them that go on with a stream, so that few endpoints may run them.
-        self._bound_per_organisation: dict[str, int] = {}
+        self._waiting = WaitingQueue()
         self._part_index = PartIndex()
         self._selector = EndpointSelector(
             self._endpoints,
-            self._waiting_tokens,
-            self._waiting_requests,
+            self._waiting.endpoint_tokens,
+            self._waiting.endpoint_requests,
             self._part_index,
             settings,
             domain,
         )
-        self._fair_queue = FairQueue()
         self._shares = ShareTally()
         self._prefill_speed = PrefillSpeed(DEFAULT_TOKENS_PER_S)
         self._capacity_ratio = 1.0
@@ -159,7 +141,7 @@
     @property
     def waiting_keys(self) -> Set[WorkKey]:
         """Keys of the requests that wait for an endpoint."""
-        return self._waiting.keys()
+        return self._waiting.keys
 
     @property
     def prefill_speed(self) -> PrefillSpeed:
@@ -186,11 +168,11 @@
             slots=sum(self._slot_limit(state) for state in usable),
             prefill_full=sum(backlog_s > allowed_s for backlog_s in backlogs_s),
             waiting=len(self._waiting),
-            waiting_max=max(self._waiting_per_organisation.values(), default=0),
+            waiting_max=max(self._waiting.counts.values(), default=0),
             backlog_s=sum(backlogs_s) / max(len(usable), 1),
             seconds_per_token=speed.seconds_per_token,
             start_s=speed.start_s,
-            leads=self._fair_queue.leads(MAX_NAMED_LEADS),
+            leads=self._waiting.leads(MAX_NAMED_LEADS),
         )
 
     def report_shares(self) -> ShareReport:
@@ -326,11 +308,13 @@
         if preferred is None:
             return [self._refuse(now, work, RefusalReason.NO_ENDPOINT)]
         state = self._endpoints[preferred]
-        if not self._is_behind_others(work) and self._has_room(now, state, work):
+        if not self._waiting.is_behind_others(work) and self._has_room(
+            now, state, work
+        ):
             return [self._place(now, state, work)]
         expires_at = now + self._max_wait_s(now, state, work)
         tokens = own_prompt_tokens(work)
-        waiting = _WaitingWork(work, now, expires_at, preferred, now, tokens)
+        waiting = WaitingWork(work, now, expires_at, preferred, now, tokens)
         expected_wait_s = self._expected_wait_s(now, waiting)
         if now + expected_wait_s > expires_at:
             decision = self._place_elsewhere(now, waiting)
@@ -339,15 +323,12 @@
             ):
                 return [decision]
             waiting.expires_at = now + expected_wait_s + LIMIT_WAIT_MARGIN_S
-        self._waiting[work.key] = waiting
-        self._count_waiting(now, waiting, 1)
+        self._waiting.add(now, waiting)
         return []
 
     def withdraw(self, now: float, key: WorkKey) -> list[Decision]:
         """Remove a waiting or placed request whose caller has disconnected."""
-        waiting = self._waiting.pop(key, None)
-        if waiting is not None:
-            self._count_waiting(now, waiting, -1)
+        if self._waiting.remove(now, key) is not None:
             return []
         return self.end(now, key, WorkOutcome.CALLER_DISCONNECTED)
 
@@ -422,7 +403,9 @@
 
     def unconfirm_instance(self, instance: str) -> None:
         """Await that an instance confirms its requests after its link was lost."""
-        self._unconfirmed.update(key for key in self._waiting if key[0] == instance)
+        self._unconfirmed.update(
+            key for key in self._waiting.keys if key[0] == instance
+        )
         self._unconfirmed.update(key for key in self._placed if key[0] == instance)
 
     def drop_unconfirmed(self, now: float, instance: str) -> list[Decision]:
@@ -432,15 +415,15 @@
 
     def drop_instance(self, now: float, instance: str) -> list[Decision]:
         """Remove all requests of an instance that was lost."""
-        keys = [key for key in (*self._waiting, *self._placed) if key[0] == instance]
+        keys = [
+            key for key in (*self._waiting.keys, *self._placed) if key[0] == instance
+        ]
         return self._drop(now, keys)
 
     def _drop(self, now: float, keys: Iterable[WorkKey]) -> list[Decision]:
         for key in keys:
             self._unconfirmed.discard(key)
-            waiting = self._waiting.pop(key, None)
-            if waiting is not None:
-                self._count_waiting(now, waiting, -1)
+            self._waiting.remove(now, key)
             state = self._endpoints.get(self._placed.pop(key, ""))
             if state is not None:
                 state.remove(key)
@@ -457,16 +440,15 @@
         self._expire_overdue(now)
         least_recent = heapq.nsmallest(
             SELECTIONS_PER_TICK,
-            self._waiting.values(),
+            self._waiting,
             key=lambda item: item.selected_at,
         )
         for waiting in least_recent:
             self._reselect_endpoint(now, waiting)
         decisions = self._place_waiting(now)
-        for waiting in list(self._waiting.values()):
+        for waiting in list(self._waiting):
             if now >= waiting.expires_at or not self.may_run(waiting.work):
-                del self._waiting[waiting.work.key]
-                self._count_waiting(now, waiting, -1)
+                self._waiting.remove(now, waiting.work.key)
                 decisions.append(
                     self._refuse(now, waiting.work, RefusalReason.WAIT_TIMEOUT)
                 )
@@ -494,15 +476,14 @@
         if not self._waiting:
             return []
         decisions: list[Decision] = []
-        all_waiting = self._waiting.values()
         if freed is not None and self.has_engines:
             name = freed.endpoint.id
-            order = [item for item in all_waiting if item.preferred in (name, None)]
+            order = [item for item in self._waiting if item.preferred in (name, None)]
         else:
-            order = list(all_waiting)
+            order = list(self._waiting)
         order.sort(
             key=lambda item: (
-                self._fair_queue.virtual_time(item.work.organisation),
+                self._waiting.virtual_time(item.work.organisation),
                 item.arrived_at,
             )
         )
@@ -516,12 +497,11 @@
             if not state.usable(now) or not self._has_room(now, state, waiting.work):
                 full.add(waiting.preferred)
                 continue
-            del self._waiting[waiting.work.key]
-            self._count_waiting(now, waiting, -1)
+            self._waiting.remove(now, waiting.work.key)
             decisions.append(self._place(now, state, waiting.work))
         return decisions
 
-    def _place_elsewhere(self, now: float, waiting: _WaitingWork) -> Decision:
+    def _place_elsewhere(self, now: float, waiting: WaitingWork) -> Decision:
         """Place a request on another engine than the preferred one, or refuse it.
 
         The preferred engine would miss the target latency. Another one has to prefill
@@ -530,7 +510,7 @@
         """
         work = waiting.work
         same_preferred = all(
-            item.preferred == waiting.preferred for item in self._waiting.values()
+            item.preferred == waiting.preferred for item in self._waiting
         )
         seconds_per_token = self._prefill_speed.seconds_per_token
         cheapest = min(
@@ -540,7 +520,7 @@
                 if (same_preferred or not state.prefilling)
                 and work.may_run_at(state.endpoint)
                 and state.usable(now)
-                and not self._waiting_tokens.get(name)
+                and not self._waiting.endpoint_tokens.get(name)
                 and self._has_room(now, state, work)
             ),
             key=lambda state: self._selector.cost_s(
@@ -552,11 +532,9 @@
             return self._place(now, cheapest, work)
         return self._refuse(now, work, RefusalReason.NO_CAPACITY)
 
-    def _reselect_endpoint(self, now: float, waiting: _WaitingWork) -> None:
-        self._count_waiting_tokens(waiting, -1)
+    def _reselect_endpoint(self, now: float, waiting: WaitingWork) -> None:
         waiting.selected_at = now
-        waiting.preferred = self._select_endpoint(now, waiting.work)
-        self._count_waiting_tokens(waiting, 1)
+        self._waiting.prefer(waiting, self._select_endpoint(now, waiting.work))
 
     def _select_endpoint(self, now: float, work: Work) -> str | None:
         return self._selector.select(now, work, self._prefill_speed.seconds_per_token)
@@ -593,30 +571,6 @@
         total = sum(state.endpoint.slots for state in self._endpoints.values())
         return max(1, int(total * self._capacity_ratio))
 
-    def _is_behind_others(self, work: Work) -> bool:
-        """Return whether waiting requests come before this one in fair order."""
-        if not self._waiting:
-            return False
-        virtual_time = self._fair_queue.virtual_time(work.organisation)
-        if work.software_version is not None:
-            # Such requests compete for the endpoints of their version only.
-            return any(
-                item.work.software_version == work.software_version
-                and self._fair_queue.virtual_time(item.work.organisation)
-                <= virtual_time
-                for item in self._waiting.values()
-            )
-        return any(
-            self._fair_queue.virtual_time(name) <= virtual_time
-            for name, count in self._waiting_per_organisation.items()
-            if count > self._bound_per_organisation.get(name, 0)
-        )
-
-    def _is_ahead_of_share(self, work: Work) -> bool:
-        """Return whether an organisation got more than others that were served."""
-        lead = self._fair_queue.virtual_time(work.organisation)
-        return lead > self._fair_queue.pool_virtual_time
-
     def _is_next_at_limit(
         self, state: EndpointState, work: Work, wait_s: float
     ) -> bool:
@@ -628,7 +582,7 @@
         return (
             state.rate_limit is not None
             and wait_s <= MAX_LIMIT_WAIT_S
-            and not self._is_behind_others(work)
+            and not self._waiting.is_behind_others(work)
         )
 
     def _max_wait_s(self, now: float, state: EndpointState, work: Work) -> float:
@@ -642,18 +596,18 @@
         slack_s = work.remaining_target_s - self._prefill_speed.start_s - prefill_s
         return max(work.max_wait_s, slack_s, 0.0)
 
-    def _expected_wait_s(self, now: float, waiting: _WaitingWork) -> float:
+    def _expected_wait_s(self, now: float, waiting: WaitingWork) -> float:
         """Return the seconds until the preferred endpoint has room."""
         work = waiting.work
         if waiting.preferred is None:
             return 0.0
         state = self._endpoints[waiting.preferred]
-        virtual_time = self._fair_queue.virtual_time(work.organisation)
+        virtual_time = self._waiting.virtual_time(work.organisation)
         ahead = [
             item.work
-            for item in self._waiting.values()
+            for item in self._waiting
             if (work.prompt is None or item.preferred == waiting.preferred)
-            and self._fair_queue.virtual_time(item.work.organisation) <= virtual_time
+            and self._waiting.virtual_time(item.work.organisation) <= virtual_time
         ]
         # Requests to plain services may use any endpoint.
         states = [
@@ -699,8 +653,7 @@
         return max(missing_slots, 0.0) / freed_per_s if freed_per_s else 0.0
 
     def _place(self, now: float, state: EndpointState, work: Work) -> Placed:
-        self._fair_queue.record_service(work.organisation)
-        self._fair_queue.charge(work.organisation, self._charged_units(state, work))
+        self._waiting.charge(work.organisation, self._charged_units(state, work))
         self._shares.record_placed(work.organisation, work.units)
         if state.rate_limit is not None:
             state.rate_limit.take(now)
@@ -753,7 +706,7 @@
             work.organisation,
             work.units,
             reason,
-            below_share=not self._is_ahead_of_share(work),
+            below_share=not self._waiting.is_ahead(work.organisation),
         )
         return Refused(work.key, reason, wait_s, work)
 
@@ -770,7 +723,7 @@
         """Return the seconds in which the endpoints prefill all that is ahead."""
         seconds_per_token = self._prefill_speed.seconds_per_token
         usable = [state for state in self._endpoints.values() if state.usable(now)]
-        tokens = sum(self._waiting_tokens.values()) + sum(
+        tokens = sum(self._waiting.endpoint_tokens.values()) + sum(
             state.backlog_tokens(now, seconds_per_token) for state in usable
         )
         return tokens * seconds_per_token / max(len(usable), 1)
@@ -805,30 +758,6 @@
         """Return the seconds in which an engine prefills a token."""
         return self._prefill_speed.seconds_per_token * state.slowdown(now)
 
-    def _count_waiting(self, now: float, waiting: _WaitingWork, change: int) -> None:
-        organisation = waiting.work.organisation
-        count = self._waiting_per_organisation.get(organisation, 0) + change
-        if count:
-            self._waiting_per_organisation[organisation] = count
-        else:
-            self._waiting_per_organisation.pop(organisation, None)
-        if waiting.work.software_version is not None:
-            bound = self._bound_per_organisation.get(organisation, 0) + change
-            self._bound_per_organisation[organisation] = bound
-            if not bound:
-                del self._bound_per_organisation[organisation]
-        self._fair_queue.set_demand(now, _FAIR_QUEUE_ENTRY, organisation, count)
-        self._count_waiting_tokens(waiting, change)
-
-    def _count_waiting_tokens(self, waiting: _WaitingWork, change: int) -> None:
-        if waiting.preferred is None or waiting.preferred not in self._endpoints:
-            return
-        total = self._waiting_tokens.get(waiting.preferred, 0.0)
-        total += change * waiting.tokens
-        self._waiting_tokens[waiting.preferred] = max(total, 0.0)
-        requests = self._waiting_requests.get(waiting.preferred, 0) + change
-        self._waiting_requests[waiting.preferred] = max(requests, 0)
-
     def _record_end(
         self,
         now: float,
@@ -852,13 +781,9 @@
     def _remove_endpoint(self, name: str) -> None:
         state = self._endpoints.pop(name)
         state.cache.clear()
-        self._waiting_tokens.pop(name, None)
-        self._waiting_requests.pop(name, None)
+        self._waiting.forget_endpoint(name)
         for key in state.running:
             self._placed.pop(key, None)
-        for waiting in self._waiting.values():
-            if waiting.preferred == name:
-                waiting.preferred = None
 
 
 def _memory_tokens(work: Work) -> int:
--- a/borageworks/placement/tests/test_dispatcher_totals.py
+++ b/borageworks/placement/tests/test_dispatcher_totals.py
@@ -122,13 +122,13 @@
             self.assertEqual(memory, state.memory_tokens)
         tokens: Counter[str] = Counter()
         organisations: Counter[str] = Counter()
-        for item in dispatcher._waiting.values():
+        for item in dispatcher._waiting:
             organisations[item.work.organisation] += 1
             if item.preferred is not None:
                 tokens[item.preferred] += item.tokens
-        self.assertEqual(dict(organisations), dispatcher._waiting_per_organisation)
+        self.assertEqual(dict(organisations), dispatcher._waiting.counts)
         waiting_tokens = {
-            name: n for name, n in dispatcher._waiting_tokens.items() if n
+            name: n for name, n in dispatcher._waiting.endpoint_tokens.items() if n
         }
         self.assertEqual({name: n for name, n in tokens.items() if n}, waiting_tokens)
 
--- /dev/null
+++ b/borageworks/placement/waiting.py
@@ -0,0 +1,175 @@
+"""Requests that wait for an endpoint, in fair order of their organisations."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping, Set
+from dataclasses import dataclass
+
+from borageworks.fair.queue import FairQueue
+from borageworks.placement.work import Work, WorkKey
+
+# The single entry under which the fair queue counts all demand.
+_FAIR_QUEUE_ENTRY = ""
+
+
+@dataclass(slots=True)
+class WaitingWork:
+    """A request that waits for an endpoint.
+
+    Parameters
+    ----------
+    work
+        The request.
+    arrived_at, expires_at
+        Times at which it began to wait, and after which it is refused.
+    preferred
+        Endpoint that it waits for, None if it has to be selected.
+    selected_at
+        Time at which `preferred` was selected.
+    tokens
+        Prompt tokens that only this request uses.
+    """
+
+    work: Work
+    arrived_at: float
+    expires_at: float
+    preferred: str | None
+    selected_at: float
+    tokens: int
+
+
+class WaitingQueue:
+    """Requests that wait for an endpoint, in fair order of their organisations.
+
+    Organisations are served by start-time fair queueing, each one's requests in order
+    of arrival. Not every request fits the endpoint that is free, so the caller chooses
+    among them and charges what it has placed.
+    """
+
+    def __init__(self) -> None:
+        self._items: dict[WorkKey, WaitingWork] = {}
+        self._fair_queue = FairQueue()
+        self._counts: dict[str, int] = {}
+        # Those of them that go on with a stream, so that few endpoints may run them.
+        self._bound_counts: dict[str, int] = {}
+        self._endpoint_tokens: dict[str, float] = {}
+        self._endpoint_requests: dict[str, int] = {}
+
+    @property
+    def endpoint_tokens(self) -> Mapping[str, float]:
+        """Prompt tokens of the requests that prefer an endpoint, by its id."""
+        return self._endpoint_tokens
+
+    @property
+    def endpoint_requests(self) -> Mapping[str, int]:
+        """Number of the requests that prefer an endpoint, by its id."""
+        return self._endpoint_requests
+
+    @property
+    def keys(self) -> Set[WorkKey]:
+        """Keys of the requests."""
+        return self._items.keys()
+
+    @property
+    def counts(self) -> Mapping[str, int]:
+        """Number of requests by organisation."""
+        return self._counts
+
+    def __len__(self) -> int:
+        """Return the number of requests."""
+        return len(self._items)
+
+    def __contains__(self, key: WorkKey) -> bool:
+        """Return whether a request waits."""
+        return key in self._items
+
+    def __iter__(self) -> Iterator[WaitingWork]:
+        """Yield the requests in order of arrival."""
+        return iter(self._items.values())
+
+    def add(self, now: float, item: WaitingWork) -> None:
+        """Add a request."""
+        self._items[item.work.key] = item
+        self._count(now, item, 1)
+
+    def remove(self, now: float, key: WorkKey) -> WaitingWork | None:
+        """Remove and return a request, None if it does not wait."""
+        item = self._items.pop(key, None)
+        if item is not None:
+            self._count(now, item, -1)
+        return item
+
+    def prefer(self, item: WaitingWork, endpoint: str | None) -> None:
+        """Let a request wait for another endpoint."""
+        self._count_at_endpoint(item, -1)
+        item.preferred = endpoint
+        self._count_at_endpoint(item, 1)
+
+    def forget_endpoint(self, endpoint: str) -> None:
+        """Let no request wait for an endpoint that is gone."""
+        self._endpoint_tokens.pop(endpoint, None)
+        self._endpoint_requests.pop(endpoint, None)
+        for item in self._items.values():
+            if item.preferred == endpoint:
+                item.preferred = None
+
+    def charge(self, organisation: str, units: float) -> None:
+        """Charge an organisation for a request that is placed."""
+        self._fair_queue.record_service(organisation)
+        self._fair_queue.charge(organisation, units)
+
+    def leads(self, count: int) -> dict[str, float]:
+        """Return the organisations whose virtual time is furthest beyond the pool's."""
+        return self._fair_queue.leads(count)
+
+    def is_ahead(self, organisation: str) -> bool:
+        """Return whether the virtual time of an organisation is beyond the pool's."""
+        virtual_time = self._fair_queue.virtual_time(organisation)
+        return virtual_time > self._fair_queue.pool_virtual_time
+
+    def is_behind_others(self, work: Work) -> bool:
+        """Return whether waiting requests come before a new one in fair order."""
+        if not self._items:
+            return False
+        virtual_time = self._fair_queue.virtual_time(work.organisation)
+        if work.software_version is not None:
+            # Such requests compete for the endpoints of their version only.
+            return any(
+                item.work.software_version == work.software_version
+                and self._fair_queue.virtual_time(item.work.organisation)
+                <= virtual_time
+                for item in self._items.values()
+            )
+        return any(
+            self._fair_queue.virtual_time(name) <= virtual_time
+            for name, count in self._counts.items()
+            if count > self._bound_counts.get(name, 0)
+        )
+
+    def virtual_time(self, organisation: str) -> float:
+        """Return the virtual time at which an organisation is served."""
+        return self._fair_queue.virtual_time(organisation)
+
+    def _count(self, now: float, item: WaitingWork, change: int) -> None:
+        organisation = item.work.organisation
+        count = self._counts.get(organisation, 0) + change
+        if count:
+            self._counts[organisation] = count
+        else:
+            self._counts.pop(organisation, None)
+        if item.work.software_version is not None:
+            bound = self._bound_counts.get(organisation, 0) + change
+            self._bound_counts[organisation] = bound
+            if not bound:
+                del self._bound_counts[organisation]
+        self._fair_queue.set_demand(now, _FAIR_QUEUE_ENTRY, organisation, count)
+        self._count_at_endpoint(item, change)
+
+    def _count_at_endpoint(self, item: WaitingWork, change: int) -> None:
+        name = item.preferred
+        if name is None:
+            return
+        tokens = self._endpoint_tokens.get(name, 0.0) + change * item.tokens
+        self._endpoint_tokens[name] = max(tokens, 0.0)
+        requests = self._endpoint_requests.get(name, 0) + change
+        self._endpoint_requests[name] = max(requests, 0)
