Charge organisations the whole request, not what the engine has not cached

The operator's even share counts each token of a request once and each generated one twice; fair order charged only what the engine had to prefill. An organisation whose parts are cached got up to four times the tokens of one whose parts were lost with crashed engines, at equal charges, and a new owner charged all the full price.

Now a request is charged its units, wherever it runs. Test: fails before, by 4,000 tokens.

--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -25,8 +25,6 @@
 from borageworks.placement.summary import PlacementSummary
 from borageworks.placement.waiting import WaitingQueue, WaitingWork
 from borageworks.placement.work import (
-    GENERATED_WEIGHT,
-    PLAIN_UNITS,
     Work,
     WorkKey,
     own_prompt_tokens,
@@ -653,7 +651,7 @@
         return max(missing_slots, 0.0) / freed_per_s if freed_per_s else 0.0
 
     def _place(self, now: float, state: EndpointState, work: Work) -> Placed:
-        self._waiting.charge(work.organisation, self._charged_units(state, work))
+        self._waiting.charge(work.organisation, work.units)
         self._shares.record_placed(work.organisation, work.units)
         if state.rate_limit is not None:
             state.rate_limit.take(now)
@@ -748,12 +746,6 @@
             return 0
         return max(work.prompt.tokens - state.cache.cached_tokens(work.prompt), 0)
 
-    def _charged_units(self, state: EndpointState, work: Work) -> float:
-        if work.prompt is None:
-            return PLAIN_UNITS
-        generated = GENERATED_WEIGHT * work.prompt.generated_tokens
-        return self._uncached_tokens(state, work) + generated
-
     def _seconds_per_token(self, now: float, state: EndpointState) -> float:
         """Return the seconds in which an engine prefills a token."""
         return self._prefill_speed.seconds_per_token * state.slowdown(now)
--- a/borageworks/placement/tests/test_fair_admission.py
+++ b/borageworks/placement/tests/test_fair_admission.py
@@ -8,7 +8,12 @@
 
 from borageworks.placement.decisions import Placed, Refused
 from borageworks.placement.outcome import WorkOutcome
-from borageworks.placement.tests.builders import plain_dispatcher, work
+from borageworks.placement.tests.builders import (
+    engine_dispatcher,
+    plain_dispatcher,
+    prompt,
+    work,
+)
 from borageworks.placement.tests.flood_load import FloodLoad, LoadedEngines
 from borageworks.placement.work import WorkKey
 
@@ -105,3 +110,13 @@
                         refused[submitted[key]] += 1
         self.assertTrue(refused["flood"] > 1000, refused)
         self.assertEqual({"flood"}, set(refused), str(refused))
+
+    def test_charge_does_not_depend_on_what_is_cached(self):
+        """Guards against a share that grows with the parts that engines have cached."""
+        dispatcher = engine_dispatcher(count=1)
+        for now, organisation in ((0.0, "uncached"), (1.0, "cached")):
+            request = prompt(own=100, shared=4000, shared_id="s")
+            (decision,) = dispatcher.submit(now, work(request, organisation))
+            dispatcher.start(now + 0.5, decision.key)
+        leads = dispatcher.summarise(1.5).leads
+        self.assertEqual(leads["uncached"], leads["cached"])
