Let a request wait for its turn in fair order, not for whole queues in front

Callers of an organisation just ahead of a flood in virtual time were told that no endpoint could respond in time. Cause: all requests of an organisation stood at its virtual time, so that the wait of a new request counted the whole queue of each organisation in front of it, and one pass over the waiting requests could place several of one organisation in one turn.

Each waiting request has its own tag now, the virtual time at which its turn comes, and the wait counts what comes before it.

--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -479,12 +479,8 @@
             order = [item for item in self._waiting if item.preferred in (name, None)]
         else:
             order = list(self._waiting)
-        order.sort(
-            key=lambda item: (
-                self._waiting.virtual_time(item.work.organisation),
-                item.arrived_at,
-            )
-        )
+        tags = self._waiting.tags()
+        order.sort(key=lambda item: (tags[item.work.key], item.arrived_at))
         full: set[str] = set()
         for waiting in order:
             if waiting.preferred is None or waiting.work.prompt is None:
@@ -600,12 +596,10 @@
         if waiting.preferred is None:
             return 0.0
         state = self._endpoints[waiting.preferred]
-        virtual_time = self._waiting.virtual_time(work.organisation)
         ahead = [
             item.work
-            for item in self._waiting
-            if (work.prompt is None or item.preferred == waiting.preferred)
-            and self._waiting.virtual_time(item.work.organisation) <= virtual_time
+            for item in self._waiting.ahead_of(work)
+            if work.prompt is None or item.preferred == waiting.preferred
         ]
         # Requests to plain services may use any endpoint.
         states = [
--- a/borageworks/placement/waiting.py
+++ b/borageworks/placement/waiting.py
@@ -52,6 +52,7 @@
         self._counts: dict[str, int] = {}
         # Those of them that go on with a stream, so that few endpoints may run them.
         self._bound_counts: dict[str, int] = {}
+        self._units: dict[str, float] = {}
         self._endpoint_tokens: dict[str, float] = {}
         self._endpoint_requests: dict[str, int] = {}
 
@@ -146,17 +147,45 @@
             if count > self._bound_counts.get(name, 0)
         )
 
-    def virtual_time(self, organisation: str) -> float:
-        """Return the virtual time at which an organisation is served."""
-        return self._fair_queue.virtual_time(organisation)
+    def next_tag(self, organisation: str) -> float:
+        """Return the virtual time at which a new request would be served.
+
+        It follows those of the organisation that wait already.
+        """
+        virtual_time = self._fair_queue.virtual_time(organisation)
+        return virtual_time + self._units.get(organisation, 0.0)
+
+    def ahead_of(self, work: Work) -> list[WaitingWork]:
+        """Return the requests that come before a new one in fair order."""
+        if not self._items:
+            return []
+        tag = self.next_tag(work.organisation)
+        tags = self.tags()
+        return [item for key, item in self._items.items() if tags[key] <= tag]
+
+    def tags(self) -> dict[WorkKey, float]:
+        """Return the virtual time at which each request is served, by its key."""
+        tags: dict[WorkKey, float] = {}
+        next_tags: dict[str, float] = {}
+        for key, item in self._items.items():
+            organisation = item.work.organisation
+            tag = next_tags.get(organisation)
+            if tag is None:
+                tag = self._fair_queue.virtual_time(organisation)
+            tags[key] = tag
+            next_tags[organisation] = tag + item.work.units
+        return tags
 
     def _count(self, now: float, item: WaitingWork, change: int) -> None:
         organisation = item.work.organisation
         count = self._counts.get(organisation, 0) + change
+        units = self._units.get(organisation, 0.0) + change * item.work.units
         if count:
             self._counts[organisation] = count
+            self._units[organisation] = units
         else:
             self._counts.pop(organisation, None)
+            self._units.pop(organisation, None)
         if item.work.software_version is not None:
             bound = self._bound_counts.get(organisation, 0) + change
             self._bound_counts[organisation] = bound
