Refuse no organisation below its share while others are served

Cause (hypothesis 1): a request was refused when the one engine that it preferred could not start it within its aim. Floods keep each engine at its bound, and an organisation whose shared parts are not cached, after a crash for one, needs the longest prefill, so the next request in fair order was told that there is no capacity, while cached requests of floods always fit somewhere. Whether the organisation was above or below its share was not asked. The class: overload control that is blind to whose load it is.

Entitlements knows what each organisation is owed: what it requested up to the max-min level of what was placed, fading with the operator's quota_window_s. A request below the share uses the first engine that has room, before all that wait for a preferred one, and may become late; only what takes longer than its target behind others below their share is refused, and at once. Above the share nothing changes. A new owner starts from what runs.

--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -152,7 +152,7 @@
             self._notices,
             timers,
             self._metrics,
-            PlacementSettings(),
+            PlacementSettings(share_window_s=settings.share_window_s),
             lambda: self._loop_lag.overloaded,
             self._streams,
         )
--- a/borageworks/gateway/settings.py
+++ b/borageworks/gateway/settings.py
@@ -45,6 +45,8 @@
     retry_ratio, retry_window_s, retry_allowance
         Retry budget of the fleet for one service: in each window, at most `retry_ratio`
         retries for each request, and `retry_allowance` more.
+    share_window_s
+        Time over which each organisation is owed an even share of the engines.
     metrics_port
         Additional port for metrics, None if only the status address serves them.
     balancer_lag_s
@@ -73,5 +75,6 @@
     retry_window_s: float
     retry_allowance: float
     balancer_lag_s: float
+    share_window_s: float
     metrics_port: int | None = None
     first_start: bool = False
--- a/borageworks/gateway/tests/test_components.py
+++ b/borageworks/gateway/tests/test_components.py
@@ -46,6 +46,7 @@
     retry_window_s=10.0,
     retry_allowance=50.0,
     balancer_lag_s=2.8,
+    share_window_s=4.0,
 )
 
 
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -13,6 +13,7 @@
 from borageworks.placement.crash_evidence import CrashEvidence
 from borageworks.placement.decisions import Decision, Placed, RefusalReason, Refused
 from borageworks.placement.endpoint_state import EndpointState, RunningWork
+from borageworks.placement.entitlements import Entitlements
 from borageworks.placement.outcome import WorkOutcome
 from borageworks.placement.part_index import PartIndex
 from borageworks.placement.prefill_speed import PrefillSpeed
@@ -20,7 +21,7 @@
 from borageworks.placement.rate_limit import MIN_PER_S, RateLimit
 from borageworks.placement.selection import EndpointSelector
 from borageworks.placement.settings import PlacementSettings
-from borageworks.placement.share_tally import ShareReport, ShareTally
+from borageworks.placement.share_tally import ShareReport
 from borageworks.placement.stream_origins import StreamOrigins
 from borageworks.placement.summary import PlacementSummary
 from borageworks.placement.waiting import WaitingQueue, WaitingWork
@@ -102,7 +103,7 @@
             settings,
             domain,
         )
-        self._shares = ShareTally()
+        self._entitlements = Entitlements(settings.share_window_s)
         self._prefill_speed = PrefillSpeed(DEFAULT_TOKENS_PER_S)
         self._capacity_ratio = 1.0
         self._limit_ratio = 1.0
@@ -175,7 +176,7 @@
 
     def report_shares(self) -> ShareReport:
         """Return what organisations got and were owed since the last report."""
-        return self._shares.report()
+        return self._entitlements.report()
 
     def set_capacity_ratio(self, ratio: float) -> None:
         """Set the fraction of each endpoint's capacity that this instance may use.
@@ -298,7 +299,7 @@
         if state is not None:
             running = state.running[work.key]
             return [self._placed_at(state, work, running)]
-        self._shares.record_requested(work.organisation, work.units)
+        self._entitlements.record_requested(now, work.organisation, work.units)
         if self._evidence.verdict(now, work.traits) is Verdict.REFUSED:
             reason = RefusalReason.SUSPECTED
             return [Refused(work.key, reason, SUSPECT_RETRY_AFTER_S, work)]
@@ -315,6 +316,8 @@
         waiting = WaitingWork(work, now, expires_at, preferred, now, tokens)
         expected_wait_s = self._expected_wait_s(now, waiting)
         if now + expected_wait_s > expires_at:
+            if self._is_below_share(now, work) and self._is_servable(now, work):
+                return self._use_any_endpoint(now, waiting)
             decision = self._place_elsewhere(now, waiting)
             if isinstance(decision, Placed) or not self._is_next_at_limit(
                 state, work, expected_wait_s
@@ -324,6 +327,77 @@
         self._waiting.add(now, waiting)
         return []
 
+    def _is_below_share(self, now: float, work: Work) -> bool:
+        """Return whether an organisation is owed more than it got and waits for."""
+        waiting = self._waiting.units.get(work.organisation, 0.0)
+        return self._entitlements.is_below_share(now, work.organisation, waiting)
+
+    def _is_servable(self, now: float, work: Work) -> bool:
+        """Return whether some endpoint has room while a response is of use."""
+        return self._any_endpoint_wait_s(now, work) <= _patience_s(work)
+
+    def _use_any_endpoint(self, now: float, waiting: WaitingWork) -> list[Decision]:
+        """Place a request on the first endpoint that has room, even if it is late.
+
+        The shared part is prefilled again there. That takes capacity from organisations
+        above their share, of which this one would otherwise get less than it is owed.
+        """
+        state = self._cheapest_with_room(now, waiting.work)
+        if state is not None:
+            return [self._place(now, state, waiting.work)]
+        self._release(waiting)
+        self._waiting.add(now, waiting)
+        return []
+
+    def _release(self, waiting: WaitingWork) -> None:
+        """Let a waiting request use any endpoint."""
+        self._waiting.release(waiting)
+        waiting.expires_at = waiting.arrived_at + _patience_s(waiting.work)
+
+    def _cheapest_with_room(self, now: float, work: Work) -> EndpointState | None:
+        """Return the endpoint with the lowest cost that has room, None without any."""
+        seconds_per_token = self._prefill_speed.seconds_per_token
+        return min(
+            (
+                state
+                for state in self._endpoints.values()
+                if self._may_place(now, state, work)
+            ),
+            key=lambda state: self._selector.cost_s(
+                now, state, work, seconds_per_token
+            ),
+            default=None,
+        )
+
+    def _may_place(self, now: float, state: EndpointState, work: Work) -> bool:
+        """Return whether an endpoint may run a request and has room for it now."""
+        return (
+            work.may_run_at(state.endpoint)
+            and state.usable(now)
+            and self._has_room(now, state, work)
+        )
+
+    def _any_endpoint_wait_s(self, now: float, work: Work) -> float:
+        """Return the seconds until any endpoint has room for a request.
+
+        Only requests that use any endpoint as well are served before it.
+        """
+        states = [
+            state
+            for state in self._endpoints.values()
+            if work.may_run_at(state.endpoint) and state.usable(now)
+        ]
+        ahead = [
+            item.work
+            for item in self._waiting.ahead_of(work)
+            if item.preferred is None or work.prompt is None
+        ]
+        tokens = sum(item.prompt.tokens for item in ahead if item.prompt is not None)
+        prefill_s = tokens * self._prefill_speed.seconds_per_token
+        return max(
+            prefill_s / max(len(states), 1), self._slot_wait_s(now, states, len(ahead))
+        )
+
     def withdraw(self, now: float, key: WorkKey) -> list[Decision]:
         """Remove a waiting or placed request whose caller has disconnected."""
         if self._waiting.remove(now, key) is not None:
@@ -342,6 +416,7 @@
             return
         if work.key not in self._placed:
             self._add_running(now, state, work).adopted = True
+            self._entitlements.record_running(now, work.organisation, work.units)
         if started:
             self._record_stream(now, state, state.start(now, work.key))
 
@@ -438,13 +513,20 @@
         self._expire_overdue(now)
         least_recent = heapq.nsmallest(
             SELECTIONS_PER_TICK,
-            self._waiting,
+            (item for item in self._waiting if not item.any_endpoint),
             key=lambda item: item.selected_at,
         )
         for waiting in least_recent:
             self._reselect_endpoint(now, waiting)
         decisions = self._place_waiting(now)
         for waiting in list(self._waiting):
+            organisation = waiting.work.organisation
+            if (
+                now >= waiting.expires_at
+                and not waiting.any_endpoint
+                and self._entitlements.is_below_share(now, organisation)
+            ):
+                self._release(waiting)
             if now >= waiting.expires_at or not self.may_run(waiting.work):
                 self._waiting.remove(now, waiting.work.key)
                 decisions.append(
@@ -480,19 +562,32 @@
         else:
             order = list(self._waiting)
         tags = self._waiting.tags()
-        order.sort(key=lambda item: (tags[item.work.key], item.arrived_at))
+        order.sort(
+            key=lambda item: (
+                not item.any_endpoint,
+                tags[item.work.key],
+                item.arrived_at,
+            )
+        )
         full: set[str] = set()
         for waiting in order:
-            if waiting.preferred is None or waiting.work.prompt is None:
+            work = waiting.work
+            if waiting.any_endpoint and work.prompt is not None:
+                state = freed or self._cheapest_with_room(now, work)
+                if state is not None and self._may_place(now, state, work):
+                    self._waiting.remove(now, work.key)
+                    decisions.append(self._place(now, state, work))
+                continue
+            if waiting.preferred is None or work.prompt is None:
                 self._reselect_endpoint(now, waiting)
             if waiting.preferred is None or waiting.preferred in full:
                 continue
             state = self._endpoints[waiting.preferred]
-            if not state.usable(now) or not self._has_room(now, state, waiting.work):
+            if not state.usable(now) or not self._has_room(now, state, work):
                 full.add(waiting.preferred)
                 continue
-            self._waiting.remove(now, waiting.work.key)
-            decisions.append(self._place(now, state, waiting.work))
+            self._waiting.remove(now, work.key)
+            decisions.append(self._place(now, state, work))
         return decisions
 
     def _place_elsewhere(self, now: float, waiting: WaitingWork) -> Decision:
@@ -512,10 +607,8 @@
                 state
                 for name, state in self._endpoints.items()
                 if (same_preferred or not state.prefilling)
-                and work.may_run_at(state.endpoint)
-                and state.usable(now)
                 and not self._waiting.endpoint_tokens.get(name)
-                and self._has_room(now, state, work)
+                and self._may_place(now, state, work)
             ),
             key=lambda state: self._selector.cost_s(
                 now, state, work, seconds_per_token
@@ -646,7 +739,7 @@
 
     def _place(self, now: float, state: EndpointState, work: Work) -> Placed:
         self._waiting.charge(work.organisation, work.units)
-        self._shares.record_placed(work.organisation, work.units)
+        self._entitlements.record_placed(now, work.organisation, work.units)
         if state.rate_limit is not None:
             state.rate_limit.take(now)
         return self._placed_at(state, work, self._add_running(now, state, work))
@@ -694,12 +787,7 @@
         wait_s = max(wait_s, self._limit_wait_s)
         if reason is RefusalReason.NO_ENDPOINT:
             wait_s = max(wait_s, self._pause_s(now, work))
-        self._shares.record_refused(
-            work.organisation,
-            work.units,
-            reason,
-            below_share=not self._waiting.is_ahead(work.organisation),
-        )
+        self._entitlements.record_refused(now, work.organisation, work.units, reason)
         return Refused(work.key, reason, wait_s, work)
 
     def _pause_s(self, now: float, work: Work) -> float:
@@ -777,3 +865,8 @@
     if work.prompt is None:
         return 0
     return own_prompt_tokens(work) + work.prompt.generated_tokens
+
+
+def _patience_s(work: Work) -> float:
+    """Return the seconds for which a request below the share may wait."""
+    return max(work.remaining_target_s, work.max_wait_s)
--- /dev/null
+++ b/borageworks/placement/entitlements.py
@@ -0,0 +1,126 @@
+"""What organisations are owed of a shard, by max-min fairness over a short time."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from borageworks.fair.max_min import max_min_level
+from borageworks.placement.decisions import RefusalReason
+from borageworks.placement.share_tally import ShareReport, ShareTally
+
+# The even share changes with the load of whole seconds.
+UPDATE_INTERVAL_S = 0.05
+# Organisations that got this part of their share are not below it: the share is an
+# estimate, and organisations that flood differ by a few requests.
+SHARE_TOLERANCE_RATIO = 0.8
+# Amounts below this are left out of the division.
+MIN_TRACKED_AMOUNT = 1e-3
+
+
+@dataclass(slots=True)
+class _Account:
+    """Requested and placed amounts, weighted by their age."""
+
+    requested: float = 0.0
+    placed: float = 0.0
+    updated_at: float = -math.inf
+
+    def advance(self, now: float, window_s: float) -> None:
+        decay = math.exp((self.updated_at - now) / window_s)
+        self.requested *= decay
+        self.placed *= decay
+        self.updated_at = now
+
+
+class Entitlements:
+    """Knows which organisations have got less than they are owed.
+
+    An organisation is owed what it requests, up to the even share: the max-min level of
+    all requests over all that was placed. Amounts fade exponentially, so that neither
+    unused service nor an excess counts for longer than a few windows. Amounts are
+    tokens of requests, or plain requests.
+
+    Parameters
+    ----------
+    window_s
+        Time constant of the amounts in seconds.
+    """
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._accounts: dict[str, _Account] = {}
+        self._even_share = math.inf
+        self._updated_at = -math.inf
+        self._tally = ShareTally()
+
+    def record_requested(self, now: float, organisation: str, amount: float) -> None:
+        """Add an amount that an organisation requests."""
+        self._account(now, organisation).requested += amount
+        self._tally.record_requested(organisation, amount)
+
+    def record_placed(self, now: float, organisation: str, amount: float) -> None:
+        """Add an amount that was placed on an endpoint."""
+        self._account(now, organisation).placed += amount
+        self._tally.record_placed(organisation, amount)
+
+    def record_running(self, now: float, organisation: str, amount: float) -> None:
+        """Add an amount that another instance placed and that is still running."""
+        account = self._account(now, organisation)
+        account.requested += amount
+        account.placed += amount
+
+    def record_refused(
+        self, now: float, organisation: str, amount: float, reason: RefusalReason
+    ) -> None:
+        """Add an amount that was refused, for the report."""
+        below_share = self.is_below_share(now, organisation)
+        self._tally.record_refused(
+            organisation, amount, reason, below_share=below_share
+        )
+
+    def is_below_share(
+        self, now: float, organisation: str, waiting: float = 0.0
+    ) -> bool:
+        """Return whether an organisation has got less than it is owed.
+
+        Parameters
+        ----------
+        now
+            Time in seconds.
+        organisation
+            The organisation.
+        waiting
+            Amount that waits for an endpoint and counts as if it were placed.
+        """
+        if now - self._updated_at >= UPDATE_INTERVAL_S:
+            self._update(now)
+        account = self._accounts.get(organisation)
+        amount = waiting if account is None else waiting + account.placed
+        # A new owner has no share to compare with until it has placed something.
+        return amount <= 0.0 or amount < SHARE_TOLERANCE_RATIO * self._even_share
+
+    def report(self) -> ShareReport:
+        """Return what organisations got and were owed since the last report."""
+        return self._tally.report()
+
+    def _update(self, now: float) -> None:
+        self._updated_at = now
+        for account in self._accounts.values():
+            account.advance(now, self._window_s)
+        self._accounts = {
+            name: account
+            for name, account in self._accounts.items()
+            if account.requested >= MIN_TRACKED_AMOUNT
+        }
+        self._even_share = max_min_level(
+            (account.requested for account in self._accounts.values()),
+            sum(account.placed for account in self._accounts.values()),
+        )
+
+    def _account(self, now: float, organisation: str) -> _Account:
+        account = self._accounts.get(organisation)
+        if account is None:
+            account = self._accounts[organisation] = _Account()
+        account.advance(now, self._window_s)
+        return account
--- a/borageworks/placement/settings.py
+++ b/borageworks/placement/settings.py
@@ -29,6 +29,8 @@
         multiplied by the ratio and extended by the margin: it may have been lost.
     min_retry_after_s, max_retry_after_s
         Bounds of the Retry-After of refused requests.
+    share_window_s
+        Time constant over which organisations are owed an even share.
     """
 
     prefill_ahead_s: float = 0.08
@@ -40,3 +42,4 @@
     overdue_margin_s: float = 0.25
     min_retry_after_s: float = 0.2
     max_retry_after_s: float = 3.0
+    share_window_s: float = 4.0
--- a/borageworks/placement/waiting.py
+++ b/borageworks/placement/waiting.py
@@ -28,6 +28,9 @@
         Time at which `preferred` was selected.
     tokens
         Prompt tokens that only this request uses.
+    any_endpoint
+        Whether the first endpoint that has room takes it, before all requests that wait
+        for their preferred ones.
     """
 
     work: Work
@@ -36,6 +39,7 @@
     preferred: str | None
     selected_at: float
     tokens: int
+    any_endpoint: bool = False
 
 
 class WaitingQueue:
@@ -76,6 +80,11 @@
         """Number of requests by organisation."""
         return self._counts
 
+    @property
+    def units(self) -> Mapping[str, float]:
+        """Charge of the requests by organisation."""
+        return self._units
+
     def __len__(self) -> int:
         """Return the number of requests."""
         return len(self._items)
@@ -106,6 +115,13 @@
         item.preferred = endpoint
         self._count_at_endpoint(item, 1)
 
+    def release(self, item: WaitingWork) -> None:
+        """Let a request use any endpoint; it may wait already or not."""
+        if item.work.key in self._items:
+            self.prefer(item, None)
+        item.preferred = None
+        item.any_endpoint = True
+
     def forget_endpoint(self, endpoint: str) -> None:
         """Let no request wait for an endpoint that is gone."""
         self._endpoint_tokens.pop(endpoint, None)
@@ -123,11 +139,6 @@
         """Return the organisations whose virtual time is furthest beyond the pool's."""
         return self._fair_queue.leads(count)
 
-    def is_ahead(self, organisation: str) -> bool:
-        """Return whether the virtual time of an organisation is beyond the pool's."""
-        virtual_time = self._fair_queue.virtual_time(organisation)
-        return virtual_time > self._fair_queue.pool_virtual_time
-
     def is_behind_others(self, work: Work) -> bool:
         """Return whether waiting requests come before a new one in fair order."""
         if not self._items:
--- a/borageworks/platform/settings.py
+++ b/borageworks/platform/settings.py
@@ -10,6 +10,7 @@
 
 from borageworks.exceptions import SettingsInvalidError
 from borageworks.gateway.settings import GatewaySettings, HostPort
+from borageworks.placement.settings import PlacementSettings
 
 MILLISECONDS_PER_SECOND = 1000.0
 MAX_PORT = 65_535
@@ -70,6 +71,7 @@
     retry_budget_ratio: Annotated[float, Field(ge=0)]
     budget_window_s: Positive
     budget_extra: Annotated[float, Field(ge=0)]
+    quota_window_s: Positive = PlacementSettings().share_window_s
 
 
 class _Store(_Model):
@@ -183,6 +185,7 @@
         retry_window_s=bounds.budget_window_s,
         retry_allowance=bounds.budget_extra,
         balancer_lag_s=BALANCER_LAG_S,
+        share_window_s=bounds.quota_window_s,
         first_start=model.bootstrap,
     )
 
--- a/borageworks_emulator/platform/harness.py
+++ b/borageworks_emulator/platform/harness.py
@@ -55,6 +55,7 @@
             f"bounds.grace_s={grace_s}",
             "bounds.retry_budget_ratio=0.2",
             "bounds.budget_window_s=10",
+            "bounds.quota_window_s=4",
             "bounds.budget_extra=50",
             f"platform.address={store[0]}:{store[1]}",
             "some_new_field=1",
