Count no parts of tokens at several rate limits as a whole one

A request below its share waited for any endpoint, as half a token at each of two engines looked like one, and was refused when its target had passed. The wait is now at least that of the endpoint that is free first, so that such a request waits for its token as before.

--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -394,8 +394,14 @@
         ]
         tokens = sum(item.prompt.tokens for item in ahead if item.prompt is not None)
         prefill_s = tokens * self._prefill_speed.seconds_per_token
+        # Parts of tokens at several rate limits do not add up to a whole one.
+        shortest_s = min(
+            (self._slot_wait_s(now, [state], 0) for state in states), default=0.0
+        )
         return max(
-            prefill_s / max(len(states), 1), self._slot_wait_s(now, states, len(ahead))
+            prefill_s / max(len(states), 1),
+            self._slot_wait_s(now, states, len(ahead)),
+            shortest_s,
         )
 
     def withdraw(self, now: float, key: WorkKey) -> list[Decision]:
--- a/borageworks/placement/tests/test_rate_limit.py
+++ b/borageworks/placement/tests/test_rate_limit.py
@@ -157,3 +157,16 @@
         run_load(simulation, 20, arrivals)
         served = simulation.on_time.get("small", 0) + simulation.late.get("small", 0)
         self.assertTrue(served >= 0.9 * 20, (simulation.on_time, simulation.refused))
+
+    def test_request_at_a_new_owner_while_all_engines_are_in_need(self):
+        """Guards against parts of tokens at several limits counted as a whole one."""
+        dispatcher = engine_dispatcher(2)
+        for number in range(2):
+            dispatcher.set_limit(0.0, f"e{number}/0", 1.0)
+        now = 0.55
+        decisions = dispatcher.submit(now, work(prompt(), remaining_target_s=0.3))
+        while not decisions and now < 2.0:
+            now += TICK_S
+            decisions = dispatcher.tick(now)
+        (decision,) = decisions
+        self.assertIsInstance(decision, Placed)
