Infer the version of a stream only from a read of the store that began after the request

Now only a record of the stream decides at entry and owner. If neither has one, the entry instance reads the store and infers from that; requests that come while a read is on its way share the next one. Without the store the stream is refused, with Retry-After, as another instance may know it.

The tests of the gateway, stream versions, pauses and restores pass.

--- a/borageworks/gateway/follower.py
+++ b/borageworks/gateway/follower.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import random
 from base64 import b64decode, b64encode
 from collections.abc import Callable, Iterable
@@ -87,7 +86,10 @@
         self._session: aiohttp.ClientSession | None = None
         self._confirmed_at: float | None = None
         self._configured_at: float | None = None
-        self._confirmation: asyncio.Task[None] | None = None
+        self._confirmation: asyncio.Task[bool] | None = None
+        # The last read of the store for `confirm`, and the one that has not begun.
+        self._read: asyncio.Task[bool] | None = None
+        self._next_read: asyncio.Task[bool] | None = None
         metrics.before_render(self._update_age_gauges)
 
     @property
@@ -95,13 +97,6 @@
         """Local replica of the store's items."""
         return self._replica
 
-    @property
-    def confirmed_age_s(self) -> float:
-        """Seconds since the replica was current, infinite before that."""
-        if self._confirmed_at is None:
-            return math.inf
-        return self._timers.now() - self._confirmed_at
-
     async def follow_store(self) -> None:
         """Follow the store until cancelled."""
         while True:
@@ -130,7 +125,27 @@
         if self._confirmation is not None and not self._confirmation.done():
             await asyncio.shield(self._confirmation)
 
-    async def _confirm(self) -> None:
+    async def confirm(self) -> bool:
+        """Read the store; return whether the replica is as recent as this call.
+
+        Calls share a read that has not begun yet. None is made while the store does
+        not reply.
+        """
+        if self._store.failing_since is not None:
+            return False
+        if self._next_read is None:
+            loop = asyncio.get_running_loop()
+            self._next_read = loop.create_task(self._confirm_after(self._read))
+        return await asyncio.shield(self._next_read)
+
+    async def _confirm_after(self, previous: asyncio.Task[bool] | None) -> bool:
+        if previous is not None:
+            await asyncio.wait([previous])
+        self._read, self._next_read = self._next_read, None
+        return await self._confirm()
+
+    async def _confirm(self) -> bool:
+        """Read the store once; return whether it replied in time."""
         try:
             async with asyncio.timeout(CONFIRMATION_TIMEOUT_S):
                 self._apply_from_store(await self._store.range(ALL_KEYS_PREFIX))
@@ -141,6 +156,8 @@
             TimeoutError,
         ) as error:
             self._metrics.count("confirmation_failures", type(error).__name__)
+            return False
+        return True
 
     async def _watch(self) -> None:
         """Watch the store until readers forward its changes."""
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -134,9 +134,7 @@
             self._link_opened,
         )
         self._notices = EndpointNotices(self._fleet, timers, self._metrics)
-        self._streams = StreamVersions(
-            timers.now(), self._is_replica_current, complete=settings.first_start
-        )
+        self._streams = StreamVersions(timers.now(), complete=settings.first_start)
         self._stream_store = StreamStore(
             self._codec.own_prefix,
             self._streams,
@@ -155,6 +153,7 @@
             PlacementSettings(share_window_s=settings.share_window_s),
             lambda: self._loop_lag.overloaded,
             self._streams,
+            self._confirm_replica,
         )
         self._feed = Feed(settings, self._fleet, timers, self._metrics)
         self._follower = Follower(
@@ -301,8 +300,8 @@
             self._streams.update(now, deployment, endpoints)
             self._stream_store.review()
 
-    def _is_replica_current(self) -> bool:
-        return self._follower.confirmed_age_s <= self._settings.recovery_grace_s
+    async def _confirm_replica(self) -> bool:
+        return await self._follower.confirm()
 
     def _instances_changed(self, removed: Iterable[str]) -> None:
         for name in removed:
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -6,7 +6,7 @@
 import itertools
 import math
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import asdict, replace
 from typing import Any
 
@@ -14,6 +14,7 @@
 from borageworks.exceptions import (
     EndpointUnavailableError,
     PlacementSilentError,
+    StreamUnknownError,
 )
 from borageworks.gateway.directory import Directory
 from borageworks.gateway.endpoint_notices import EndpointNotices
@@ -98,6 +99,9 @@
         Returns whether this process notices events late.
     streams
         Versions of the engines that began streams.
+    confirm_replica
+        Reads the store; returns whether this instance then knows all engines that were
+        listed at the time of the call.
     """
 
     def __init__(
@@ -110,6 +114,7 @@
         settings: PlacementSettings,
         is_overloaded: Callable[[], bool] = lambda: False,
         streams: StreamVersions | None = None,
+        confirm_replica: Callable[[], Awaitable[bool]] | None = None,
     ) -> None:
         self._fleet = fleet
         self._instance = fleet.instance
@@ -121,6 +126,7 @@
         self._settings = settings
         self._is_overloaded = is_overloaded
         self._streams = StreamVersions() if streams is None else streams
+        self._confirm_replica = confirm_replica
         self._dispatchers: dict[Shard, Dispatcher] = {}
         self._service_shards: dict[str, ServiceShards] = {}
         self._most_endpoints: dict[str, int] = {}
@@ -159,8 +165,17 @@
             If no endpoint of the service is available.
         CapacityExceededError
             If no endpoint can respond in time.
+        StreamUnknownError
+            If the version is not known of the engine that began a resumed stream.
         """
-        work = self._bind(self._timers.now(), service, work)
+        work = self._bind(service, work)
+        try:
+            return await self._place(service, request_id, work)
+        except StreamUnknownError:
+            work = await self._infer_version(service, work)
+        return await self._place(service, request_id, work)
+
+    async def _place(self, service: str, request_id: str, work: Work) -> Placed:
         shard = self._find_shard(service, request_id, work)
         if shard not in self._dispatchers:
             raise EndpointUnavailableError(
@@ -497,37 +512,69 @@
         self._deliver(self._count_refusals(shard, decisions))
         self._ensure_ticking()
 
-    def _bind(self, now: float, service: str, work: Work) -> Work:
+    def _bind(self, service: str, work: Work, *, confirmed: bool = False) -> Work:
         """Bind a request that resumes a stream to the version of the stream.
 
         It stays unbound if the version is not known to this instance.
+
+        Parameters
+        ----------
+        service, work
+            Service and request.
+        confirmed
+            Whether the store has confirmed the list of engines since the request came.
         """
         if not work.resumed:
             return work
-        resolved = self._streams.resolve(now, service, work.stream)
-        source = "unknown" if resolved is None else resolved.source
+        now = self._timers.now()
+        resolved = self._streams.resolve(now, service, work.stream, confirmed=confirmed)
+        if resolved is None:
+            return work
+        self._log_resolved(service, work, resolved.source, resolved.version)
+        return replace(work, software_version=resolved.version, resumed=False)
+
+    async def _infer_version(self, service: str, work: Work) -> Work:
+        """Bind a request that resumes a stream which neither owner nor entry knows.
+
+        Raises
+        ------
+        StreamUnknownError
+            If the store does not confirm that there has been one version only.
+        """
+        confirm = self._confirm_replica
+        confirmed = confirm is not None and await confirm()
+        bound = self._bind(service, work, confirmed=confirmed)
+        if not bound.resumed:
+            return bound
+        self._log_resolved(service, work, "unknown", None)
+        # Without the store, another instance may know more.
+        retry_after_s = None if confirmed else self._settings.min_retry_after_s
+        raise StreamUnknownError(
+            "the version of the engine that began the stream is not known",
+            retry_after=retry_after_s,
+        )
+
+    def _log_resolved(
+        self, service: str, work: Work, source: str, version: str | None
+    ) -> None:
         self._metrics.count("streams_resolved", source)
         emit(
             Event.STREAM_RESOLVED,
             service=service,
             stream=work.stream.hex(),
             entry=work.key[0],
-            software_version=None if resolved is None else resolved.version,
+            software_version=version,
             source=source,
         )
-        if resolved is None:
-            return work
-        return replace(work, software_version=resolved.version, resumed=False)
 
     def _submit_bound(
         self, now: float, shard: Shard, dispatcher: Dispatcher, work: Work
     ) -> list[Decision]:
         """Place a request, one that goes on with a stream at the stream's version."""
-        work = self._bind(now, shard[0], work)
+        work = self._bind(shard[0], work)
         if work.resumed:
-            # Beside the owner, another instance may know the stream.
-            wait_s = 0.0 if self.owns(shard) else self._settings.min_retry_after_s
-            return [Refused(work.key, RefusalReason.STREAM_UNKNOWN, wait_s, work)]
+            # The entry instance asks the store.
+            return [Refused(work.key, RefusalReason.STREAM_UNKNOWN, 0.0, work)]
         version = work.software_version
         if version is not None and not dispatcher.has_version(version):
             return [Refused(work.key, RefusalReason.VERSION_GONE, 0.0, work)]
--- a/borageworks/gateway/stream_versions.py
+++ b/borageworks/gateway/stream_versions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from borageworks.gateway.deployment import Deployment
@@ -28,27 +28,19 @@
     """Finds the version of the engine that began a stream which a caller resumes.
 
     That is a record of the stream, made here or told by others, or else the only
-    version that the service has had for as long as a stream may be old.
+    version that the service has had for as long as a stream may be old. The latter
+    holds only if the store has confirmed the list of engines since the caller resumed
+    the stream: it may have begun at a version that has joined a moment ago.
 
     Parameters
     ----------
     now
         Time in seconds.
-    is_current
-        Returns whether the store has confirmed the list of engines in the last moments.
-        An instance that is cut off does not learn of new versions.
     complete
         Whether no engine can have served before `now`.
     """
 
-    def __init__(
-        self,
-        now: float = 0.0,
-        is_current: Callable[[], bool] = lambda: True,
-        *,
-        complete: bool = True,
-    ) -> None:
-        self._is_current = is_current
+    def __init__(self, now: float = 0.0, *, complete: bool = True) -> None:
         self._complete = complete
         self._origins = StreamOrigins()
         self._histories: dict[str, SoftwareHistory] = {}
@@ -98,7 +90,9 @@
         history = self._histories.get(service)
         return history is not None and len(history.versions(now)) > 1
 
-    def resolve(self, now: float, service: str, stream: bytes) -> ResolvedStream | None:
+    def resolve(
+        self, now: float, service: str, stream: bytes, *, confirmed: bool = False
+    ) -> ResolvedStream | None:
         """Return the version of a stream, None if it is not known.
 
         Parameters
@@ -109,6 +103,9 @@
             Service of the stream.
         stream
             Id of the stream, empty if its caller does not name it.
+        confirmed
+            Whether the store has confirmed the list of engines since the caller resumed
+            the stream.
         """
         origin = self._origins.find(now, stream) if stream else None
         if origin is not None:
@@ -116,7 +113,7 @@
                 return None
             return ResolvedStream(origin.version, origin.source)
         history = self._histories.get(service)
-        if history is None or not self._is_current():
+        if history is None or not confirmed:
             return None
         version = history.only_version(now)
         return None if version is None else ResolvedStream(version, "only_version")
--- a/borageworks/gateway/tests/test_stream_versions.py
+++ b/borageworks/gateway/tests/test_stream_versions.py
@@ -47,12 +47,10 @@
     def __init__(self, store, *, complete=True, instances=8):
         self.store = store
         self.time = 100.0
-        self.current = True
+        self.confirmed = True
         self.pending: list[Any] = []
         self.sent: list[Any] = []
-        self.versions = StreamVersions(
-            self.time, lambda: self.current, complete=complete
-        )
+        self.versions = StreamVersions(self.time, complete=complete)
         timers: Any = SimpleNamespace(now=lambda: self.time, after=self._after)
         fleet: Any = SimpleNamespace(
             instance="a",
@@ -88,7 +86,9 @@
         self.versions.origins.record(self.time, stream, version, 10.0, "engines/0")
 
     def resolve(self, stream):
-        resolved = self.versions.resolve(self.time, "engines", stream)
+        resolved = self.versions.resolve(
+            self.time, "engines", stream, confirmed=self.confirmed
+        )
         return None if resolved is None else resolved.version
 
     def keys(self, kind):
@@ -184,11 +184,11 @@
             self.instance.advance(STORE_INTERVAL_S)
         self.assertEqual(calls, self.store.revision)
 
-    def test_instance_that_is_cut_off_infers_nothing(self):
+    def test_instance_without_confirmation_infers_nothing(self):
         """Guards against a guess of an instance that learns of no new version."""
         self.instance.list("v1")
         self.instance.begin(STREAMS[0], "v1")
-        self.instance.current = False
+        self.instance.confirmed = False
         self.assertEqual("v1", self.instance.resolve(STREAMS[0]))
         self.assertIsNone(self.instance.resolve(STREAMS[1]))
 
--- a/borageworks_emulator/platform/tests/test_stream_versions.py
+++ b/borageworks_emulator/platform/tests/test_stream_versions.py
@@ -2,9 +2,12 @@
 
 import asyncio
 from contextlib import AsyncExitStack
+from unittest import mock
 
 from testtools import TestCase
 
+from borageworks.exceptions import StoreUnavailableError
+from borageworks.store.values import RangeResult
 from borageworks_emulator.platform.endpoint import Behaviour, event_bytes
 from borageworks_emulator.platform.harness import (
     API_KEY,
@@ -39,6 +42,36 @@
 SHARED_S = 0.3
 
 
+def cut_off(stack, harness):
+    """Let an instance reach neither the store nor other instances."""
+    delay_news(stack, harness)
+    unreachable = StoreUnavailableError("cut off")
+    fleet, store = harness.gateway._fleet, harness.platform_store
+    for patch in (
+        mock.patch.object(store, "range", side_effect=unreachable),
+        mock.patch.object(fleet, "send", return_value=False),
+    ):
+        stack.enter_context(patch)
+
+
+def delay_news(stack, harness):
+    """Let an instance get no news, but for what it asks the store for."""
+    gateway = harness.gateway
+    follower = gateway._follower
+    apply = follower._apply_from_store
+
+    def apply_ranges(update):
+        if isinstance(update, RangeResult):
+            apply(update)
+
+    for part, name, replacement in (
+        (follower, "_apply_from_store", apply_ranges),
+        (follower, "apply_peer_update", mock.Mock()),
+        (gateway._stream_store, "receive", mock.Mock()),
+    ):
+        stack.enter_context(mock.patch.object(part, name, replacement))
+
+
 class StreamVersionTest(TestCase):
     def run_engines(self, engines, scenario, instances=1):
         async def main():
@@ -176,6 +209,53 @@
         self.check_versions(begun)
         self.assertEqual([(200, True)] * 16, answers)
 
+    def run_release(self, fall_behind):
+        """Take streams up at an instance that falls behind before a release.
+
+        Return the streams and the answers.
+        """
+        new, self.new = self.new, []
+
+        async def scenario(first, stack):
+            await first.wait_until(lambda: stores(first, "software"))
+            second = await self.start(first, stack, "edge-2")
+            for harness in (first, second):
+                await harness.wait_until_linked(2)
+            await second.wait_until_current()
+            shard = ENGINE_SERVICE, 0
+            owner, behind = first, second
+            if second.gateway._placer.owns(shard):
+                owner, behind = second, first
+            fall_behind(stack, behind)
+            for emulated in new:
+                await emulated.start()
+                stack.push_async_callback(emulated.stop)
+                await first.register(emulated, ENGINE_SERVICE)
+            await owner.wait_until_current()
+            self.new = new
+            begun = await begin(owner, 12)
+            return begun, [await take_up(behind, *stream) for stream in begun]
+
+        return self.run_scenario(scenario)
+
+    def test_streams_taken_up_where_a_release_is_not_known(self):
+        """Guards against a guess of an instance that was just cut off or stood still.
+
+        It does not know the version that has joined meanwhile, and has heard of the
+        store a moment ago.
+        """
+        begun, answers = self.run_release(cut_off)
+        self.assertTrue({attempt for attempt, _ in begun} & new_runs(self.new))
+        self.check_versions(begun)
+        self.assertEqual(set(), set(answers) - {(200, True), (503, False)})
+
+    def test_streams_taken_up_where_a_release_is_known_late(self):
+        """Guards against callers' requests that are read before the store's news."""
+        begun, answers = self.run_release(delay_news)
+        self.assertTrue({attempt for attempt, _ in begun} & new_runs(self.new))
+        self.check_versions(begun)
+        self.assertEqual(set(), set(answers) - {(200, True), (503, False)})
+
     def test_stream_taken_up_for_the_third_and_fourth_time(self):
         """Guards against a stream that is only known by its last attempt."""
         for emulated in [*self.old, *self.new]:
