Keep requests below the share at the engine that has their part cached

Such a request now comes first at its preferred engine, also if it is late, for half of its target, and uses any engine where none has its part, or after that. Floods, which request more than the even share, count as below it under half of it, as the users' rule has it, instead of 0.8: they differ by whose parts are cached, and evening that out costs prefill. Who requests less is owed all of it.

The tests of admission by share pass with their bounds.

--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -53,6 +53,9 @@
 # Longest wait of a late request for a rate limit, and its margin for the next tick.
 MAX_LIMIT_WAIT_S = 1.0
 LIMIT_WAIT_MARGIN_S = 0.04
+# Part of the time that a request below the share may wait, after which it no longer
+# waits for the endpoint that has its shared part cached.
+PREFERRED_WAIT_RATIO = 0.5
 # Organisations named in the summary for the log, so that its length is bounded.
 MAX_NAMED_LEADS = 8
 
@@ -317,7 +320,7 @@
         expected_wait_s = self._expected_wait_s(now, waiting)
         if now + expected_wait_s > expires_at:
             if self._is_below_share(now, work) and self._is_servable(now, work):
-                return self._use_any_endpoint(now, waiting)
+                return self._serve_first(now, waiting)
             decision = self._place_elsewhere(now, waiting)
             if isinstance(decision, Placed) or not self._is_next_at_limit(
                 state, work, expected_wait_s
@@ -336,23 +339,52 @@
         """Return whether some endpoint has room while a response is of use."""
         return self._any_endpoint_wait_s(now, work) <= _patience_s(work)
 
-    def _use_any_endpoint(self, now: float, waiting: WaitingWork) -> list[Decision]:
-        """Place a request on the first endpoint that has room, even if it is late.
-
-        The shared part is prefilled again there. That takes capacity from organisations
-        above their share, of which this one would otherwise get less than it is owed.
-        """
-        state = self._cheapest_with_room(now, waiting.work)
-        if state is not None:
-            return [self._place(now, state, waiting.work)]
-        self._release(waiting)
+    def _serve_first(self, now: float, waiting: WaitingWork) -> list[Decision]:
+        """Place a request as soon as possible, or let it wait before all others."""
+        work = waiting.work
+        if not self._is_worth_waiting(now, waiting):
+            state = self._cheapest_with_room(now, work)
+            if state is not None:
+                return [self._place(now, state, work)]
         self._waiting.add(now, waiting)
+        self._give_priority(now, waiting)
         return []
 
-    def _release(self, waiting: WaitingWork) -> None:
-        """Let a waiting request use any endpoint."""
-        self._waiting.release(waiting)
-        waiting.expires_at = waiting.arrived_at + _patience_s(waiting.work)
+    def _give_priority(self, now: float, waiting: WaitingWork) -> None:
+        """Let a request wait before all that have no priority, even if it is late.
+
+        It waits for its preferred endpoint, then for any.
+        """
+        work = waiting.work
+        patience_s = _patience_s(work)
+        if waiting.has_priority or not self._is_worth_waiting(now, waiting):
+            self._waiting.prefer(waiting, None)
+        else:
+            patience_s *= PREFERRED_WAIT_RATIO
+        waiting.has_priority = True
+        waiting.expires_at = waiting.arrived_at + patience_s
+
+    def _is_worth_waiting(self, now: float, waiting: WaitingWork) -> bool:
+        """Return whether the preferred endpoint saves prefill and has room in time.
+
+        Any other one would prefill the shared part again, which takes capacity from
+        all organisations.
+        """
+        work = waiting.work
+        if waiting.preferred is None or work.prompt is None:
+            return False
+        state = self._endpoints[waiting.preferred]
+        if self._uncached_tokens(state, work) > waiting.tokens:
+            return False
+        wait_s = now - waiting.arrived_at + self._backlog_wait_s(now, state)
+        return wait_s <= PREFERRED_WAIT_RATIO * _patience_s(work)
+
+    def _backlog_wait_s(self, now: float, state: EndpointState) -> float:
+        """Return the seconds until the backlog of an engine admits a request."""
+        seconds_per_token = self._seconds_per_token(now, state)
+        backlog = state.backlog_tokens(now, seconds_per_token)
+        allowed_s = self._settings.prefill_ahead_s * self._capacity_ratio
+        return max(backlog * seconds_per_token - allowed_s, 0.0)
 
     def _cheapest_with_room(self, now: float, work: Work) -> EndpointState | None:
         """Return the endpoint with the lowest cost that has room, None without any."""
@@ -390,7 +422,7 @@
         ahead = [
             item.work
             for item in self._waiting.ahead_of(work)
-            if item.preferred is None or work.prompt is None
+            if item.uses_any_endpoint or work.prompt is None
         ]
         tokens = sum(item.prompt.tokens for item in ahead if item.prompt is not None)
         prefill_s = tokens * self._prefill_speed.seconds_per_token
@@ -519,7 +551,7 @@
         self._expire_overdue(now)
         least_recent = heapq.nsmallest(
             SELECTIONS_PER_TICK,
-            (item for item in self._waiting if not item.any_endpoint),
+            (item for item in self._waiting if not item.uses_any_endpoint),
             key=lambda item: item.selected_at,
         )
         for waiting in least_recent:
@@ -529,10 +561,10 @@
             organisation = waiting.work.organisation
             if (
                 now >= waiting.expires_at
-                and not waiting.any_endpoint
+                and not waiting.uses_any_endpoint
                 and self._entitlements.is_below_share(now, organisation)
             ):
-                self._release(waiting)
+                self._give_priority(now, waiting)
             if now >= waiting.expires_at or not self.may_run(waiting.work):
                 self._waiting.remove(now, waiting.work.key)
                 decisions.append(
@@ -570,7 +602,7 @@
         tags = self._waiting.tags()
         order.sort(
             key=lambda item: (
-                not item.any_endpoint,
+                not item.has_priority,
                 tags[item.work.key],
                 item.arrived_at,
             )
@@ -578,7 +610,7 @@
         full: set[str] = set()
         for waiting in order:
             work = waiting.work
-            if waiting.any_endpoint and work.prompt is not None:
+            if waiting.uses_any_endpoint and work.prompt is not None:
                 state = freed or self._cheapest_with_room(now, work)
                 if state is not None and self._may_place(now, state, work):
                     self._waiting.remove(now, work.key)
--- a/borageworks/placement/entitlements.py
+++ b/borageworks/placement/entitlements.py
@@ -11,9 +11,9 @@
 
 # The even share changes with the load of whole seconds.
 UPDATE_INTERVAL_S = 0.05
-# Organisations that got this part of their share are not below it: the share is an
-# estimate, and organisations that flood differ by a few requests.
-SHARE_TOLERANCE_RATIO = 0.8
+# Organisations that request more than the even share are below it if they got less than
+# this part of it. They flood, and differ by whose parts are cached.
+MIN_FLOOD_RATIO = 0.5
 # Amounts below this are left out of the division.
 MIN_TRACKED_AMOUNT = 1e-3
 
@@ -96,9 +96,11 @@
         if now - self._updated_at >= UPDATE_INTERVAL_S:
             self._update(now)
         account = self._accounts.get(organisation)
-        amount = waiting if account is None else waiting + account.placed
+        if account is None or account.requested <= self._even_share:
+            return True
+        got = account.placed + waiting
         # A new owner has no share to compare with until it has placed something.
-        return amount <= 0.0 or amount < SHARE_TOLERANCE_RATIO * self._even_share
+        return got <= 0.0 or got < MIN_FLOOD_RATIO * self._even_share
 
     def report(self) -> ShareReport:
         """Return what organisations got and were owed since the last report."""
--- a/borageworks/placement/waiting.py
+++ b/borageworks/placement/waiting.py
@@ -28,9 +28,9 @@
         Time at which `preferred` was selected.
     tokens
         Prompt tokens that only this request uses.
-    any_endpoint
-        Whether the first endpoint that has room takes it, before all requests that wait
-        for their preferred ones.
+    has_priority
+        Whether it comes before all that have not, as its organisation is below its
+        share. Without a preferred endpoint, the first one that has room takes it.
     """
 
     work: Work
@@ -39,7 +39,12 @@
     preferred: str | None
     selected_at: float
     tokens: int
-    any_endpoint: bool = False
+    has_priority: bool = False
+
+    @property
+    def uses_any_endpoint(self) -> bool:
+        """Whether the first endpoint that has room takes it."""
+        return self.has_priority and self.preferred is None
 
 
 class WaitingQueue:
@@ -115,13 +120,6 @@
         item.preferred = endpoint
         self._count_at_endpoint(item, 1)
 
-    def release(self, item: WaitingWork) -> None:
-        """Let a request use any endpoint; it may wait already or not."""
-        if item.work.key in self._items:
-            self.prefer(item, None)
-        item.preferred = None
-        item.any_endpoint = True
-
     def forget_endpoint(self, endpoint: str) -> None:
         """Let no request wait for an endpoint that is gone."""
         self._endpoint_tokens.pop(endpoint, None)
