Order the waiting requests only where one can be placed

Cause: each first token and end of a request computed the turn of all that wait, although the engine had no room, or few waited for it; the wait of a new request did the same.

An engine without room ends the pass at once; turns are computed for the requests at hand, and a new request looks only at the organisations in front of it.

--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -118,6 +118,10 @@
         self._prefill_wait_s = 0.0
         self._limit_wait_s = 0.0
         self._waits_computed_at = -math.inf
+        # The endpoints in use, and the wait until the first of them has a free slot.
+        self._usable: list[EndpointState] = []
+        self._free_wait_s = 0.0
+        self._free_computed_at = -math.inf
         self._expired_at = -math.inf
 
     @property
@@ -414,26 +418,28 @@
 
         Only requests that use any endpoint as well are served before it.
         """
-        states = [
-            state
-            for state in self._endpoints.values()
-            if work.may_run_at(state.endpoint) and state.usable(now)
-        ]
+        if now - self._free_computed_at > WAITS_MAX_AGE_S:
+            self._free_computed_at = now
+            self._usable = [
+                state for state in self._endpoints.values() if state.usable(now)
+            ]
+            self._free_wait_s = min(
+                (self._slot_wait_s(now, [state], 0) for state in self._usable),
+                default=0.0,
+            )
         ahead = [
             item.work
             for item in self._waiting.ahead_of(work)
             if item.uses_any_endpoint or work.prompt is None
         ]
+        if not ahead:
+            return self._free_wait_s
         tokens = sum(item.prompt.tokens for item in ahead if item.prompt is not None)
         prefill_s = tokens * self._prefill_speed.seconds_per_token
-        # Parts of tokens at several rate limits do not add up to a whole one.
-        shortest_s = min(
-            (self._slot_wait_s(now, [state], 0) for state in states), default=0.0
-        )
         return max(
-            prefill_s / max(len(states), 1),
-            self._slot_wait_s(now, states, len(ahead)),
-            shortest_s,
+            prefill_s / max(len(self._usable), 1),
+            self._slot_wait_s(now, self._usable, len(ahead)),
+            self._free_wait_s,
         )
 
     def withdraw(self, now: float, key: WorkKey) -> list[Decision]:
@@ -593,22 +599,15 @@
         """Place waiting requests that fit, on a freed endpoint only or on any."""
         if not self._waiting:
             return []
+        if freed is not None and self.has_engines and not self._admits(now, freed):
+            return []
         decisions: list[Decision] = []
+        items: Iterable[WaitingWork] = self._waiting
         if freed is not None and self.has_engines:
             name = freed.endpoint.id
-            order = [item for item in self._waiting if item.preferred in (name, None)]
-        else:
-            order = list(self._waiting)
-        tags = self._waiting.tags()
-        order.sort(
-            key=lambda item: (
-                not item.has_priority,
-                tags[item.work.key],
-                item.arrived_at,
-            )
-        )
+            items = [item for item in self._waiting if item.preferred in (name, None)]
         full: set[str] = set()
-        for waiting in order:
+        for waiting in self._waiting.in_order(items):
             work = waiting.work
             if waiting.uses_any_endpoint and work.prompt is not None:
                 state = freed or self._cheapest_with_room(now, work)
@@ -665,11 +664,7 @@
         return self._selector.select(now, work, self._prefill_speed.seconds_per_token)
 
     def _has_room(self, now: float, state: EndpointState, work: Work) -> bool:
-        if len(state.running) >= self._slot_limit(state) or not state.has_token(now):
-            return False
-        if state.is_paused(now, work.key[0]):
-            return False
-        if self._capacity_ratio < 1.0 and len(self._placed) >= self._total_slot_limit():
+        if state.is_paused(now, work.key[0]) or not self._has_slot(now, state):
             return False
         if work.prompt is None or not state.running:
             return True
@@ -682,11 +677,21 @@
             )
             if state.memory_tokens + _memory_tokens(work) > max_tokens:
                 return False
-        seconds_per_token = self._seconds_per_token(now, state)
-        backlog = state.backlog_tokens(now, seconds_per_token)
+        return self._backlog_wait_s(now, state) <= 0.0
+
+    def _has_slot(self, now: float, state: EndpointState) -> bool:
+        if len(state.running) >= self._slot_limit(state) or not state.has_token(now):
+            return False
+        return (
+            self._capacity_ratio >= 1.0 or len(self._placed) < self._total_slot_limit()
+        )
+
+    def _admits(self, now: float, state: EndpointState) -> bool:
+        """Return whether an engine may have room for some request."""
         return (
-            backlog * seconds_per_token
-            <= self._settings.prefill_ahead_s * self._capacity_ratio
+            state.usable(now)
+            and self._has_slot(now, state)
+            and (not state.running or self._backlog_wait_s(now, state) <= 0.0)
         )
 
     def _slot_limit(self, state: EndpointState) -> int:
--- a/borageworks/placement/tests/test_waiting.py
+++ b/borageworks/placement/tests/test_waiting.py
@@ -30,8 +30,7 @@
             queue.add(0.0, waiting("first"))
         for _ in range(3):
             queue.add(0.0, waiting("second"))
-        tags = queue.tags()
-        order = sorted(queue, key=lambda item: tags[item.work.key])
+        order = queue.in_order(queue)
         self.assertEqual(
             ["first", "second"] * 3, [item.work.organisation for item in order]
         )
--- a/borageworks/placement/waiting.py
+++ b/borageworks/placement/waiting.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping, Set
-from dataclasses import dataclass
+from collections.abc import Iterable, Iterator, Mapping, Set
+from dataclasses import dataclass, field
 
 from borageworks.fair.queue import FairQueue
 from borageworks.placement.work import Work, WorkKey
@@ -31,6 +31,8 @@
     has_priority
         Whether it comes before all that have not, as its organisation is below its
         share. Without a preferred endpoint, the first one that has room takes it.
+    units
+        Charge of the request.
     """
 
     work: Work
@@ -40,6 +42,11 @@
     selected_at: float
     tokens: int
     has_priority: bool = False
+    units: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Compute the charge once, as each decision about others needs it."""
+        self.units = self.work.units
 
     @property
     def uses_any_endpoint(self) -> bool:
@@ -57,6 +64,7 @@
 
     def __init__(self) -> None:
         self._items: dict[WorkKey, WaitingWork] = {}
+        self._queues: dict[str, dict[WorkKey, WaitingWork]] = {}
         self._fair_queue = FairQueue()
         self._counts: dict[str, int] = {}
         # Those of them that go on with a stream, so that few endpoints may run them.
@@ -105,12 +113,17 @@
     def add(self, now: float, item: WaitingWork) -> None:
         """Add a request."""
         self._items[item.work.key] = item
+        self._queues.setdefault(item.work.organisation, {})[item.work.key] = item
         self._count(now, item, 1)
 
     def remove(self, now: float, key: WorkKey) -> WaitingWork | None:
         """Remove and return a request, None if it does not wait."""
         item = self._items.pop(key, None)
         if item is not None:
+            queue = self._queues[item.work.organisation]
+            del queue[key]
+            if not queue:
+                del self._queues[item.work.organisation]
             self._count(now, item, -1)
         return item
 
@@ -166,29 +179,39 @@
 
     def ahead_of(self, work: Work) -> list[WaitingWork]:
         """Return the requests that come before a new one in fair order."""
-        if not self._items:
-            return []
-        tag = self.next_tag(work.organisation)
-        tags = self.tags()
-        return [item for key, item in self._items.items() if tags[key] <= tag]
-
-    def tags(self) -> dict[WorkKey, float]:
-        """Return the virtual time at which each request is served, by its key."""
-        tags: dict[WorkKey, float] = {}
+        own_tag = self.next_tag(work.organisation)
+        ahead: list[WaitingWork] = []
+        for organisation, queue in self._queues.items():
+            tag = self._fair_queue.virtual_time(organisation)
+            for item in queue.values():
+                if tag > own_tag:
+                    break
+                ahead.append(item)
+                tag += item.units
+        return ahead
+
+    def in_order(self, items: Iterable[WaitingWork]) -> list[WaitingWork]:
+        """Return some requests in the order in which they are served.
+
+        Those with priority come first; the requests of an organisation follow each
+        other by their charges.
+        """
         next_tags: dict[str, float] = {}
-        for key, item in self._items.items():
+        keys: list[tuple[bool, float, float, int]] = []
+        listed = list(items)
+        for index, item in enumerate(listed):
             organisation = item.work.organisation
             tag = next_tags.get(organisation)
             if tag is None:
                 tag = self._fair_queue.virtual_time(organisation)
-            tags[key] = tag
-            next_tags[organisation] = tag + item.work.units
-        return tags
+            next_tags[organisation] = tag + item.units
+            keys.append((not item.has_priority, tag, item.arrived_at, index))
+        return [listed[key[-1]] for key in sorted(keys)]
 
     def _count(self, now: float, item: WaitingWork, change: int) -> None:
         organisation = item.work.organisation
         count = self._counts.get(organisation, 0) + change
-        units = self._units.get(organisation, 0.0) + change * item.work.units
+        units = self._units.get(organisation, 0.0) + change * item.units
         if count:
             self._counts[organisation] = count
             self._units[organisation] = units
