Let a request whose engine is gone wait as long as one without a preferred engine

A request below its share that waited with priority for the engine with its part was refused after half of its time when that engine was lost: it used any engine from then on, and what uses any engine was not given the rest. test_engine_with_the_part_is_lost_while_a_request_waits_for_it fails before (refused after a wait) and passes.

--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -564,15 +564,15 @@
             self._reselect_endpoint(now, waiting)
         decisions = self._place_waiting(now)
         for waiting in list(self._waiting):
-            organisation = waiting.work.organisation
+            work = waiting.work
             if (
                 now >= waiting.expires_at
-                and not waiting.uses_any_endpoint
-                and self._entitlements.is_below_share(now, organisation)
+                and now - waiting.arrived_at < _patience_s(work)
+                and self._entitlements.is_below_share(now, work.organisation)
             ):
                 self._give_priority(now, waiting)
-            if now >= waiting.expires_at or not self.may_run(waiting.work):
-                self._waiting.remove(now, waiting.work.key)
+            if now >= waiting.expires_at or not self.may_run(work):
+                self._waiting.remove(now, work.key)
                 decisions.append(
                     self._refuse(now, waiting.work, RefusalReason.WAIT_TIMEOUT)
                 )
--- a/borageworks/placement/tests/test_fair_admission.py
+++ b/borageworks/placement/tests/test_fair_admission.py
@@ -9,7 +9,9 @@
 from borageworks.placement.decisions import Placed, Refused
 from borageworks.placement.outcome import WorkOutcome
 from borageworks.placement.tests.builders import (
+    EngineSimulation,
     engine_dispatcher,
+    engines,
     plain_dispatcher,
     prompt,
     work,
@@ -120,3 +122,21 @@
             dispatcher.start(now + 0.5, decision.key)
         leads = dispatcher.summarise(1.5).leads
         self.assertEqual(leads["uncached"], leads["cached"])
+
+    def test_engine_with_the_part_is_lost_while_a_request_waits_for_it(self):
+        """Guards against refusing a request early that can use any engine now."""
+        simulation = EngineSimulation(engine_dispatcher(count=2))
+        dispatcher = simulation.dispatcher
+        cached = prompt(own=100, shared=8000, shared_id="s")
+        for state in dispatcher.endpoints.values():
+            state.cache.record_use(cached)
+        for own in (7000, 16_000):
+            simulation.submit(work(prompt(own=own), "flood"))
+        for name in ("other", "small"):
+            request = prompt(own=8000, shared=8000, shared_id="s")
+            simulation.submit(work(request, name))
+        (waiting,) = (item for item in dispatcher._waiting if item.has_priority)
+        left = [item for item in engines(2, slots=24) if item.id != waiting.preferred]
+        simulation.set_endpoints(left)
+        simulation.advance(1.0)
+        self.assertEqual({}, simulation.refused)
