--- a/review/standins.py
+++ b/review/standins.py
@@ -22,6 +22,7 @@
 from typing import Any
 
 import orjson
+from aiohttp import web
 
 from borageworks_emulator.platform.store import EmulatedPlatformStore
 
@@ -674,6 +675,59 @@
         reply.body = await reader.read()
 
 
+class LateWritesStore(EmulatedPlatformStore):
+    """Store that loses answers of writes and executes those writes seconds later.
+
+    Parameters
+    ----------
+    is_lost
+        Returns whether the answer to a transaction that writes these keys is lost.
+    late_s
+        Seconds until such a transaction is executed, if its conditions hold then.
+    record
+        Receives a line for each lost answer.
+    """
+
+    def __init__(
+        self, is_lost: Callable[[list[str]], bool], late_s: float, record: Record
+    ) -> None:
+        super().__init__()
+        self._is_lost = is_lost
+        self._late_s = late_s
+        self._record = record
+        self._late: set[asyncio.Task[None]] = set()
+        self.lost = 0
+
+    async def _commit(self, request: Any) -> web.Response:
+        data = await request.read()
+        body = orjson.loads(data)
+        keys = [entry["key"] for entry in body["writes"]] + list(body["remove"])
+        if not self._is_lost(keys):
+            return await super()._commit(request)
+        self.lost += 1
+        self._record.line(f"the answer to a write of {keys} is lost")
+        task = asyncio.create_task(self._execute_late(data, keys))
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+        await asyncio.sleep(3600)
+        raise AssertionError("the connection returns nothing further")
+
+    async def _execute_late(self, data: bytes, keys: list[str]) -> None:
+        await asyncio.sleep(self._late_s)
+        response = await super()._commit(_ReadRequest(data))
+        self._record.line(f"the write of {keys} is executed late: {response.status}")
+
+
+class _ReadRequest:
+    """Request whose body has been read."""
+
+    def __init__(self, data: bytes) -> None:
+        self._data = data
+
+    async def read(self) -> bytes:
+        return self._data
+
+
 class Balancer:
     """The platform's entry: takes machines that are not ready out of rotation.
 
