--- a/review/3/case.py
+++ b/review/3/case.py
@@ -46,7 +46,9 @@
         for line in gateway.log().splitlines():
             if '"placed_by"' in line:
                 entry = json.loads(line)
-                last = max(last, (float(entry["timestamp"]), entry["placed_by"]))
+                # Empty for requests that the machine placed itself.
+                owner = entry["placed_by"] or gateway.name
+                last = max(last, (float(entry["timestamp"]), owner))
     for gateway in deployment.gateways:
         if gateway.name == last[1]:
             return gateway
