Split a stream of events in time that grows with its bytes

Cause: for each event found, the splitter looked for the second terminator through all bytes at hand.

Change: one regular expression finds the ends in one pass, and the buffer is cut once. Blank lines after an event belong to it: each of them was an event before. The id of an event is at most 64 bits long: one of 5,000 digits raised an unexpected error.

--- a/borageworks/gateway/event_stream.py
+++ b/borageworks/gateway/event_stream.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
 from borageworks.exceptions import EndpointReplyMalformedError
 
-_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+# Blank lines that follow the end of an event say nothing, so they are taken with it:
+# otherwise each of them would count as an event.
+_EVENT_END = re.compile(rb"(?:\n\n|\r\n\r\n)[\r\n]*")
 MAX_TERMINATOR_BYTES = 4
 # Hundreds of times the size of an event with a few tokens.
 MAX_EVENT_BYTES = 65_536
-_ID_PREFIX = b"id:"
+_ID_LINE = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
+# Digits of a 64-bit number.
+MAX_ID_DIGITS = 19
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,6 +29,8 @@
 class EventSplitter:
     """Buffers the bytes of a stream and returns complete events.
 
+    Each byte is scanned once, whatever the size of the events.
+
     Parameters
     ----------
     max_bytes
@@ -51,11 +58,14 @@
         search_start = max(len(self._buffer) - MAX_TERMINATOR_BYTES + 1, 0)
         self._buffer += data
         events: list[StreamEvent] = []
-        while (end := _event_end(self._buffer, search_start)) > 0:
-            block = bytes(self._buffer[:end])
-            del self._buffer[:end]
-            search_start = 0
+        start = 0
+        for terminator in _EVENT_END.finditer(self._buffer, search_start):
+            block = bytes(self._buffer[start : terminator.end()])
             events.append(StreamEvent(block, _event_id(block)))
+            start = terminator.end()
+        # The match keeps the buffer from being resized.
+        terminator = None
+        del self._buffer[:start]
         if len(self._buffer) > self._max_bytes:
             raise EndpointReplyMalformedError(
                 f"event is larger than {self._max_bytes} bytes"
@@ -63,19 +73,9 @@
         return events
 
 
-def _event_end(data: bytearray, search_start: int) -> int:
-    """Return the end offset of the first event, 0 if it is incomplete."""
-    ends = [
-        position + len(terminator)
-        for terminator in _TERMINATORS
-        if (position := data.find(terminator, search_start)) >= 0
-    ]
-    return min(ends, default=0)
-
-
 def _event_id(block: bytes) -> int | None:
-    for line in block.splitlines():
-        if line.startswith(_ID_PREFIX):
-            text = line[len(_ID_PREFIX) :].strip()
-            return int(text) if text.isdigit() else None
-    return None
+    line = _ID_LINE.search(block)
+    if line is None:
+        return None
+    text = line[1].strip()
+    return int(text) if text.isdigit() and len(text) <= MAX_ID_DIGITS else None
--- a/borageworks/gateway/tests/test_components.py
+++ b/borageworks/gateway/tests/test_components.py
@@ -1,5 +1,6 @@
 """Tests of gateway components without I/O: routes, replica, directory, shutdown."""
 
+import time
 from dataclasses import replace
 from typing import cast
 
@@ -283,6 +284,9 @@
         self.assertEqual(5, deployment and deployment.version)
 
 
+SMALL_READ_BYTES = 4096
+
+
 class EventSplitterTest(TestCase):
     def test_events_do_not_depend_on_chunk_boundaries(self):
         """Guards against events that are lost or joined at a chunk boundary."""
@@ -304,6 +308,27 @@
 
         check()
 
+    def test_time_grows_with_the_bytes(self):
+        """Guards against a read of small units that holds the loop for seconds."""
+
+        def seconds(unit, size):
+            data = unit * (size // len(unit))
+            started = time.process_time()
+            EventSplitter().feed(data)
+            return time.process_time() - started
+
+        growth = 8
+        for unit in (b"\n", b"\r\n", b":\n\n", b"data: x\n\n", b"id: 1\ndata\n\n"):
+            small_s = min(seconds(unit, SMALL_READ_BYTES) for _ in range(5))
+            large_s = min(seconds(unit, growth * SMALL_READ_BYTES) for _ in range(5))
+            # A quadratic splitter takes 64 times as long.
+            self.assertTrue(large_s < 3 * growth * small_s, (unit, small_s, large_s))
+
+    def test_event_number_of_more_digits_than_a_number_has(self):
+        """Guards against an unexpected error at a number of thousands of digits."""
+        (event,) = EventSplitter().feed(b"id: " + b"9" * 5000 + b"\ndata: x\n\n")
+        self.assertIsNone(event.id)
+
 
 class ShutdownTest(TestCase):
     def test_late_requests_are_accepted_only_if_they_finish_in_time(self):
