--- a/borageworks/gateway/event_stream.py
+++ b/borageworks/gateway/event_stream.py
@@ -63,8 +63,6 @@
             block = bytes(self._buffer[start : terminator.end()])
             events.append(StreamEvent(block, _event_id(block)))
             start = terminator.end()
-        # The match keeps the buffer from being resized.
-        terminator = None
         del self._buffer[:start]
         if len(self._buffer) > self._max_bytes:
             raise EndpointReplyMalformedError(
--- a/borageworks_emulator/platform/unbounded_response.py
+++ b/borageworks_emulator/platform/unbounded_response.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
+import itertools
+from collections.abc import Callable, Iterator, Mapping
 
 import orjson
 
@@ -55,6 +56,59 @@
     "failure_body": (b"HTTP/1.1 500 Failed\r\n{head}\r\n", filler()),
 }
 
+_STREAM_HEAD = b"HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n"
+
+
+def _numbered_events() -> Iterator[bytes]:
+    numbers = itertools.count()
+    while True:
+        block = itertools.islice(numbers, 1024)
+        yield b"".join(b"id: %d\ndata: x\n\n" % number for number in block)
+
+
+# Streams of many small units by name: bytes that are sent once, and a function that
+# returns the blocks which follow without end.
+SMALL_UNITS: Mapping[str, tuple[bytes, Callable[[], Iterator[bytes]]]] = {
+    "line_feeds": (
+        _STREAM_HEAD + b"\r\n",
+        lambda: itertools.repeat(b"\n" * BLOCK_BYTES),
+    ),
+    "line_ends": (
+        _STREAM_HEAD + b"\r\n",
+        lambda: itertools.repeat(b"\r\n" * (BLOCK_BYTES // 2)),
+    ),
+    "line_feeds_after_event": (
+        _STREAM_HEAD + b"\r\nid: 0\ndata: x\n\n",
+        lambda: itertools.repeat(b"\n" * BLOCK_BYTES),
+    ),
+    "comments": (
+        _STREAM_HEAD + b"\r\n",
+        lambda: itertools.repeat(b":\n\n" * (BLOCK_BYTES // 3)),
+    ),
+    "events": (
+        _STREAM_HEAD + b"\r\n",
+        lambda: itertools.repeat(b"data: x\n\n" * (BLOCK_BYTES // 9)),
+    ),
+    "numbered_events": (_STREAM_HEAD + b"\r\n", _numbered_events),
+    "lines": (
+        _STREAM_HEAD + b"\r\n",
+        lambda: itertools.repeat(b":\n" * (BLOCK_BYTES // 2)),
+    ),
+    "chunks": (
+        _STREAM_HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        lambda: itertools.repeat(b"1\r\n\n\r\n" * (BLOCK_BYTES // 6)),
+    ),
+}
+
+
+def _blocks(kind: str) -> tuple[bytes, Iterator[bytes]]:
+    """Return the bytes that a kind of response begins with, and those that follow."""
+    if kind in SMALL_UNITS:
+        prologue, blocks = SMALL_UNITS[kind]
+        return prologue, blocks()
+    prologue, repeated = UNBOUNDED_RESPONSES[kind]
+    return prologue, itertools.repeat(repeated)
+
 
 class UnboundedResponseEndpoint:
     """Endpoint that sends an unbounded response to every request.
@@ -64,7 +118,7 @@
     name
         Name under which it is registered.
     kind
-        Kind of response, a key of `UNBOUNDED_RESPONSES`.
+        Kind of response, a key of `UNBOUNDED_RESPONSES` or `SMALL_UNITS`.
     serves_kv_events
         Whether it serves the events of its KV cache correctly.
     """
@@ -115,16 +169,16 @@
             writer.close()
 
     async def _send_response(self, head: bytes, writer: asyncio.StreamWriter) -> None:
-        prologue, repeated = UNBOUNDED_RESPONSES[self.kind]
+        prologue, blocks = _blocks(self.kind)
         request_id = _header(head, ATTEMPT_ID_HEADER)
         identity_lines = (
             f"{ATTEMPT_ID_HEADER}: {request_id}\r\n"
             f"{SEAL_HEADER}: seal-of-{self.name}\r\n"
         ).encode()
         writer.write(prologue.replace(b"{head}", identity_lines))
-        while True:
-            writer.write(repeated)
-            self.sent_bytes += len(repeated)
+        for block in blocks:
+            writer.write(block)
+            self.sent_bytes += len(block)
             await writer.drain()
 
 
