Process what connections receive in turns, so that none holds the loop

Callers saw: with the linear splitter alone, an engine that sends many small units still kept other callers of its instance waiting: test_small_units failed on both routes (the first request beside comments or numbered events took over 0.5 s; one took 1.2 s). A connection whose bytes are always ready never lets the loop go on, each event was written to the caller by itself, and one read of the library is up to 256 KiB.

Change: connections to engines and of callers process at most 4 KiB at a time; what is larger waits for turns, 8 KiB in an iteration over all connections, and the transport reads no more meanwhile. It sits below the HTTP parser, so heads, chunk sizes and interim responses have the same bound as bodies. Bytes left when a connection ends are still processed; a connection with bytes left is not used again. The library keeps 32 KiB of a body instead of 512. The events of a read are written in one call.

Event 113 and the counter loop_held name the peer, or the endpoint and request, whose bytes held the loop for 20 ms; receive_waits counts turns.

--- a/borageworks/api/connection.py
+++ b/borageworks/api/connection.py
@@ -10,6 +10,8 @@
 from borageworks.api.problem import problem_response
 from borageworks.events import Event, emit
 from borageworks.exceptions import RefusalError, RequestMalformedError, UnexpectedError
+from borageworks.receiving.paced_protocol import PacedProtocol
+from borageworks.receiving.turns import ReceiveTurns
 
 INTERNAL_SERVER_ERROR = 500
 MAX_LINE_BYTES = 8_190
@@ -20,20 +22,28 @@
 LostCallback = Callable[["CallerConnection"], None]
 
 
-class CallerConnection(web.RequestHandler):
+class CallerConnection(PacedProtocol, web.RequestHandler):
     """HTTP connection of one caller.
 
     aiohttp responds in plain text to requests that it cannot parse; this class sends
     the same problem details as for every other refusal, and counts the refusal.
     """
 
-    __slots__ = ("_count_refusal", "_on_lost", "_receiving", "_request_in_progress")
+    __slots__ = (
+        "_count_refusal",
+        "_on_lost",
+        "_receiving",
+        "_request_in_progress",
+        "_turns",
+        "_unprocessed",
+    )
 
     def __init__(
         self,
         server: web.Server,
         loop: asyncio.AbstractEventLoop,
         count_refusal: RefusalCounter,
+        turns: ReceiveTurns,
         *,
         max_line_bytes: int = MAX_LINE_BYTES,
         idle_timeout_s: float = KEEP_ALIVE_TIMEOUT_S,
@@ -48,6 +58,8 @@
             keepalive_timeout=idle_timeout_s,
             auto_decompress=False,
         )
+        self._turns = turns
+        self._unprocessed = bytearray()
         self._count_refusal = count_refusal
         self._on_lost = on_lost
         self._request_in_progress = False
@@ -62,7 +74,7 @@
     def request_in_progress(self, value: bool) -> None:
         self._request_in_progress = value
         if not value:
-            self._receiving = False
+            self._receiving = self.has_unprocessed
 
     def data_received(self, data: bytes) -> None:
         """Process bytes received from the caller."""
--- a/borageworks/api/server.py
+++ b/borageworks/api/server.py
@@ -36,6 +36,7 @@
     ServiceUnknownError,
 )
 from borageworks.metrics import Metrics
+from borageworks.receiving.turns import ReceiveTurns
 
 COMPLETIONS_PATH = "/v1/chat/completions"
 LISTEN_BACKLOG = 1024
@@ -66,6 +67,7 @@
         self._replica = replica
         self._backend = backend
         self._metrics = metrics
+        self._turns = ReceiveTurns(metrics)
         # A restarted instance must not reuse request IDs that endpoints still remember.
         self._request_id_prefix = f"{settings.instance}-{secrets.token_hex(4)}"
         self._request_numbers = itertools.count(1)
@@ -115,7 +117,10 @@
         assert self._runner is not None
         assert self._runner.server is not None
         return CallerConnection(
-            self._runner.server, asyncio.get_running_loop(), self._count_refusal
+            self._runner.server,
+            asyncio.get_running_loop(),
+            self._count_refusal,
+            self._turns,
         )
 
     def _count_refusal(self, refusal: RefusalError) -> None:
--- a/borageworks/endpoints/tests/test_clients.py
+++ b/borageworks/endpoints/tests/test_clients.py
@@ -23,6 +23,7 @@
     EndpointTimeoutError,
     EndpointUnreachableError,
 )
+from borageworks.metrics import Metrics
 
 
 def token_event(text, software=None):
@@ -143,7 +144,7 @@
                     "port": port,
                 }
             )
-            transport = Transport()
+            transport = Transport(Metrics())
             await transport.start()
             client = (
                 EngineClient(transport, FairSettings())
--- a/borageworks/endpoints/transport.py
+++ b/borageworks/endpoints/transport.py
@@ -21,6 +21,8 @@
     EndpointTimeoutError,
     EndpointUnreachableError,
 )
+from borageworks.metrics import Metrics
+from borageworks.receiving.turns import ReceiveTurns
 
 CONNECT_TIMEOUT_S = 2.0
 # Shorter than the idle timeout of common servers, so that an endpoint rarely closes an
@@ -35,19 +37,27 @@
 
     Each non-idempotent request uses a new connection, so that a connection failure is
     known to have occurred before the request was sent.
+
+    Parameters
+    ----------
+    metrics
+        Counters of the process.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, metrics: Metrics) -> None:
+        self._turns = ReceiveTurns(metrics)
         self._pooled_session: aiohttp.ClientSession | None = None
         self._single_use_session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
         """Create the client sessions on the running event loop."""
         self._pooled_session = self._new_session(
-            BoundedConnector(limit=0, keepalive_timeout=KEEPALIVE_TIMEOUT_S)
+            BoundedConnector(
+                self._turns, limit=0, keepalive_timeout=KEEPALIVE_TIMEOUT_S
+            )
         )
         self._single_use_session = self._new_session(
-            BoundedConnector(limit=0, force_close=True)
+            BoundedConnector(self._turns, limit=0, force_close=True)
         )
 
     async def stop(self) -> None:
--- a/borageworks/events.py
+++ b/borageworks/events.py
@@ -27,6 +27,7 @@
     ADMISSION_OPENED = (110, "admission_opened")
     CROWDING_BEGAN = (111, "crowding_began")
     CROWDING_ENDED = (112, "crowding_ended")
+    LOOP_HELD = (113, "loop_held")
     CATALOG_CHANGED = (201, "catalog_changed")
     CATALOG_BEHIND = (202, "catalog_behind")
     DEPLOYMENT_CHANGED = (203, "deployment_changed")
--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import aiohttp
@@ -33,7 +34,7 @@
 from borageworks.gateway.directory import Directory
 from borageworks.gateway.endpoint import Endpoint
 from borageworks.gateway.endpoint_notices import EndpointNotices
-from borageworks.gateway.event_stream import EventSplitter
+from borageworks.gateway.event_stream import EventSplitter, StreamEvent
 from borageworks.gateway.placer import Placer
 from borageworks.gateway.response_head import ResponseHead
 from borageworks.gateway.route import RetryPolicy, Route
@@ -44,6 +45,7 @@
 from borageworks.placement.outcome import WorkOutcome
 from borageworks.placement.stream_origins import stream_id
 from borageworks.placement.work import Work
+from borageworks.receiving.loop_watch import HOLD_LIMIT_S
 
 # Fraction of the target latency that a request may wait for a free endpoint although it
 # can no longer meet its target. An early refusal leaves the caller time to retry.
@@ -513,23 +515,46 @@
             else:
                 self.longest_pause_s = max(self.longest_pause_s, now - received_at)
             received_at = now
+            started = time.perf_counter()
             events = splitter.feed(data)
+            held_s = time.perf_counter() - started
+            if held_s > HOLD_LIMIT_S:
+                self._upstream.watch.report(
+                    held_s,
+                    "stream",
+                    endpoint=endpoint.id,
+                    request_id=self._exchange.request.id,
+                    size=len(data),
+                )
             if not resumable:
                 await self._sink.write(data)
-                continue
-            for event in events:
-                if self._software_version is None:
-                    self._record_first_event(endpoint)
-                if event.id is not None:
-                    self._check_event_order(endpoint, event.id)
-                    self._last_event_id = event.id
-                await self._sink.write(event.data)
+            elif events:
+                await self._forward_events(endpoint, events)
         if splitter.incomplete.strip():
             raise EndpointReplyIncompleteError(
                 f"stream of endpoint {endpoint.id!r} ended within an event"
             )
         await self._sink.finish()
 
+    async def _forward_events(
+        self, endpoint: Endpoint, events: Sequence[StreamEvent]
+    ) -> None:
+        """Forward the events of one read, as far as their order is right."""
+        if self._software_version is None:
+            self._record_first_event(endpoint)
+        checked: list[bytes] = []
+        disorder: EndpointReplyMalformedError | None = None
+        for event in events:
+            if event.id is not None:
+                disorder = self._find_disorder(endpoint, event.id)
+                if disorder is not None:
+                    break
+                self._last_event_id = event.id
+            checked.append(event.data)
+        await self._sink.write(b"".join(checked))
+        if disorder is not None:
+            raise disorder
+
     def _record_first_event(self, endpoint: Endpoint) -> None:
         """Bind the stream to the version whose event goes to the caller."""
         self._software_version = endpoint.software_version
@@ -542,12 +567,15 @@
                 "own",
             )
 
-    def _check_event_order(self, endpoint: Endpoint, event: int) -> None:
-        if self._last_event_id is not None and event != self._last_event_id + 1:
-            raise EndpointReplyMalformedError(
-                f"endpoint {endpoint.id!r} sent event {event} "
-                f"after {self._last_event_id}"
-            )
+    def _find_disorder(
+        self, endpoint: Endpoint, event: int
+    ) -> EndpointReplyMalformedError | None:
+        """Return how an event breaks the order of its stream, None if it does not."""
+        if self._last_event_id is None or event == self._last_event_id + 1:
+            return None
+        return EndpointReplyMalformedError(
+            f"endpoint {endpoint.id!r} sent event {event} after {self._last_event_id}"
+        )
 
     def _may_retry(self) -> bool:
         """Return whether a retry is allowed; if so, take it from the budget."""
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -43,6 +43,7 @@
 from borageworks.gateway.upstream import Upstream
 from borageworks.metrics import Metrics
 from borageworks.placement.stream_origins import stream_id
+from borageworks.receiving.turns import ReceiveTurns
 
 # Limits in force until the operator's configuration has been received.
 INITIAL_MAX_HEADER_BYTES = 65_536
@@ -75,6 +76,8 @@
         Decides which connections of callers are closed to free descriptors.
     wait_until_current
         Waits while the configuration may be out of date after a pause.
+    turns
+        Gives connections turns to process what they have received.
     """
 
     def __init__(
@@ -93,6 +96,7 @@
         admission: Admission,
         connection_limit: ConnectionLimit[CallerConnection],
         wait_until_current: Callable[[], Awaitable[None]],
+        turns: ReceiveTurns,
     ) -> None:
         self._settings = settings
         self._codec = codec
@@ -108,6 +112,7 @@
         self._admission = admission
         self._connection_limit = connection_limit
         self._wait_until_current = wait_until_current
+        self._turns = turns
         self._rng = random.Random()
         self._server: web.Server | None = None
         self._acceptor: Acceptor | None = None
@@ -166,6 +171,7 @@
             self._server,
             asyncio.get_running_loop(),
             self._count_refusal,
+            self._turns,
             max_line_bytes=limits.header_bytes if limits else INITIAL_MAX_HEADER_BYTES,
             idle_timeout_s=limits.idle_timeout_s if limits else INITIAL_IDLE_TIMEOUT_S,
             on_lost=self._connection_limit.close,
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -35,6 +35,7 @@
 from borageworks.gateway.upstream import Upstream
 from borageworks.metrics import Metrics
 from borageworks.placement.settings import PlacementSettings
+from borageworks.receiving.turns import ReceiveTurns
 from borageworks.timers import Timers
 from borageworks.wire.messages import (
     ConfigurationVersion,
@@ -108,7 +109,8 @@
         """Start all components on the running loop."""
         settings = self._settings
         timers = self._timers = Timers()
-        self._upstream = Upstream()
+        self._turns = ReceiveTurns(self._metrics)
+        self._upstream = Upstream(self._turns)
         self._upstream.start()
         self._directory = Directory(self._codec, self._metrics)
         self._instances = Instances(
@@ -192,6 +194,7 @@
             self._admission,
             self._connection_limit,
             self._confirm_after_pause,
+            self._turns,
         )
         await self._start_http_servers()
         await self._frontend.start()
--- a/borageworks/gateway/tests/test_metrics_table.py
+++ b/borageworks/gateway/tests/test_metrics_table.py
@@ -10,7 +10,7 @@
 ROOT = Path(borageworks.__file__).parent
 PAGE = ROOT.parent / "docs" / "OPERATIONS.md"
 # Metrics of packages shared with the routers are listed on the routers' page instead.
-PACKAGES = ("gateway", "platform", "placement")
+PACKAGES = ("gateway", "platform", "placement", "receiving")
 METRIC_CALL = re.compile(r'metrics\.(count|gauge|observe)\(\s*"([a-z_]+)"')
 SUFFIX = {"count": "_total", "gauge": "", "observe": "_seconds"}
 
--- a/borageworks/gateway/upstream.py
+++ b/borageworks/gateway/upstream.py
@@ -18,6 +18,8 @@
 from borageworks.endpoints.sockets import open_socket
 from borageworks.exceptions import EndpointReplyIncompleteError
 from borageworks.gateway.endpoint import Endpoint
+from borageworks.receiving.loop_watch import LoopWatch
+from borageworks.receiving.turns import ReceiveTurns
 
 # Allows for one packet lost on a local network, which TCP retransmits after one second,
 # before another endpoint is tried.
@@ -26,6 +28,8 @@
 # pooled connection at the moment when it is reused.
 KEEPALIVE_TIMEOUT_S = 4.0
 MAX_HEADER_BYTES = 16_384
+# The library keeps twice as much of a body before it stops reading from the connection.
+READ_BUFFER_BYTES = 16_384
 
 
 class Upstream:
@@ -34,23 +38,37 @@
     Requests that must not be retried use a new connection each: a failure to connect
     then proves that the request was not sent, and the connection cannot carry a late
     response to an earlier request.
+
+    Parameters
+    ----------
+    turns
+        Gives connections turns to process what they have received.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, turns: ReceiveTurns) -> None:
+        self._turns = turns
         self._pooled: aiohttp.ClientSession | None = None
         self._unpooled: aiohttp.ClientSession | None = None
 
+    @property
+    def watch(self) -> LoopWatch:
+        """Names what has held the event loop."""
+        return self._turns.watch
+
     def start(self) -> None:
         """Create the client sessions on the running event loop."""
         self._pooled = _new_session(
             BoundedConnector(
+                self._turns,
                 limit=0,
                 keepalive_timeout=KEEPALIVE_TIMEOUT_S,
                 socket_factory=open_socket,
             )
         )
         self._unpooled = _new_session(
-            BoundedConnector(limit=0, force_close=True, socket_factory=open_socket)
+            BoundedConnector(
+                self._turns, limit=0, force_close=True, socket_factory=open_socket
+            )
         )
 
     async def stop(self) -> None:
@@ -149,6 +167,7 @@
         auto_decompress=False,
         max_line_size=MAX_HEADER_BYTES,
         max_field_size=MAX_HEADER_BYTES,
+        read_bufsize=READ_BUFFER_BYTES,
         skip_auto_headers=("User-Agent", "Accept-Encoding", "Accept", "Content-Type"),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
     )
--- /dev/null
+++ b/borageworks/receiving/paced_protocol.py
@@ -0,0 +1,97 @@
+"""Connections whose received bytes are processed in turns."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from aiohttp.base_protocol import BaseProtocol
+
+from borageworks.receiving.loop_watch import HOLD_LIMIT_S
+from borageworks.receiving.turns import MAX_PIECE_BYTES, ReceiveTurns
+
+
+class PacedProtocol(BaseProtocol):
+    """Mixin for protocols of the HTTP library that processes bytes in turns.
+
+    Bytes that wait for a turn keep the transport from reading more, as a full buffer of
+    the library does. The class that uses it sets the fields, as it may have slots.
+    """
+
+    __slots__ = ()
+
+    _turns: ReceiveTurns
+    _unprocessed: bytearray
+
+    @property
+    def has_unprocessed(self) -> bool:
+        """Whether bytes have been received that the parser has not seen."""
+        return bool(self._unprocessed)
+
+    @property
+    def has_piece(self) -> bool:
+        """Whether there are such bytes, and the parser takes them."""
+        return bool(self._unprocessed) and self._parser_takes_bytes
+
+    @property
+    def _parser_takes_bytes(self) -> bool:
+        return not self._reading_paused and not self._buffer_paused
+
+    def data_received(self, data: bytes) -> None:
+        """Process bytes now, or in the next iterations of the loop."""
+        if not data:
+            # The library continues with what its parser has kept.
+            super().data_received(data)
+        elif not self._unprocessed and self._turns.take(len(data)):
+            self._process(data)
+        else:
+            self._unprocessed += data
+            self._pause_transport_reading()
+            if self.has_piece:
+                self._turns.wait(self)
+
+    def process_piece(self) -> int:
+        """Process the next bytes and return how many."""
+        if self.transport is None:
+            self._unprocessed.clear()
+        if not self.has_piece:
+            return 0
+        piece = bytes(self._unprocessed[:MAX_PIECE_BYTES])
+        del self._unprocessed[:MAX_PIECE_BYTES]
+        self._process(piece)
+        if not self._unprocessed and self._parser_takes_bytes:
+            self._resume_transport_reading()
+        return len(piece)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Process what was received before the end of the connection."""
+        if self._unprocessed and self.transport is not None:
+            data = bytes(self._unprocessed)
+            self._unprocessed.clear()
+            self._process(data)
+        self._unprocessed.clear()
+        super().connection_lost(exc)
+
+    def discard_unprocessed(self) -> None:
+        """Forget received bytes of a connection that is given up."""
+        self._unprocessed.clear()
+
+    def _resume_transport_reading(self) -> None:
+        if self._unprocessed:
+            self._turns.wait(self)
+        else:
+            super()._resume_transport_reading()
+
+    def _process(self, data: bytes) -> None:
+        started = time.perf_counter()
+        super().data_received(data)
+        held_s = time.perf_counter() - started
+        if held_s > HOLD_LIMIT_S:
+            peer = _peer_name(self.transport)
+            work = type(self).__name__
+            self._turns.watch.report(held_s, work, size=len(data), peer=peer)
+
+
+def _peer_name(transport: asyncio.Transport | None) -> str:
+    address = transport.get_extra_info("peername") if transport is not None else None
+    return f"{address[0]}:{address[1]}" if address else ""
--- /dev/null
+++ b/borageworks/receiving/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the receiving side of connections."""
--- a/borageworks/router/router.py
+++ b/borageworks/router/router.py
@@ -80,7 +80,7 @@
         self._rng = random.Random(f"{settings.instance}/{self._incarnation}")
         self._metrics = Metrics()
         self._replica = Replica()
-        self._transport = Transport()
+        self._transport = Transport(self._metrics)
         self._stopping = False
         self._unreachable_domains: set[str] = set()
         self._ownership_update_pending = False
--- a/borageworks_emulator/platform/unbounded_response.py
+++ b/borageworks_emulator/platform/unbounded_response.py
@@ -180,6 +180,8 @@
             writer.write(block)
             self.sent_bytes += len(block)
             await writer.drain()
+            # Draining returns at once while the system's buffers have room.
+            await asyncio.sleep(0)
 
 
 def _header(head: bytes, name: str) -> str:
