Let what is known of a crashing request outlive the instance that learnt it

Cause: instances told each other only a number of crashes that stops at three. The length and end of a refusal, the incarnations that had crashed, the traits decided together and the trial in progress stayed with the one that had recorded them; another one began again with the first refusal of 10 s.

Change: a trait's record is a state that instances merge (placement/trait_record.py): crashes by incarnation with their order, the incarnations that a served request cleared, and the last trial of each process. Count, length and end of a refusal follow from it. Merging is commutative, associative and idempotent, so losses, repetitions and detours of news do not matter, and a clear takes back only the crashes it knew of. Times cross as ages. A trial is told when it is placed; under a verdict, one whose end nobody reports counts as a crash. Instances of an earlier version still read the number, and send it.

--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -390,8 +390,8 @@
                     )
             case WorkRunning(request=request, endpoint=endpoint, started=started):
                 self._adopt(instance, request, endpoint, started)
-            case CrashTrait(trait=trait, crashes=crashes):
-                self._evidence.learn(now, trait, crashes)
+            case CrashTrait():
+                self._evidence.learn(now, message)
             case EndpointStatement():
                 self._notices.receive(instance, message)
             case ShardOwner(owner=owner):
@@ -403,12 +403,19 @@
     def link_opened(self, instance: str) -> None:
         """Tell an instance, which may have restarted, what is known of endpoints."""
         self._notices.tell(instance)
-        for trait, crashes in self._evidence.shared.items():
-            self._fleet.send(instance, CrashTrait(trait, crashes))
+        for report in self._evidence.reports(self._timers.now()):
+            self._fleet.send(instance, report)
 
-    def _share_evidence(self, trait: bytes, crashes: int) -> None:
-        emit(Event.CRASH_TRAIT, trait=trait.decode(errors="replace"), crashes=crashes)
-        self._fleet.broadcast(CrashTrait(trait, crashes))
+    def _share_evidence(self, now: float, trait: bytes) -> None:
+        report = self._evidence.report(now, trait)
+        emit(
+            Event.CRASH_TRAIT,
+            trait=trait.decode(errors="replace"),
+            crashes=report.crashes,
+            refused_s=round(self._evidence.refused_s(now, trait), 3),
+            in_trial=any(not trial.ended for trial in report.trials),
+        )
+        self._fleet.broadcast(report)
 
     def link_interrupted(self, instance: str) -> None:
         """Restore what was lost with a link if its instance still runs.
--- a/borageworks/placement/crash_evidence.py
+++ b/borageworks/placement/crash_evidence.py
@@ -2,35 +2,25 @@
 
 from __future__ import annotations
 
+import secrets
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
 
-from borageworks.routing.suspects import MAX_CRASHES, Verdict
+from borageworks.placement.trait_record import (
+    MAX_REFUSAL_S,
+    TraitRecord,
+    record_of,
+    refusal_s,
+)
+from borageworks.routing.suspects import Verdict
+from borageworks.wire.messages import CrashTrait
 
 # A trait implicated in so many crashes is tried by one request at a time, and other
 # instances are told of it.
 MIN_CRASHES_FOR_ISOLATION = 2
-# A request to run in isolation waits no longer for the end of another one, which may
-# not be reported if its instance is lost.
-MAX_TRIAL_S = 5.0
-# A refused trait is tried again after this time, which grows by the factor with each
-# further crash: the verdict may rest on failures that had another cause.
-FIRST_REFUSAL_S = 10.0
-REFUSAL_GROWTH = 8.0
-EXPIRY_S = 3600.0
+EXPIRY_S = MAX_REFUSAL_S
 MAX_TRAITS = 10_000
-
-
-@dataclass(slots=True)
-class _Record:
-    crashes: int
-    crashed_at: float
-    trial_at: float | None = None
-    # Traits that the same crash brought to a verdict, itself included.
-    joint: frozenset[bytes] = frozenset()
-    incarnations: set[str] = field(default_factory=set)
-    refusal_s: float = FIRST_REFUSAL_S
+PROCESS_ID_BYTES = 8
 
 
 class CrashEvidence:
@@ -45,32 +35,58 @@
     goes on after it broke off has not crashed. Of traits that the same requests bring
     to a verdict, any may be sound: a request with one of them only is tried once more.
 
+    What is told to other instances is a state that they merge: crashes, their order and
+    the requests that may be the next. So a verdict, its length and what was tried since
+    outlive the instance that came to it.
+
     Parameters
     ----------
     on_change
-        Called with a trait and its crashes when other instances need to know: it is to
-        be isolated or refused, or cleared again.
+        Called with the current time and a trait when other instances need to know: it
+        is to be isolated or refused, is tried, or is cleared again.
     """
 
     def __init__(
-        self, on_change: Callable[[bytes, int], None] = lambda _trait, _crashes: None
+        self, on_change: Callable[[float, bytes], None] = lambda _now, _trait: None
     ) -> None:
         self._on_change = on_change
-        self._records: OrderedDict[bytes, _Record] = OrderedDict()
+        self._process = secrets.token_hex(PROCESS_ID_BYTES)
+        # In the order of their last crash or clearing.
+        self._records: OrderedDict[bytes, TraitRecord] = OrderedDict()
+        self._changed_at: dict[bytes, float] = {}
 
     def __len__(self) -> int:
-        """Return the number of implicated traits."""
+        """Return the number of traits of which something is known."""
         return len(self._records)
 
     @property
     def shared(self) -> Mapping[bytes, int]:
         """Crashes by trait, as far as other instances need to know."""
         return {
-            trait: record.crashes
+            trait: record.count
             for trait, record in self._records.items()
-            if record.crashes >= MIN_CRASHES_FOR_ISOLATION
+            if record.count >= MIN_CRASHES_FOR_ISOLATION
         }
 
+    def report(self, now: float, trait: bytes) -> CrashTrait:
+        """Return what is known of a trait."""
+        return self._records.get(trait, TraitRecord()).report(now, trait)
+
+    def refused_s(self, now: float, trait: bytes) -> float:
+        """Return the seconds for which a trait is still refused, 0 if it is not."""
+        record = self._records.get(trait)
+        if record is None or not record.decided:
+            return 0.0
+        return max(record.crashed_at + refusal_s(record.count) - now, 0.0)
+
+    def reports(self, now: float) -> list[CrashTrait]:
+        """Return all that other instances need to know, also what was cleared."""
+        return [
+            record.report(now, trait)
+            for trait, record in self._records.items()
+            if record.count >= MIN_CRASHES_FOR_ISOLATION or record.cleared
+        ]
+
     def record_crash(
         self,
         now: float,
@@ -79,48 +95,47 @@
         incarnation: str,
     ) -> None:
         """Record that an endpoint crashed while running a request with these traits."""
-        traits = tuple(traits)
-        decided = []
-        for trait in traits:
-            record = self._records.get(trait)
-            if record is None:
-                self._records[trait] = _Record(1, now, incarnations={incarnation})
-            elif placed_at >= record.crashed_at and (
-                incarnation not in record.incarnations
-            ):
-                if record.crashes >= MAX_CRASHES:
-                    record.refusal_s = min(record.refusal_s * REFUSAL_GROWTH, EXPIRY_S)
-                record.incarnations.add(incarnation)
-                record.crashes = min(record.crashes + 1, MAX_CRASHES)
-                record.crashed_at = now
-                self._records.move_to_end(trait)
-                if record.crashes == MAX_CRASHES:
-                    decided.append(trait)
-                self._on_change(trait, record.crashes)
+        records = {trait: self._record(now, trait) for trait in traits}
+        counted = [
+            trait
+            for trait, record in records.items()
+            if record.add_crash(now, placed_at, incarnation)
+        ]
+        decided = [trait for trait in counted if records[trait].decided]
         for trait in decided:
-            self._records[trait].joint = frozenset(decided)
+            records[trait].set_joint(incarnation, decided)
+        for trait in counted:
+            self._touch(now, trait)
+            if records[trait].count >= MIN_CRASHES_FOR_ISOLATION:
+                self._on_change(now, trait)
         self._expire(now)
 
-    def clear(self, traits: Iterable[bytes]) -> None:
+    def clear(self, now: float, traits: Iterable[bytes]) -> None:
         """Clear the traits of a request that was served."""
         for trait in traits:
-            record = self._records.pop(trait, None)
-            if record is not None and record.crashes >= MIN_CRASHES_FOR_ISOLATION:
-                self._on_change(trait, 0)
-
-    def learn(self, now: float, trait: bytes, crashes: int) -> None:
-        """Take over what another instance knows of a trait; 0 crashes clear it."""
-        if crashes <= 0:
-            self._records.pop(trait, None)
+            record = self._records.get(trait)
+            if record is None or not record.crashes:
+                continue
+            shared = record.count >= MIN_CRASHES_FOR_ISOLATION
+            record.clear()
+            if shared:
+                self._touch(now, trait)
+                self._on_change(now, trait)
+            elif not record.trials:
+                self._forget(trait)
+
+    def learn(self, now: float, report: CrashTrait) -> None:
+        """Take over what another instance knows of a trait."""
+        if report.crashes <= 0 and not report.cleared:
+            # An instance of an earlier version has cleared the trait.
+            if report.trait in self._records:
+                self._records[report.trait].clear()
             return
-        record = self._records.get(trait)
-        if record is None:
-            self._records[trait] = _Record(crashes, now)
-        elif crashes >= record.crashes:
-            record.crashes = crashes
-            record.joint = frozenset()
-            record.crashed_at = now
-        self._records.move_to_end(trait)
+        record = self._record(now, report.trait)
+        before = record.count
+        record.merge(record_of(now, report))
+        if record.count != before:
+            self._touch(now, report.trait)
         self._expire(now)
 
     def verdict(self, now: float, traits: Iterable[bytes]) -> Verdict:
@@ -134,9 +149,10 @@
         verdict = Verdict.CLEAR
         for trait in traits:
             record = self._records.get(trait)
-            if record is None or record.crashes < MIN_CRASHES_FOR_ISOLATION:
+            if record is None or record.count < MIN_CRASHES_FOR_ISOLATION:
                 continue
-            if _is_decided(record, traits, now) or _in_trial(record, now):
+            refused = record.is_decided_for(traits) and record.is_refused(now)
+            if refused or record.is_in_trial(now, traits):
                 return Verdict.REFUSED
             verdict = Verdict.ISOLATED
         return verdict
@@ -145,33 +161,41 @@
         """Record that a request with these traits was placed."""
         for trait in traits:
             record = self._records.get(trait)
-            if record is not None:
-                record.trial_at = now
+            if record is not None and record.crashes:
+                record.begin_trial(now, self._process)
+                if record.count >= MIN_CRASHES_FOR_ISOLATION:
+                    self._on_change(now, trait)
 
-    def end(self, traits: Iterable[bytes]) -> None:
+    def end(self, now: float, traits: Iterable[bytes]) -> None:
         """Record that a placed request with these traits has ended."""
         for trait in traits:
             record = self._records.get(trait)
-            if record is not None:
-                record.trial_at = None
+            if (
+                record is not None
+                and record.end_trial(self._process)
+                and record.count >= MIN_CRASHES_FOR_ISOLATION
+            ):
+                self._on_change(now, trait)
+
+    def _record(self, now: float, trait: bytes) -> TraitRecord:
+        record = self._records.get(trait)
+        if record is None:
+            record = self._records[trait] = TraitRecord()
+            self._changed_at[trait] = now
+        return record
+
+    def _touch(self, now: float, trait: bytes) -> None:
+        self._changed_at[trait] = now
+        self._records.move_to_end(trait)
+
+    def _forget(self, trait: bytes) -> None:
+        del self._records[trait]
+        del self._changed_at[trait]
 
     def _expire(self, now: float) -> None:
         while self._records:
-            trait, record = next(iter(self._records.items()))
-            expired = now - record.crashed_at > EXPIRY_S
+            trait = next(iter(self._records))
+            expired = now - self._changed_at[trait] > EXPIRY_S
             if not expired and len(self._records) <= MAX_TRAITS:
                 return
-            del self._records[trait]
-
-
-def _in_trial(record: _Record, now: float) -> bool:
-    return record.trial_at is not None and now - record.trial_at < MAX_TRIAL_S
-
-
-def _is_decided(record: _Record, traits: tuple[bytes, ...], now: float) -> bool:
-    """Return whether the verdict on a trait holds for a request with these traits."""
-    return (
-        record.crashes >= MAX_CRASHES
-        and record.joint.issubset(traits)
-        and now - record.crashed_at < record.refusal_s
-    )
+            self._forget(trait)
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -882,14 +882,14 @@
         ended: RunningWork,
         outcome: WorkOutcome,
     ) -> None:
-        self._evidence.end(ended.traits)
+        self._evidence.end(now, ended.traits)
         match outcome:
             case WorkOutcome.SERVED:
                 duration_s = now - ended.placed_at
                 self._mean_duration_s += SLOT_DURATION_GAIN * (
                     duration_s - self._mean_duration_s
                 )
-                self._evidence.clear(ended.traits)
+                self._evidence.clear(now, ended.traits)
             case WorkOutcome.DISCONNECTED if ended.started_recently(now):
                 self._evidence.record_crash(
                     now, ended.traits, ended.placed_at, state.endpoint.incarnation
--- a/borageworks/wire/fleet.capnp
+++ b/borageworks/wire/fleet.capnp
@@ -33,7 +33,9 @@
 struct WorkRunning { request @0 :PlaceRequest; endpoint @1 :Text; started @2 :Bool; }
 struct ShardOwner { service @0 :Text; shard @1 :UInt16; owner @2 :Text; }
 
-struct CrashTrait { trait @0 :Data; crashes @1 :UInt8; }
+struct TraitCrash { incarnation @0 :Text; rank @1 :UInt64; ageS @2 :Float64; joint @3 :List(Data); }
+struct TraitTrial { process @0 :Text; number @1 :UInt64; ageS @2 :Float64; ended @3 :Bool; }
+struct CrashTrait { trait @0 :Data; crashes @1 :UInt8; details @2 :List(TraitCrash); cleared @3 :List(Text); trials @4 :List(TraitTrial); }
 
 struct EndpointStatement { incarnation @0 :Text; limitPerS @1 :Float64; ageS @2 :Float32; leaving @3 :Bool; pauseS @4 :Float64; }
 
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -402,15 +402,49 @@
     owner: str
 
 
+@dataclass(frozen=True, slots=True)
+class TraitCrash:
+    """A crash of an endpoint that ran a request with a trait.
+
+    `rank` is its position among the crashes that came one after the other, from 1 on,
+    `age_s` the time since. `joint` are the traits that it brought to a verdict
+    together, none if it brought none.
+    """
+
+    incarnation: str
+    rank: int
+    age_s: float = 0.0
+    joint: tuple[bytes, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class TraitTrial:
+    """The last request with a trait that a process placed.
+
+    `number` counts the requests of the process, `age_s` is the time since the
+    placement, `ended` whether the end is known.
+    """
+
+    process: str
+    number: int
+    age_s: float
+    ended: bool
+
+
 @dataclass(frozen=True, slots=True)
 class CrashTrait:
     """Tells in how many crashes of endpoints a trait of requests was implicated.
 
-    No crashes mean that a request with the trait has been served since.
+    `crashes` is their number; none mean that a request with the trait has been served
+    since. `details` are the crashes, `cleared` the incarnations whose crashes do not
+    count any more, `trials` the requests that may be the next to crash an endpoint.
     """
 
     trait: bytes
     crashes: int
+    details: tuple[TraitCrash, ...] = ()
+    cleared: tuple[str, ...] = ()
+    trials: tuple[TraitTrial, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/borageworks_emulator/platform/tests/test_crashing_part.py
+++ b/borageworks_emulator/platform/tests/test_crashing_part.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import itertools
+from unittest import mock
 
 from testtools import TestCase
 
 from borageworks.placement.work import PART_TRAIT_PREFIX
+from borageworks.routing.rendezvous import rendezvous
 from borageworks.routing.suspects import MAX_CRASHES
 from borageworks_emulator.platform.endpoint import Behaviour, EmulatedEndpoint
 from borageworks_emulator.platform.harness import ENGINE_SERVICE, Harness
 
+REFUSAL_MODULE = "borageworks.placement.trait_record"
 ENGINES = 6
 REQUESTS = 8
 DEADLY_PART = "dead"
@@ -24,6 +27,11 @@
     return DEADLY_PART in run.headers[PROMPT_HEADER]
 
 
+# Refusal after the verdict, shortened; the next one is eight times as long.
+FIRST_REFUSAL_S = 0.5
+RESTARTS = 2
+
+
 class CrashingEngine(EmulatedEndpoint):
     """Engine that stops when it begins to respond to the deadly part."""
 
@@ -42,6 +50,14 @@
     return [CrashingEngine(f"e-{number}") for number in range(ENGINES)]
 
 
+def owners(count):
+    """Return names of instances that place for the engines beside a gateway."""
+    names = (f"edge-{number}" for number in itertools.count(2))
+    key = f"{ENGINE_SERVICE}/0"
+    owning = (n for n in names if rendezvous(key, ("edge-1", n)) == n)
+    return list(itertools.islice(owning, count))
+
+
 class CrashingPartTest(TestCase):
     numbers = itertools.count(1)
 
@@ -101,3 +117,44 @@
         self.assertEqual(
             (MAX_CRASHES, [True, True], MAX_CRASHES), (before, known, after)
         )
+
+    def test_restarts_of_the_instances_that_place(self):
+        """Guards against one more crashed engine after each restart of an instance."""
+
+        async def main():
+            listed = engines()
+            async with Harness({ENGINE_SERVICE: listed}) as first:
+                others = {
+                    name: Harness({}, name=name, store=first.store)
+                    for name in owners(2)
+                }
+                for harness in others.values():
+                    await harness.__aenter__()
+                try:
+                    return await crashes_by_restart(first, others, listed)
+                finally:
+                    for harness in others.values():
+                        await harness.__aexit__()
+
+        async def crashes_after_requests(harness, listed):
+            for _ in range(REQUESTS):
+                await self.send(harness, DEADLY_PART)
+            return sum(crashes(run) for engine in listed for run in engine.runs)
+
+        async def crashes_by_restart(first, others, listed):
+            await first.wait_until_linked(1 + len(others))
+            counts = [await crashes_after_requests(first, listed)]
+            await asyncio.sleep(FIRST_REFUSAL_S)
+            counts.append(await crashes_after_requests(first, listed))
+            for name in [*others] * RESTARTS:
+                await others[name].__aexit__()
+                others[name] = Harness({}, name=name, store=first.store)
+                await others[name].__aenter__()
+                await first.wait_until_linked(1 + len(others))
+                await asyncio.sleep(FIRST_REFUSAL_S)
+                counts.append(await crashes_after_requests(first, listed))
+            return counts
+
+        with mock.patch(f"{REFUSAL_MODULE}.FIRST_REFUSAL_S", FIRST_REFUSAL_S):
+            counts = asyncio.run(main())
+        self.assertEqual([MAX_CRASHES] + [MAX_CRASHES + 1] * (len(counts) - 1), counts)
