Keep verdicts on crashing requests in the store

Change: gateway/crash_store.py writes what is known of a trait under a verdict, with its trial, below the gateway's own prefix, and deletes it when a request was served or the hour has passed. Instances merge what they read like what others tell. It holds no times: one that knows none counts the refusal from its reading. One instance tidies up a key that a late write has brought back. Items that cannot be read are counted and logged (610).

Before: with the reading left out, test_loss_of_all_instances sees six crashes, not three.

--- a/borageworks/events.py
+++ b/borageworks/events.py
@@ -67,6 +67,7 @@
     LEASE_LOST = (607, "lease_lost")
     LINK_KEY_KNOWN = (608, "link_key_known")
     STORE_RESTORED = (609, "store_restored")
+    CRASH_ITEM_REJECTED = (610, "crash_item_rejected")
     PEER_CONNECTED = (701, "peer_connected")
     PEER_DISCONNECTED = (702, "peer_disconnected")
     PEER_REJECTED = (703, "peer_rejected")
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -15,6 +15,7 @@
 from borageworks.gateway.cache_follower import CacheFollower
 from borageworks.gateway.codec import Codec
 from borageworks.gateway.connection_limit import ConnectionLimit, max_caller_connections
+from borageworks.gateway.crash_store import CrashStore
 from borageworks.gateway.directory import Directory
 from borageworks.gateway.endpoint_notices import EndpointNotices
 from borageworks.gateway.feed import Feed
@@ -157,6 +158,16 @@
             self._streams,
             self._confirm_replica,
         )
+        self._crash_store = CrashStore(
+            self._codec.own_prefix,
+            self._placer.evidence,
+            self._fleet,
+            self._store,
+            timers,
+            self._metrics,
+            self._spawn,
+        )
+        self._placer.store_evidence(self._crash_store.update)
         self._feed = Feed(settings, self._fleet, timers, self._metrics)
         self._follower = Follower(
             self._store,
@@ -291,6 +302,7 @@
             if self._key_name not in change.puts:
                 self._spawn(self._fleet.restore_key())
         self._stream_store.apply(change)
+        self._crash_store.apply(change)
         self._update_versions()
         self._placer.update()
         self._cache_follower.update()
@@ -371,6 +383,7 @@
         self._placer.review_owners()
         self._cache_follower.update()
         self._stream_store.review()
+        self._crash_store.review()
 
     def _report(self, _now: float) -> None:
         self._frontend.report()
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -136,6 +136,7 @@
         self._placed_alone_at: dict[Shard, float] = {}
         self._asked_at: dict[Shard, dict[str, float]] = {}
         self._evidence = CrashEvidence(self._share_evidence)
+        self._evidence_store: Callable[[CrashTrait], None] | None = None
         self._requests: dict[int, PendingPlacement] = {}
         self._numbers = itertools.count(1)
         self._tick_timer: TimerSubscription | None = None
@@ -400,6 +401,15 @@
             case _:
                 self._metrics.count("peer_messages_unused", type(message).__name__)
 
+    @property
+    def evidence(self) -> CrashEvidence:
+        """What is known of requests that crash endpoints."""
+        return self._evidence
+
+    def store_evidence(self, update: Callable[[CrashTrait], None]) -> None:
+        """Call `update` with each change of the evidence that this instance makes."""
+        self._evidence_store = update
+
     def link_opened(self, instance: str) -> None:
         """Tell an instance, which may have restarted, what is known of endpoints."""
         self._notices.tell(instance)
@@ -416,6 +426,8 @@
             in_trial=any(not trial.ended for trial in report.trials),
         )
         self._fleet.broadcast(report)
+        if self._evidence_store is not None:
+            self._evidence_store(report)
 
     def link_interrupted(self, instance: str) -> None:
         """Restore what was lost with a link if its instance still runs.
--- a/borageworks_emulator/platform/tests/test_crashing_part.py
+++ b/borageworks_emulator/platform/tests/test_crashing_part.py
@@ -6,7 +6,9 @@
 
 from testtools import TestCase
 
+from borageworks.gateway.crash_store import CRASHES_PREFIX
 from borageworks.placement.work import PART_TRAIT_PREFIX
+from borageworks.platform.codec import PlatformCodec
 from borageworks.routing.rendezvous import rendezvous
 from borageworks.routing.suspects import MAX_CRASHES
 from borageworks_emulator.platform.endpoint import Behaviour, EmulatedEndpoint
@@ -58,6 +60,12 @@
     return list(itertools.islice(owning, count))
 
 
+def verdict_keys(harness):
+    """Return the keys of verdicts that the store holds."""
+    prefix = f"{PlatformCodec.own_prefix}{CRASHES_PREFIX}"
+    return [key for key in harness.store.keys if key.startswith(prefix)]
+
+
 class CrashingPartTest(TestCase):
     numbers = itertools.count(1)
 
@@ -158,3 +166,46 @@
         with mock.patch(f"{REFUSAL_MODULE}.FIRST_REFUSAL_S", FIRST_REFUSAL_S):
             counts = asyncio.run(main())
         self.assertEqual([MAX_CRASHES] + [MAX_CRASHES + 1] * (len(counts) - 1), counts)
+
+    def test_loss_of_all_instances(self):
+        """Guards against a verdict that ends as all instances restart at once."""
+
+        async def main():
+            listed = engines()
+            async with Harness({ENGINE_SERVICE: listed}) as first:
+                for _ in range(REQUESTS):
+                    await self.send(first, DEADLY_PART)
+                await first.wait_until(lambda: verdict_keys(first))
+                await first.gateway.close()
+                counts = [sum(crashes(run) for e in listed for run in e.runs)]
+                async with Harness({}, name="edge-2", store=first.store) as second:
+                    for _ in range(REQUESTS):
+                        await self.send(second, DEADLY_PART)
+                    counts.append(sum(crashes(run) for e in listed for run in e.runs))
+                    evidence = second.gateway._placer.evidence
+                    now = asyncio.get_running_loop().time()
+                    evidence.clear(now, list(evidence.shared))
+                    await second.wait_until(lambda: not verdict_keys(first))
+                return counts
+
+        self.assertEqual([MAX_CRASHES, MAX_CRASHES], asyncio.run(main()))
+
+    def test_unreadable_items_of_the_store(self):
+        """Guards against items of others that end the process or hide a verdict."""
+
+        async def main():
+            async with Harness({ENGINE_SERVICE: engines()}) as harness:
+                key = f"{PlatformCodec.own_prefix}{CRASHES_PREFIX}"
+                items = (b"", b"{}", b'{"trait":"x","crashes":[]}', b"[1]", b"\xff")
+                for number, item in enumerate(items):
+                    await harness.store.put(f"{key}{number}", item)
+                await harness.wait_until_current()
+                ready = await harness.ready()
+                rejected = sum(
+                    count
+                    for (name, _), count in harness.metrics.counters.items()
+                    if name == "crash_items_rejected"
+                )
+                return ready, rejected - len(items)
+
+        self.assertEqual((True, 0), asyncio.run(main()))
