Decode engines' reports of their caches in steps

Callers would see: an engine's list of cached parts may have 4 MiB. Decoding one of 224,427 rows held the loop for 0.90 s, 1 MiB of 58,492 rows for 0.20 s, in each poll, and took some hundred bytes a row.

Nothing of a malformed report is applied, as before.

Test: test_large_reports_are_decoded_in_blocks; the code before gives all in one block.

--- a/borageworks/gateway/cache_follower.py
+++ b/borageworks/gateway/cache_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
 
 from borageworks.endpoints.bounded_body import read_bounded
 from borageworks.exceptions import EndpointFailedError, EndpointReplyMalformedError
@@ -12,6 +13,7 @@
 from borageworks.gateway.placer import Placer
 from borageworks.gateway.upstream import Upstream
 from borageworks.metrics import Metrics
+from borageworks.placement.cache_update import CacheUpdate
 from borageworks.placement.shards import Shard
 
 # An engine responds to a long poll as soon as something changes; the delay between
@@ -21,7 +23,7 @@
 CALL_TIMEOUT_S = 1.6
 RETRY_DELAY_S = 0.5
 # Several times the size of the list of an engine whose cache is full.
-MAX_RESPONSE_BYTES = 4 * 1_048_576
+MAX_RESPONSE_BYTES = 1_048_576
 HTTP_OK = 200
 
 
@@ -51,6 +53,8 @@
         self._metrics = metrics
         self._tasks: dict[tuple[Shard, str], asyncio.Task[None]] = {}
         self._reported_at: dict[str, float] = {}
+        # The decoded rows of a large report take twenty times its bytes.
+        self._decoding = asyncio.Lock()
         metrics.before_render(self._update_age_gauges)
 
     def update(self) -> None:
@@ -96,23 +100,36 @@
             try:
                 if since is None:
                     data = await self._call(endpoint, self._codec.cache_list_target)
-                    update = self._codec.decode_cache_list(data)
+                    updates = await self._decode(self._codec.decode_cache_list(data))
                 else:
                     target = self._codec.cache_events_target(since)
                     data = await self._call(endpoint, target)
-                    update = self._codec.decode_cache_events(data)
+                    updates = await self._decode(self._codec.decode_cache_events(data))
             except (EndpointFailedError, TimeoutError) as error:
                 self._metrics.count("memory_news_failures", type(error).__name__)
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
-            if not update.complete and (update.gap or update.epoch != epoch):
+            first = updates[0]
+            if not first.complete and (first.gap or first.epoch != epoch):
                 since = None
                 continue
             self._reported_at[endpoint.id] = asyncio.get_running_loop().time()
-            self._placer.apply_cache_update(shard, endpoint.id, update)
-            since, epoch = update.next_sequence, update.epoch
+            for update in updates:
+                self._placer.apply_cache_update(shard, endpoint.id, update)
+                if len(updates) > 1:
+                    await asyncio.sleep(0)
+            since, epoch = first.next_sequence, first.epoch
             await asyncio.sleep(POLL_DELAY_S)
 
+    async def _decode(self, updates: Iterator[CacheUpdate]) -> list[CacheUpdate]:
+        """Return a complete report, decoded in steps, one report at a time."""
+        async with self._decoding:
+            decoded = [next(updates)]
+            for update in updates:
+                decoded.append(update)
+                await asyncio.sleep(0)
+            return decoded
+
     async def _call(self, endpoint: Endpoint, target: str) -> bytes:
         headers = ((self._codec.cache_wait_header, str(LONG_POLL_WAIT_MS)),)
         async with (
--- a/borageworks/gateway/codec.py
+++ b/borageworks/gateway/codec.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import Protocol
 
 from multidict import CIMultiDictProxy
@@ -69,10 +69,10 @@
         """Return the request target for an engine's cache updates after `since`."""
         ...
 
-    def decode_cache_events(self, data: bytes) -> CacheUpdate:
+    def decode_cache_events(self, data: bytes) -> Iterator[CacheUpdate]:
         """Decode updates of an engine's cache, or raise EndpointFailedError."""
         ...
 
-    def decode_cache_list(self, data: bytes) -> CacheUpdate:
+    def decode_cache_list(self, data: bytes) -> Iterator[CacheUpdate]:
         """Decode the full list of an engine's cache, or raise EndpointFailedError."""
         ...
--- a/borageworks/platform/tests/test_decoding.py
+++ b/borageworks/platform/tests/test_decoding.py
@@ -20,7 +20,11 @@
 from borageworks.gateway.route import RetryPolicy
 from borageworks.placement.cache_update import CachedPart
 from borageworks.platform.configuration import decode_configuration
-from borageworks.platform.engine_cache import decode_events, decode_list
+from borageworks.platform.engine_cache import (
+    MAX_BLOCK_PARTS,
+    decode_events,
+    decode_list,
+)
 from borageworks.platform.entries import decode_entry
 from borageworks.platform.requests import decode_request, forwarded_headers
 from borageworks.platform.responses import decode_response_head
@@ -395,14 +399,28 @@
                 "events": [[7, "+", "", "aa", 10, "m"], [8, "-", "", "bb", 5, "m"]],
             }
         )
-        cache_update = decode_events(events)
+        (cache_update,) = decode_events(events)
         self.assertEqual(
             (CachedPart("aa", 10, "m"), CachedPart("bb", 0, "m")), cache_update.parts
         )
         listing = {"epoch": "e", "next": 9, "held": [["", "aa", 10, "m"]]}
         self.assertEqual(
-            (CachedPart("aa", 10, "m"),), decode_list(orjson.dumps(listing)).parts
+            [(CachedPart("aa", 10, "m"),)],
+            [update.parts for update in decode_list(orjson.dumps(listing))],
+        )
+
+    def test_large_reports_are_decoded_in_blocks(self):
+        """Guards against an engine's report that holds the loop for a second."""
+        rows = [["", f"{number}", 1, "m"] for number in range(10_000)]
+        listing = {"epoch": "e", "next": 9, "held": rows}
+        updates = list(decode_list(orjson.dumps(listing)))
+        self.assertTrue(max(len(item.parts) for item in updates) <= MAX_BLOCK_PARTS)
+        self.assertEqual(
+            [row[1] for row in rows],
+            [part.part for update in updates for part in update.parts],
         )
+        self.assertEqual([True], [item.complete for item in updates if item.complete])
+        self.assertTrue(updates[0].complete)
 
     def test_odd_numbers_and_texts_raise_a_typed_error(self):
         """Guards against one report that ends what follows an engine's cache."""
@@ -413,10 +431,12 @@
                 decode_events: b'{"epoch":"e","next":%s,"lost":false,"events":[]}',
             }
             for decode, row in rows.items():
-                self.assertRaises(EndpointReplyMalformedError, decode, row % value)
+                self.assertRaises(
+                    EndpointReplyMalformedError, list, decode(row % value)
+                )
         for value in (b"7", nested, b"null"):
             row = b'{"epoch":"e","next":1,"held":[["",%s,1,"m"]]}' % value
-            self.assertRaises(EndpointReplyMalformedError, decode_list, row)
+            self.assertRaises(EndpointReplyMalformedError, list, decode_list(row))
 
     def test_arbitrary_bytes_give_an_update_or_a_typed_error(self):
         """Guards against a response of an engine that crashes the process."""
@@ -429,7 +449,7 @@
             for decode in (decode_events, decode_list):
                 for item in (data, raw):
                     try:
-                        decode(item)
+                        list(decode(item))
                     except EndpointReplyMalformedError:
                         continue
 
