Cut a stream that sends bytes without data

Callers would see: the machine's processor spent on an engine that sends line ends or comments without end, until the route's time limit, although no caller can use any of it.

Change: 64 KiB of complete events without a data line, one after the other, break the protocol: the request is tried again where it may be, and the engine counts as failed. Comments that keep a connection alive need a few bytes each; an event with data begins the count anew, however fast the stream is.

--- a/borageworks/gateway/event_stream.py
+++ b/borageworks/gateway/event_stream.py
@@ -13,6 +13,9 @@
 MAX_TERMINATOR_BYTES = 4
 # Hundreds of times the size of an event with a few tokens.
 MAX_EVENT_BYTES = 65_536
+# Comments and blank lines that keep a connection alive need far fewer bytes.
+MAX_FILLER_BYTES = 65_536
+_DATA_LINE = re.compile(rb"(?:^|[\r\n])data")
 _ID_LINE = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
 # Digits of a 64-bit number.
 MAX_ID_DIGITS = 19
@@ -35,10 +38,18 @@
     ----------
     max_bytes
         Maximum size of an event.
+    max_filler_bytes
+        Maximum bytes one after the other that contain no event with data.
     """
 
-    def __init__(self, max_bytes: int = MAX_EVENT_BYTES) -> None:
+    def __init__(
+        self,
+        max_bytes: int = MAX_EVENT_BYTES,
+        max_filler_bytes: int = MAX_FILLER_BYTES,
+    ) -> None:
         self._max_bytes = max_bytes
+        self._max_filler_bytes = max_filler_bytes
+        self._filler_bytes = 0
         self._buffer = bytearray()
 
     @property
@@ -52,7 +63,8 @@
         Raises
         ------
         EndpointReplyMalformedError
-            If an incomplete event is larger than the maximum.
+            If an incomplete event is larger than the maximum, or too many bytes
+            contain no data.
         """
         # A terminator may be split between the buffer and the new bytes.
         search_start = max(len(self._buffer) - MAX_TERMINATOR_BYTES + 1, 0)
@@ -63,6 +75,8 @@
             block = bytes(self._buffer[start : terminator.end()])
             events.append(StreamEvent(block, _event_id(block)))
             start = terminator.end()
+        if start:
+            self._count_filler(start)
         del self._buffer[:start]
         if len(self._buffer) > self._max_bytes:
             raise EndpointReplyMalformedError(
@@ -70,6 +84,17 @@
             )
         return events
 
+    def _count_filler(self, end: int) -> None:
+        """Count the bytes of complete events up to `end`, unless they have data."""
+        if _DATA_LINE.search(self._buffer, 0, end):
+            self._filler_bytes = 0
+            return
+        self._filler_bytes += end
+        if self._filler_bytes > self._max_filler_bytes:
+            raise EndpointReplyMalformedError(
+                f"over {self._max_filler_bytes} bytes contain no data"
+            )
+
 
 def _event_id(block: bytes) -> int | None:
     line = _ID_LINE.search(block)
--- a/borageworks/gateway/tests/test_components.py
+++ b/borageworks/gateway/tests/test_components.py
@@ -8,7 +8,10 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from borageworks.exceptions import DeploymentMalformedError
+from borageworks.exceptions import (
+    DeploymentMalformedError,
+    EndpointReplyMalformedError,
+)
 from borageworks.gateway.codec import Codec
 from borageworks.gateway.deployment import CallerLimits, Deployment
 from borageworks.gateway.directory import Directory
@@ -324,6 +327,18 @@
             # A quadratic splitter takes 64 times as long.
             self.assertTrue(large_s < 3 * growth * small_s, (unit, small_s, large_s))
 
+    def test_comments_that_keep_a_connection_alive(self):
+        """Guards against a sound stream that is cut, as it was silent for hours."""
+        splitter = EventSplitter(max_filler_bytes=100)
+        for _ in range(20):
+            for _ in range(10):
+                splitter.feed(b": alive\n\n")
+            splitter.feed(b"\n\ndata: x\n\n")
+        self.assertRaises(
+            EndpointReplyMalformedError,
+            lambda: [splitter.feed(b": alive\n\n") for _ in range(12)],
+        )
+
     def test_event_number_of_more_digits_than_a_number_has(self):
         """Guards against an unexpected error at a number of thousands of digits."""
         (event,) = EventSplitter().feed(b"id: " + b"9" * 5000 + b"\ndata: x\n\n")
--- a/borageworks_emulator/platform/tests/test_small_units.py
+++ b/borageworks_emulator/platform/tests/test_small_units.py
@@ -80,7 +80,7 @@
         return asyncio.run(main())
 
     def check_all_kinds(self, route, streams=1):
-        for kind in SMALL_UNITS:
+        for kind in (*SMALL_UNITS, "line_feeds", "comments"):
             slowest_s = self.measure(kind, route, streams)
             self.assertTrue(slowest_s < TARGET_LATENCY_S, (kind, slowest_s))
 
--- a/borageworks_emulator/platform/unbounded_response.py
+++ b/borageworks_emulator/platform/unbounded_response.py
@@ -41,6 +41,14 @@
         b"Transfer-Encoding: chunked\r\n\r\n",
         b"10000\r\n" + filler() + b"\r\n",
     ),
+    "line_feeds": (
+        b"HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n\r\n",
+        b"\n" * BLOCK_BYTES,
+    ),
+    "comments": (
+        b"HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n\r\n",
+        b":\n\n" * (BLOCK_BYTES // 3),
+    ),
     "chunk_size": (
         b"HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n",
         b"0" * BLOCK_BYTES,
@@ -69,10 +77,6 @@
 # Streams of many small units by name: bytes that are sent once, and a function that
 # returns the blocks which follow without end.
 SMALL_UNITS: Mapping[str, tuple[bytes, Callable[[], Iterator[bytes]]]] = {
-    "line_feeds": (
-        _STREAM_HEAD + b"\r\n",
-        lambda: itertools.repeat(b"\n" * BLOCK_BYTES),
-    ),
     "line_ends": (
         _STREAM_HEAD + b"\r\n",
         lambda: itertools.repeat(b"\r\n" * (BLOCK_BYTES // 2)),
@@ -81,10 +85,6 @@
         _STREAM_HEAD + b"\r\nid: 0\ndata: x\n\n",
         lambda: itertools.repeat(b"\n" * BLOCK_BYTES),
     ),
-    "comments": (
-        _STREAM_HEAD + b"\r\n",
-        lambda: itertools.repeat(b":\n\n" * (BLOCK_BYTES // 3)),
-    ),
     "events": (
         _STREAM_HEAD + b"\r\n",
         lambda: itertools.repeat(b"data: x\n\n" * (BLOCK_BYTES // 9)),
