Limit the memory that bodies take over all requests, from limits.memory_mb

Cause: limits.memory_mb was not read; each body had a limit and their sum none. The library kept 512 KiB of a response and read 256 KiB at a time, the system some megabytes.

An upload for which there is no room is refused at its head with 503, before a byte of it is read and without having run. Sockets of endpoints and callers keep 128 KiB.

--- a/borageworks/endpoints/sockets.py
+++ b/borageworks/endpoints/sockets.py
@@ -11,6 +11,9 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBE_COUNT = 2
+# Without a limit the system keeps megabytes for each connection whose bytes are not
+# read, and they count as memory of the process.
+RECEIVE_BUFFER_BYTES = 131_072
 
 
 def open_socket(address: tuple[Any, ...]) -> socket.socket:
@@ -18,6 +21,7 @@
     family, socket_type, protocol, *_ = address
     unconnected = socket.socket(family=family, type=socket_type, proto=protocol)
     unconnected.setblocking(False)
+    unconnected.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     enable_dead_peer_detection(unconnected)
     return unconnected
 
--- a/borageworks/gateway/acceptor.py
+++ b/borageworks/gateway/acceptor.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Callable
 
+from borageworks.endpoints.sockets import RECEIVE_BUFFER_BYTES
 from borageworks.events import Event, emit
 from borageworks.gateway.settings import HostPort
 from borageworks.metrics import Metrics
@@ -55,6 +56,8 @@
         """Start listening."""
         listener = socket.create_server(self._address, backlog=LISTEN_BACKLOG)
         listener.setblocking(False)
+        # Accepted connections take it over.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._socket = listener
         self._loop.add_reader(listener, self._accept)
         self._poll_timer = Timers().every(POLL_INTERVAL_S, lambda _now: self._accept())
--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -45,6 +45,7 @@
 from borageworks.placement.outcome import WorkOutcome
 from borageworks.placement.stream_origins import stream_id
 from borageworks.placement.work import Work
+from borageworks.receiving.body_budget import BodyAllowance
 from borageworks.receiving.loop_watch import HOLD_LIMIT_S
 
 # Fraction of the target latency that a request may wait for a free endpoint although it
@@ -121,6 +122,8 @@
         Components of the gateway.
     take_retry
         Takes one retry from the fleet's budget; returns False if none is left.
+    allowance
+        Memory of the process that the request holds.
     """
 
     def __init__(
@@ -135,6 +138,7 @@
         streams: StreamVersions,
         metrics: Metrics,
         take_retry: Callable[[], bool],
+        allowance: BodyAllowance,
     ) -> None:
         self._exchange = exchange
         self._sink = sink
@@ -146,6 +150,7 @@
         self._streams = streams
         self._metrics = metrics
         self._take_retry = take_retry
+        self._allowance = allowance
         self._loop = asyncio.get_running_loop()
         self._excluded: set[str] = set()
         self._attempts = 0
@@ -479,6 +484,10 @@
             body += data
             if len(body) > MAX_BUFFERED_BYTES:
                 raise EndpointReplyMalformedError("the response is too large")
+            if not self._allowance.take_response(len(data)):
+                raise EndpointReplyMalformedError(
+                    f"the response has {len(body)} bytes, more than memory is left for"
+                )
         buffered = BufferedResponse(
             response.status, end_to_end(response.headers.items()), bytes(body)
         )
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -43,6 +43,7 @@
 from borageworks.gateway.upstream import Upstream
 from borageworks.metrics import Metrics
 from borageworks.placement.stream_origins import stream_id
+from borageworks.receiving.body_budget import BodyAllowance, BodyBudget
 from borageworks.receiving.turns import ReceiveTurns
 
 # Limits in force until the operator's configuration has been received.
@@ -52,6 +53,8 @@
 # Short, since the caller's next connection reaches another instance.
 LEAVING_RETRY_AFTER_S = 0.02
 OVERLOADED_RETRY_AFTER_S = 0.02
+# Bodies that fill the memory take about a second to arrive.
+MEMORY_RETRY_AFTER_S = 0.5
 # Time for handlers to end when their connections are closed.
 CLOSE_TIMEOUT_S = 0.1
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -78,6 +81,8 @@
         Waits while the configuration may be out of date after a pause.
     turns
         Gives connections turns to process what they have received.
+    body_budget
+        Memory of the process that bodies may take.
     """
 
     def __init__(
@@ -97,6 +102,7 @@
         connection_limit: ConnectionLimit[CallerConnection],
         wait_until_current: Callable[[], Awaitable[None]],
         turns: ReceiveTurns,
+        body_budget: BodyBudget,
     ) -> None:
         self._settings = settings
         self._codec = codec
@@ -113,6 +119,7 @@
         self._connection_limit = connection_limit
         self._wait_until_current = wait_until_current
         self._turns = turns
+        self._body_budget = body_budget
         self._rng = random.Random()
         self._server: web.Server | None = None
         self._acceptor: Acceptor | None = None
@@ -194,7 +201,8 @@
         protocol.request_in_progress = True
         self._connection_limit.begin_request(protocol)
         try:
-            return await self._respond(http_request, received_at)
+            with self._body_budget.open() as allowance:
+                return await self._respond(http_request, received_at, allowance)
         finally:
             protocol.request_in_progress = False
             now = asyncio.get_running_loop().time()
@@ -202,7 +210,10 @@
             self._running -= 1
 
     async def _respond(
-        self, http_request: web.BaseRequest, received_at: float
+        self,
+        http_request: web.BaseRequest,
+        received_at: float,
+        allowance: BodyAllowance,
     ) -> web.StreamResponse:
         organisation = self._key_organisation(http_request)
         self._tally.record_requested(organisation)
@@ -220,7 +231,9 @@
         )
         runner: ExchangeRunner | None = None
         try:
-            exchange = await self._prepare_exchange(http_request, request, received_at)
+            exchange = await self._prepare_exchange(
+                http_request, request, received_at, allowance
+            )
             runner = ExchangeRunner(
                 exchange,
                 sink,
@@ -232,6 +245,7 @@
                 self._streams,
                 self._metrics,
                 lambda: self._retry_budgets.take(exchange.service, organisation),
+                allowance,
             )
             self._runners.add(runner)
             await runner.run()
@@ -266,7 +280,11 @@
         return sink.response
 
     async def _prepare_exchange(
-        self, http_request: web.BaseRequest, request: CallerRequest, received_at: float
+        self,
+        http_request: web.BaseRequest,
+        request: CallerRequest,
+        received_at: float,
+        allowance: BodyAllowance,
     ) -> Exchange:
         await self._wait_until_current()
         deployment = self._directory.deployment
@@ -287,7 +305,7 @@
                 "the instance is shutting down", retry_after=LEAVING_RETRY_AFTER_S
             )
         organisation = _organisation(deployment, route, request)
-        body = await _read_body(http_request, deployment.limits.body_bytes)
+        body = await _read_body(http_request, deployment.limits.body_bytes, allowance)
         service = self._pick_service(route, request, organisation)
         self._retry_budgets.record_request(service, organisation or NO_ORGANISATION)
         return Exchange(
@@ -417,9 +435,26 @@
     raise KeyUnknownError("the API key is missing or unknown")
 
 
-async def _read_body(http_request: web.BaseRequest, max_bytes: int) -> bytes | None:
+async def _read_body(
+    http_request: web.BaseRequest, max_bytes: int, allowance: BodyAllowance
+) -> bytes | None:
+    """Return the body of a request, None if it has none.
+
+    Raises
+    ------
+    BodyTooLargeError
+        If it has more than `max_bytes`.
+    BodyMalformedError
+        If it is incomplete.
+    InstanceOverloadedError
+        If the bodies of all requests take too much memory; with a stated length, this
+        shows before the body is read.
+    """
     if not http_request.can_read_body:
         return None
+    announced = http_request.content_length
+    if announced is not None and announced <= max_bytes:
+        _take_memory(allowance, announced)
     if http_request.headers.get("Expect", "").lower() == "100-continue":
         transport = http_request.transport
         if transport is not None:
@@ -432,6 +467,16 @@
             body += data
             if len(body) > max_bytes:
                 raise BodyTooLargeError(f"the body is over {max_bytes} bytes")
+            if announced is None:
+                _take_memory(allowance, len(data))
     except web.RequestPayloadError as error:
         raise BodyMalformedError(f"the body is incomplete: {error}") from error
     return bytes(body)
+
+
+def _take_memory(allowance: BodyAllowance, size: int) -> None:
+    if not allowance.take_request(size):
+        raise InstanceOverloadedError(
+            "the bodies of requests take all the memory that the instance has for them",
+            retry_after=MEMORY_RETRY_AFTER_S,
+        )
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -36,6 +36,7 @@
 from borageworks.gateway.upstream import Upstream
 from borageworks.metrics import Metrics
 from borageworks.placement.settings import PlacementSettings
+from borageworks.receiving.body_budget import BodyBudget
 from borageworks.receiving.turns import ReceiveTurns
 from borageworks.timers import Timers
 from borageworks.wire.messages import (
@@ -206,6 +207,7 @@
             self._connection_limit,
             self._confirm_after_pause,
             self._turns,
+            BodyBudget(settings.memory_bytes, self._metrics),
         )
         await self._start_http_servers()
         await self._frontend.start()
--- a/borageworks/gateway/settings.py
+++ b/borageworks/gateway/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -34,6 +35,8 @@
         Processor capacity of the instance, in cores.
     max_descriptors
         Files and sockets that the process may have open.
+    memory_bytes
+        Memory that the process may use, infinite if there is no limit.
     config_apply_s
         Maximum time until a new configuration is applied.
     recovery_grace_s
@@ -78,3 +81,4 @@
     share_window_s: float
     metrics_port: int | None = None
     first_start: bool = False
+    memory_bytes: float = math.inf
--- a/borageworks/platform/settings.py
+++ b/borageworks/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import resource
 from pathlib import Path
 from typing import Annotated
@@ -13,6 +14,7 @@
 from borageworks.placement.settings import PlacementSettings
 
 MILLISECONDS_PER_SECOND = 1000.0
+BYTES_PER_MEGABYTE = 1_048_576
 MAX_PORT = 65_535
 # The load balancer checks readiness every second and removes an instance after two
 # failed checks. The remainder covers a check that has just succeeded and the time that
@@ -61,6 +63,7 @@
 class _Limits(_Model):
     cpu_share: Positive = 1.0
     cores: Positive = 1.0
+    memory_mb: Positive = math.inf
     max_fds: Annotated[int, Field(gt=0)] = Field(default_factory=_descriptor_limit)
 
 
@@ -177,6 +180,7 @@
         store_address=_host_port(model.platform.address),
         capacity=model.limits.cpu_share * model.limits.cores,
         max_descriptors=model.limits.max_fds,
+        memory_bytes=model.limits.memory_mb * BYTES_PER_MEGABYTE,
         config_apply_s=bounds.config_apply_ms / MILLISECONDS_PER_SECOND,
         recovery_grace_s=bounds.contact_ms / MILLISECONDS_PER_SECOND,
         shutdown_timeout_s=bounds.grace_s,
--- a/borageworks_emulator/platform/harness.py
+++ b/borageworks_emulator/platform/harness.py
@@ -120,6 +120,8 @@
         Seconds between the stop request and the kill.
     max_descriptors
         Open files that the gateway may have.
+    memory_bytes
+        Memory that the gateway may use.
     """
 
     def __init__(
@@ -130,6 +132,7 @@
         store: EmulatedPlatformStore | None = None,
         grace_s: float = 8,
         max_descriptors: int = 1024,
+        memory_bytes: float = math.inf,
     ) -> None:
         self.endpoints = endpoints
         self.store = store or EmulatedPlatformStore()
@@ -137,6 +140,7 @@
         self._name = name
         self._grace_s = grace_s
         self._max_descriptors = max_descriptors
+        self._memory_bytes = memory_bytes
         self.metrics = Metrics()
         self.ports: list[int] = []
         self._request_number = 0
@@ -163,7 +167,10 @@
         # All components share one event loop, so its lag does not show how loaded the
         # gateway is.
         settings = replace(
-            settings, lag_limit_s=math.inf, max_descriptors=self._max_descriptors
+            settings,
+            lag_limit_s=math.inf,
+            max_descriptors=self._max_descriptors,
+            memory_bytes=self._memory_bytes,
         )
         self.platform_store = PlatformStore(settings, self.metrics)
         self.gateway = Gateway(
