Register again when the store has lost the record of this instance

Writes of first registrations that the store executed 5 s late put the records under their first leases, with which they ended; each instance went on renewing its second one, saw no other until its restart and placed alone, so that a request that crashes engines was retried 7 times after the third crash (3 allowed).

Cause: a renewed lease does not tell whether the record is still under it, and the removal of the own record was ignored.

Change: the removal of the own record, as the store reports it, ends the registration, which is then made anew within a quarter of a second; counter registrations_lost, event 607.

--- a/borageworks/gateway/instances.py
+++ b/borageworks/gateway/instances.py
@@ -147,6 +147,12 @@
                 self._others[record.instance] = record
                 self._grace_until.pop(record.instance, None)
                 changed = True
+        if self._prefix + self._own_record.instance in change.deletes:
+            # A write that was executed late had put the record under another lease,
+            # or had removed it; a lease that is renewed does not tell.
+            self._metrics.count("registrations_lost")
+            emit(Event.LEASE_LOST, instance=self._own_record.instance)
+            self._lease = None
         for key in change.deletes:
             name = key.removeprefix(self._prefix)
             if not key.startswith(self._prefix) or name not in self._others:
--- a/borageworks_emulator/platform/tests/test_faults.py
+++ b/borageworks_emulator/platform/tests/test_faults.py
@@ -7,12 +7,14 @@
 from testtools import TestCase
 
 from borageworks.exceptions import StoreUnavailableError
+from borageworks.platform.codec import PlatformCodec
 from borageworks_emulator.platform.endpoint import Behaviour, EmulatedEndpoint
 from borageworks_emulator.platform.harness import (
     ENGINE_SERVICE,
     PLAIN_SERVICE,
     Harness,
     configuration,
+    linked_fleet,
 )
 from borageworks_emulator.platform.store import StoreFault
 
@@ -308,3 +310,19 @@
         statuses, elapsed_s = asyncio.run(main())
         self.assertEqual([200] * 4, statuses)
         self.assertTrue(elapsed_s < 0.4, elapsed_s)
+
+
+class LateRegistrationTest(TestCase):
+    def test_record_that_ends_under_an_earlier_lease(self):
+        """Guards against an instance that no other one sees until it restarts."""
+
+        async def main():
+            async with linked_fleet({}, 2) as (first, second):
+                key = f"{PlatformCodec.own_prefix}instances/edge-2"
+                # A late write had put the record under a lease that ends now.
+                await first.store.delete(key)
+                await first.wait_until(lambda: key in first.store.keys)
+                await first.wait_until_linked(2)
+                return second.metrics.value("registrations_lost")
+
+        self.assertEqual(1, asyncio.run(main()))
