Keep the turns of other connections when one fails unexpectedly

Found in reading the diff: an error that the HTTP library does not handle, raised while a connection has its turn, left all others waiting until the next one came. The turns now go on, and the connection is aborted, as the event loop does when it delivers the bytes. test_connection_whose_processing_fails failed before: the second connection got no turn.

--- a/borageworks/receiving/paced_protocol.py
+++ b/borageworks/receiving/paced_protocol.py
@@ -52,13 +52,19 @@
 
     def process_piece(self) -> int:
         """Process the next bytes and return how many."""
-        if self.transport is None:
+        transport = self.transport
+        if transport is None:
             self._unprocessed.clear()
-        if not self.has_piece:
+        if transport is None or not self.has_piece:
             return 0
         piece = bytes(self._unprocessed[:MAX_PIECE_BYTES])
         del self._unprocessed[:MAX_PIECE_BYTES]
-        self._process(piece)
+        try:
+            self._process(piece)
+        except BaseException:
+            # The event loop does the same when a transport delivers the bytes.
+            transport.abort()
+            raise
         if not self._unprocessed and self._parser_takes_bytes:
             self._resume_transport_reading()
         return len(piece)
--- a/borageworks/receiving/tests/test_turns.py
+++ b/borageworks/receiving/tests/test_turns.py
@@ -81,6 +81,28 @@
         self.assertEqual(8 * READ_BYTES, sum(per_iteration))
         self.assertEqual([*connections, *connections], first)
 
+    def test_connection_whose_processing_fails(self):
+        """Guards against an unexpected error that ends the turns of all others."""
+
+        async def main():
+            turns = ReceiveTurns(Metrics())
+            processed = []
+
+            def fail(_connection, _size):
+                raise ValueError("unexpected")
+
+            errors = []
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _loop, context: errors.append(context))
+            turns.wait(QueuedConnection(READ_BYTES, fail))
+            turns.wait(
+                QueuedConnection(1, lambda _connection, size: processed.append(size))
+            )
+            await iterate(4)
+            return len(errors), processed
+
+        self.assertEqual((1, [1]), asyncio.run(main()))
+
     def test_bytes_before_the_end_of_a_connection(self):
         """Guards against a ready answer that ends with its connection and is lost."""
 
--- a/borageworks/receiving/turns.py
+++ b/borageworks/receiving/turns.py
@@ -39,7 +39,7 @@
     Parameters
     ----------
     metrics
-        Counts the bytes that had to wait as `receive_waits`.
+        Counts how often connections had to wait as `receive_waits`.
     """
 
     def __init__(self, metrics: Metrics) -> None:
@@ -90,11 +90,14 @@
         self._handle = None
         self._renewed_at = time.monotonic()
         self._left_bytes = MAX_ITERATION_BYTES
-        while self._waiting and self._left_bytes > 0:
-            connection = next(iter(self._waiting))
-            del self._waiting[connection]
-            self._left_bytes -= connection.process_piece()
-            if connection.has_piece:
-                self._waiting[connection] = None
-        if self._waiting:
-            self._schedule()
+        try:
+            while self._waiting and self._left_bytes > 0:
+                connection = next(iter(self._waiting))
+                del self._waiting[connection]
+                self._left_bytes -= connection.process_piece()
+                if connection.has_piece:
+                    self._waiting[connection] = None
+        finally:
+            # An unexpected error of one connection leaves the turns of the others.
+            if self._waiting:
+                self._schedule()
