Begin the last part of a planned stop within the time for draining

The 0.2 s for requests on the connections accepted last came after the time for draining, not within it.

Change: the listening socket closes 0.2 s before the end of that time.

--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -246,18 +246,18 @@
         self._review(loop.time())
         await self._instances.leave()
         await asyncio.sleep(self._settings.balancer_lag_s)
-        await self._drain()
+        await self._drain(self._shutdown.drain_deadline - LAST_REQUESTS_S)
         await self._frontend.stop_accepting()
         await asyncio.sleep(LAST_REQUESTS_S)
-        await self._drain()
+        await self._drain(self._shutdown.drain_deadline)
         await self.close()
         emit(Event.INSTANCE_STOPPED, instance=self._settings.instance)
 
-    async def _drain(self) -> None:
+    async def _drain(self, deadline: float) -> None:
         """Wait for running requests until the deadline, closing idle connections."""
         loop = asyncio.get_running_loop()
         self._frontend.close_idle()
-        while self._frontend.running and loop.time() < self._shutdown.drain_deadline:
+        while self._frontend.running and loop.time() < deadline:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
             self._frontend.close_idle()
 
