Measure the turns of connections in time, not in bytes

Cause: turns of 8 KiB for all connections in an iteration. On a busy loop an iteration takes tens of milliseconds, so that large bodies arrived at a few hundred KB a second, and work that waits there does not show as lag of the loop.

Change: connections process their bytes for up to half of the time that everything else took since, 2 to 10 ms, at once if nobody waits; large bodies take far less of it than small units. What works on each byte of a stream lets the loop go on after 4 KiB.

--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -39,7 +39,7 @@
 from borageworks.gateway.response_head import ResponseHead
 from borageworks.gateway.route import RetryPolicy, Route
 from borageworks.gateway.stream_versions import StreamVersions
-from borageworks.gateway.upstream import Upstream, read_body
+from borageworks.gateway.upstream import Upstream, read_body, read_in_pieces
 from borageworks.metrics import Metrics
 from borageworks.placement.decisions import Placed
 from borageworks.placement.outcome import WorkOutcome
@@ -514,7 +514,7 @@
         splitter = EventSplitter()
         resumable = self._exchange.route.retry_policy is RetryPolicy.RESUME
         received_at: float | None = None
-        async for data in read_body(response):
+        async for data in read_in_pieces(response):
             now = self._loop.time()
             if received_at is None:
                 self._placer.record_start(work.key)
--- a/borageworks/gateway/upstream.py
+++ b/borageworks/gateway/upstream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 
@@ -19,7 +20,7 @@
 from borageworks.exceptions import EndpointReplyIncompleteError
 from borageworks.gateway.endpoint import Endpoint
 from borageworks.receiving.loop_watch import LoopWatch
-from borageworks.receiving.turns import ReceiveTurns
+from borageworks.receiving.turns import MAX_PIECE_BYTES, ReceiveTurns
 
 # Allows for one packet lost on a local network, which TCP retransmits after one second,
 # before another endpoint is tried.
@@ -154,6 +155,18 @@
         raise EndpointReplyIncompleteError(f"the connection was reset: {error!r}")
 
 
+async def read_in_pieces(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    """Yield the body like `read_body`, for a receiver that works on each byte.
+
+    The event loop goes on between the pieces of what arrived at once.
+    """
+    async for data in read_body(response):
+        yield data[:MAX_PIECE_BYTES]
+        for start in range(MAX_PIECE_BYTES, len(data), MAX_PIECE_BYTES):
+            await asyncio.sleep(0)
+            yield data[start : start + MAX_PIECE_BYTES]
+
+
 def _has_length(response: aiohttp.ClientResponse) -> bool:
     headers = response.headers
     return "Content-Length" in headers or "Transfer-Encoding" in headers
--- a/borageworks/receiving/paced_protocol.py
+++ b/borageworks/receiving/paced_protocol.py
@@ -42,13 +42,16 @@
         if not data:
             # The library continues with what its parser has kept.
             super().data_received(data)
-        elif not self._unprocessed and self._turns.take(len(data)):
+        elif not self._unprocessed and len(data) <= MAX_PIECE_BYTES:
+            # Work that waits here does not show as lag of the loop, by which an
+            # overloaded instance knows that it is.
             self._process(data)
         else:
             self._unprocessed += data
-            self._pause_transport_reading()
             if self.has_piece:
                 self._turns.wait(self)
+            if self._unprocessed:
+                self._pause_transport_reading()
 
     def process_piece(self) -> int:
         """Process the next bytes and return how many."""
--- a/borageworks/receiving/turns.py
+++ b/borageworks/receiving/turns.py
@@ -11,12 +11,11 @@
 
 # Bytes processed for one connection before that of the next.
 MAX_PIECE_BYTES = 4_096
-# Bytes processed for all connections in an iteration; a byte takes up to a microsecond
-# if it is a unit of its own.
-MAX_ITERATION_BYTES = 8_192
-# Without connections that wait, the allowance is renewed after this time instead of
-# once per iteration, which would need a callback in each.
-RENEWAL_INTERVAL_S = 0.001
+# Time for such pieces in an iteration: as much as half of what everything else took
+# since the last one, so that a busy loop does not starve them.
+TURN_RATIO = 0.5
+MIN_TURN_S = 0.002
+MAX_TURN_S = 0.01
 
 
 class WaitingConnection(Protocol):
@@ -35,6 +34,7 @@
 
     What a connection sends faster than it is processed is processed over several
     iterations of the loop, so that timers, tasks and other connections run in between.
+    The measure is time: bytes of a large body take far less of it than small units.
 
     Parameters
     ----------
@@ -45,10 +45,11 @@
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
         self._watch = LoopWatch(metrics)
-        self._left_bytes = MAX_ITERATION_BYTES
-        self._renewed_at = 0.0
+        self._left_s = MAX_TURN_S
+        self._ended_at = 0.0
         # In the order of their turns; a dict, as each connection waits at most once.
         self._waiting: dict[WaitingConnection, None] = {}
+        self._running = False
         self._handle: asyncio.Handle | None = None
 
     @property
@@ -56,47 +57,47 @@
         """Names what has held the loop."""
         return self._watch
 
-    def take(self, size: int) -> bool:
-        """Take bytes from the allowance; return False if they have to wait.
+    def wait(self, connection: WaitingConnection) -> None:
+        """Process the pieces of a connection now, or in the next iterations.
 
-        Up to a piece never waits: otherwise work that queues here would not show as
-        lag of the loop, by which an overloaded instance knows that it is.
+        They are processed now if no other connection waits and time is left.
         """
-        if size <= MAX_PIECE_BYTES:
-            return True
-        if self._waiting:
-            return False
-        now = time.monotonic()
-        if now - self._renewed_at >= RENEWAL_INTERVAL_S:
-            self._renewed_at = now
-            self._left_bytes = MAX_ITERATION_BYTES
-        if self._left_bytes < size:
-            return False
-        self._left_bytes -= size
-        return True
-
-    def wait(self, connection: WaitingConnection) -> None:
-        """Process the pieces of a connection in the next iterations."""
-        if connection not in self._waiting:
-            self._metrics.count("receive_waits")
-            self._waiting[connection] = None
+        if connection in self._waiting:
+            return
+        self._waiting[connection] = None
+        try:
+            if len(self._waiting) == 1 and not self._running:
+                self._run()
+        finally:
+            if connection in self._waiting:
+                self._metrics.count("receive_waits")
             self._schedule()
 
+    def _run(self) -> None:
+        self._running = True
+        try:
+            while self._waiting and self._left_s > 0.0:
+                started = time.perf_counter()
+                connection = next(iter(self._waiting))
+                del self._waiting[connection]
+                connection.process_piece()
+                if connection.has_piece:
+                    self._waiting[connection] = None
+                self._left_s -= time.perf_counter() - started
+        finally:
+            self._running = False
+            self._ended_at = time.perf_counter()
+
     def _schedule(self) -> None:
         if self._handle is None:
             self._handle = asyncio.get_running_loop().call_soon(self._begin_iteration)
 
     def _begin_iteration(self) -> None:
         self._handle = None
-        self._renewed_at = time.monotonic()
-        self._left_bytes = MAX_ITERATION_BYTES
+        share_s = TURN_RATIO * (time.perf_counter() - self._ended_at)
+        self._left_s = min(max(share_s, MIN_TURN_S), MAX_TURN_S)
         try:
-            while self._waiting and self._left_bytes > 0:
-                connection = next(iter(self._waiting))
-                del self._waiting[connection]
-                self._left_bytes -= connection.process_piece()
-                if connection.has_piece:
-                    self._waiting[connection] = None
+            self._run()
         finally:
             # An unexpected error of one connection leaves the turns of the others.
             if self._waiting:
