--- a/borageworks/receiving/tests/test_turns.py
+++ b/borageworks/receiving/tests/test_turns.py
@@ -137,7 +137,8 @@
             _, content = await handler.read()
             return held, await content.read()
 
-        held, body = asyncio.run(main())
+        with mock.patch("time.perf_counter", slow_clock()):
+            held, body = asyncio.run(main())
         self.assertEqual((True, False), held)
         self.assertEqual(READ_BYTES, len(body))
 
