Decode the load that endpoints report in their responses

Cause: placement does not know what runs on an endpoint beside the requests that it placed, nor whether the endpoint's machine is slow. Change: ResponseHead.load holds running, waiting and slots, and the pace if the fourth figure states one. What cannot be read is marked and is no load.

--- a/borageworks/gateway/response_head.py
+++ b/borageworks/gateway/response_head.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from borageworks.gateway.endpoint_notice import EndpointNotice
+from borageworks.placement.engine_load import EngineLoad
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +26,10 @@
         Whether the address now belongs to another endpoint than the expected one.
     notice
         What the endpoint states about itself.
+    load
+        Load that the endpoint reports, None if it reports none that can be read.
+    load_malformed
+        Whether it reports a load that cannot be read.
     """
 
     status: int
@@ -33,3 +38,5 @@
     not_run: bool
     wrong_endpoint: bool
     notice: EndpointNotice = field(default_factory=EndpointNotice)
+    load: EngineLoad | None = None
+    load_malformed: bool = False
--- a/borageworks/platform/protocol_names.py
+++ b/borageworks/platform/protocol_names.py
@@ -11,6 +11,7 @@
 NOT_EXECUTED = "X-Borageworks-Not-Executed"
 # Requests a second that an endpoint takes from all instances together.
 RATE_LIMIT = "Server-Limit"
+ENGINE_LOAD = "X-Borageworks-Engine-Load"
 ENDPOINT_LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
 # Number that rises by one when the store comes back from an older copy.
--- a/borageworks/platform/responses.py
+++ b/borageworks/platform/responses.py
@@ -9,6 +9,7 @@
 from borageworks.gateway.endpoint_notice import EndpointNotice
 from borageworks.gateway.response_head import ResponseHead
 from borageworks.platform import protocol_names
+from borageworks.platform.engine_load import decode_load
 
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
@@ -19,6 +20,7 @@
 
 def decode_response_head(status: int, headers: CIMultiDictProxy[str]) -> ResponseHead:
     """Return the status and headers of a response in decoded form."""
+    load, load_malformed = decode_load(headers)
     return ResponseHead(
         status=status,
         request_id=headers.get(protocol_names.REQUEST_ID),
@@ -26,6 +28,8 @@
         not_run=protocol_names.NOT_EXECUTED in headers or status == MISDIRECTED_STATUS,
         wrong_endpoint=status == MISDIRECTED_STATUS,
         notice=_decode_notice(status, headers),
+        load=load,
+        load_malformed=load_malformed,
     )
 
 
