Place by reported loads and learned lasting speeds of engines

Cause: the owner takes all engines for equally fast unless one is slower by a factor of two, so that engines of uneven speed are overloaded one after another while others are idle. Change: the owner keeps the last report of each incarnation and learns its lasting speed from the time between first outputs. Both scale prefill and backlog, once an endpoint of the service has stated a pace. Instances that place at the same time differ in their choices and avoid recomputation.

--- a/borageworks/placement/decisions.py
+++ b/borageworks/placement/decisions.py
@@ -25,7 +25,8 @@
 
     `uncached_tokens` is the number of prompt tokens that the endpoint is expected to
     prefill; `placed_by` is the instance that decided, if it was another one, and
-    `software_version` the version of the endpoint as known to it.
+    `software_version` the version of the endpoint as known to it. `speed` is the
+    prefill time of the endpoint's `incarnation` relative to the others, 0 if unknown.
     """
 
     key: WorkKey
@@ -33,6 +34,8 @@
     uncached_tokens: int = 0
     placed_by: str = ""
     software_version: str = ""
+    incarnation: str = field(default="", compare=False)
+    speed: float = field(default=0.0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -13,6 +13,8 @@
 from borageworks.placement.crash_evidence import CrashEvidence
 from borageworks.placement.decisions import Decision, Placed, RefusalReason, Refused
 from borageworks.placement.endpoint_state import EndpointState, RunningWork
+from borageworks.placement.engine_load import EngineLoad, KnownLoad
+from borageworks.placement.engine_speed import MIN_SAMPLE_TOKENS, normalise
 from borageworks.placement.entitlements import Entitlements
 from borageworks.placement.outcome import WorkOutcome
 from borageworks.placement.part_index import PartIndex
@@ -56,6 +58,13 @@
 # Part of the time that a request below the share may wait, after which it no longer
 # waits for the endpoint that has its shared part cached.
 PREFERRED_WAIT_RATIO = 0.5
+# The same where reports are used: the wait for the preferred endpoint is known well
+# enough, and what is prefilled again delays all.
+REPORTED_PREFERRED_WAIT_RATIO = 1.0
+# Interval at which the lasting speeds of engines are related to each other.
+SPEEDS_INTERVAL_S = 0.1
+# Largest cost by which choices differ between instances that place at the same time.
+SPREAD_S = 0.03
 # Organisations named in the summary for the log, so that its length is bounded.
 MAX_NAMED_LEADS = 8
 
@@ -81,6 +90,8 @@
         Versions of the engines that began streams, shared likewise.
     shard
         Number of the shard of the service whose endpoints these are.
+    instance
+        Id of the instance.
     """
 
     def __init__(
@@ -91,6 +102,7 @@
         evidence: CrashEvidence | None = None,
         origins: StreamOrigins | None = None,
         shard: int = 0,
+        instance: str = "",
     ) -> None:
         self._service = service
         self._settings = settings
@@ -105,7 +117,11 @@
             self._part_index,
             settings,
             domain,
+            instance,
         )
+        # Whether endpoints state their pace, so that loads and speeds are used.
+        self._uses_loads = False
+        self._speeds_at = -math.inf
         self._entitlements = Entitlements(settings.share_window_s)
         self._prefill_speed = PrefillSpeed(DEFAULT_TOKENS_PER_S)
         self._capacity_ratio = 1.0
@@ -149,11 +165,22 @@
         """Keys of the requests that wait for an endpoint."""
         return self._waiting.keys
 
+    @property
+    def uses_loads(self) -> bool:
+        """Whether endpoints state their pace, so that loads and speeds are used."""
+        return self._uses_loads
+
     @property
     def prefill_speed(self) -> PrefillSpeed:
         """Estimate of the engines' prefill speed."""
         return self._prefill_speed
 
+    @property
+    def _preferred_wait_ratio(self) -> float:
+        if self._uses_loads:
+            return REPORTED_PREFERRED_WAIT_RATIO
+        return PREFERRED_WAIT_RATIO
+
     def summarise(self, now: float) -> PlacementSummary:
         """Return what this dispatcher believes, for its periodic log line."""
         speed = self._prefill_speed
@@ -191,6 +218,8 @@
         It is below 1 while instances place independently of each other.
         """
         self._capacity_ratio = ratio
+        if self._uses_loads:
+            self._selector.set_spread(SPREAD_S if ratio < 1.0 else 0.0)
 
     def set_limit_ratio(self, now: float, ratio: float) -> None:
         """Set the fraction of the endpoints' rate limits that this instance may use."""
@@ -238,6 +267,58 @@
             state.rate_limit.configure(now, limit_per_s, self._limit_ratio)
         self._selector.invalidate()
 
+    def record_load(
+        self, now: float, incarnation: str, load: EngineLoad, age_s: float
+    ) -> None:
+        """Record what an endpoint reported `age_s` seconds ago about its load.
+
+        Reports have no effect before one of the service has stated a pace.
+        """
+        if load.pace is not None:
+            self._use_loads()
+        state = self.find_endpoint(incarnation)
+        if state is not None and self._uses_loads:
+            state.record_load(load, now - age_s)
+
+    def adopt_speed(
+        self, incarnation: str, ratio: float, *, replaces: bool = True
+    ) -> None:
+        """Take over an endpoint's lasting speed from another instance.
+
+        Parameters
+        ----------
+        incarnation, ratio
+            Incarnation of the endpoint, and its relative prefill time.
+        replaces
+            Whether it replaces a known speed, as that of the present owner does.
+        """
+        state = self.find_endpoint(incarnation)
+        if state is not None and (replaces or not state.speed.samples):
+            self._use_loads()
+            state.speed.adopt(ratio)
+
+    def known_loads(self) -> list[KnownLoad]:
+        """Return the last reports and the lasting speeds, for a new owner."""
+        if not self._uses_loads:
+            return []
+        return [
+            KnownLoad(
+                state.endpoint.incarnation,
+                state.load.load or EngineLoad(0, 0, 0),
+                max(state.load.stated_at, 0.0),
+                state.speed.known_ratio,
+            )
+            for state in self._endpoints.values()
+            if state.load.load is not None or state.speed.samples
+        ]
+
+    def _use_loads(self) -> None:
+        if not self._uses_loads:
+            self._uses_loads = True
+            self._selector.use_loads()
+            for state in self._endpoints.values():
+                state.uses_loads = True
+
     def set_leaving(self, incarnation: str) -> None:
         """Place no further request on an endpoint."""
         state = self.find_endpoint(incarnation)
@@ -277,7 +358,9 @@
             if state is None:
                 capacity = engine.memory_tokens if engine is not None else 0
                 cache = PromptCache(capacity, name, self._part_index)
-                self._endpoints[name] = EndpointState(endpoint, cache)
+                self._endpoints[name] = EndpointState(
+                    endpoint, cache, uses_loads=self._uses_loads
+                )
             else:
                 state.endpoint = endpoint
         self._selector.invalidate()
@@ -364,7 +447,7 @@
         if waiting.has_priority or not self._is_worth_waiting(now, waiting):
             self._waiting.prefer(waiting, None)
         else:
-            patience_s *= PREFERRED_WAIT_RATIO
+            patience_s *= self._preferred_wait_ratio
         waiting.has_priority = True
         waiting.expires_at = waiting.arrived_at + patience_s
 
@@ -381,7 +464,7 @@
         if self._uncached_tokens(state, work) > waiting.tokens:
             return False
         wait_s = now - waiting.arrived_at + self._backlog_wait_s(now, state)
-        return wait_s <= PREFERRED_WAIT_RATIO * _patience_s(work)
+        return wait_s <= self._preferred_wait_ratio * _patience_s(work)
 
     def _backlog_wait_s(self, now: float, state: EndpointState) -> float:
         """Return the seconds until the backlog of an engine admits a request."""
@@ -460,6 +543,7 @@
             return
         if work.key not in self._placed:
             self._add_running(now, state, work).adopted = True
+            state.load.record_adoption()
             self._entitlements.record_running(now, work.organisation, work.units)
         if started:
             self._record_stream(now, state, state.start(now, work.key))
@@ -473,6 +557,7 @@
         """
         self._unconfirmed.discard(key)
         state = self._endpoints.get(self._placed.get(key, ""))
+        previous_at = -math.inf if state is None else state.last_start_at
         started = state.start(now, key) if state is not None else None
         if state is not None:
             self._record_stream(now, state, started)
@@ -485,12 +570,48 @@
         ):
             first_token_s = now - started.placed_at
             tokens = started.backlog_tokens
-            state.record_first_token(
-                now, first_token_s, self._prefill_speed.first_token_s(tokens)
-            )
-            self._prefill_speed.record(tokens, first_token_s / state.slowdown(now))
+            expected_s = self._prefill_speed.first_token_s(tokens)
+            if self._uses_loads:
+                self._learn_speed(now, state, started, previous_at)
+                expected_s *= state.expected_ratio(now)
+            if not state.has_unknown(now):
+                state.record_first_token(now, first_token_s, expected_s)
+                self._prefill_speed.record(tokens, first_token_s / state.slowdown(now))
         return self._place_waiting(now, state)
 
+    def _learn_speed(
+        self,
+        now: float,
+        state: EndpointState,
+        started: RunningWork,
+        previous_at: float,
+    ) -> None:
+        """Learn an engine's lasting speed from the prefill of one prompt.
+
+        The time counts from the previous first output, so that what was placed ahead
+        has no part in it. While requests that this instance did not place run there,
+        the time may be theirs.
+        """
+        tokens = started.uncached_tokens
+        if (
+            tokens < MIN_SAMPLE_TOKENS
+            or state.has_unknown(now)
+            or len(state.running) > state.endpoint.slots
+        ):
+            return
+        measured_s = now - max(started.placed_at, previous_at)
+        expected_s = tokens * self._prefill_speed.seconds_per_token
+        if previous_at <= started.placed_at:
+            expected_s += self._prefill_speed.start_s
+        state.speed.record(measured_s, expected_s * state.load.pace(now))
+
+    def _update_speeds(self, now: float) -> None:
+        """Relate the engines' lasting speeds to each other."""
+        if not self._uses_loads or now - self._speeds_at < SPEEDS_INTERVAL_S:
+            return
+        self._speeds_at = now
+        normalise(state.speed for state in self._endpoints.values())
+
     def _record_stream(
         self, now: float, state: EndpointState, started: RunningWork | None
     ) -> None:
@@ -510,6 +631,8 @@
         state = self._endpoints.get(self._placed.pop(key, ""))
         if state is not None:
             ended = state.remove(key)
+            if self._uses_loads:
+                state.load.record_end(now)
             if ended is not None:
                 self._record_end(now, state, ended, outcome)
             state.record(now, outcome)
@@ -544,6 +667,8 @@
             state = self._endpoints.get(self._placed.pop(key, ""))
             if state is not None:
                 state.remove(key)
+                if self._uses_loads:
+                    state.load.record_end(now)
         return self._place_waiting(now)
 
     def apply_cache_update(self, endpoint: str, update: CacheUpdate) -> None:
@@ -583,6 +708,7 @@
         if not self.has_engines or now - self._expired_at < EXPIRY_INTERVAL_S:
             return
         self._expired_at = now
+        self._update_speeds(now)
         settings = self._settings
         for state in self._endpoints.values():
             oldest = next(iter(state.prefilling.values()), None)
@@ -795,6 +921,8 @@
             state.endpoint.id,
             running.uncached_tokens,
             software_version=state.endpoint.software_version,
+            incarnation=state.endpoint.incarnation if self._uses_loads else "",
+            speed=state.speed.known_ratio if self._uses_loads else 0.0,
         )
 
     def _add_running(self, now: float, state: EndpointState, work: Work) -> RunningWork:
--- a/borageworks/placement/endpoint_state.py
+++ b/borageworks/placement/endpoint_state.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 
 from borageworks.gateway.endpoint import Endpoint
+from borageworks.placement.engine_load import EngineLoad, LoadRecord
+from borageworks.placement.engine_speed import EngineSpeed
 from borageworks.placement.outcome import WorkOutcome
 from borageworks.placement.prompt_cache import PromptCache
 from borageworks.placement.rate_limit import RateLimit
@@ -26,6 +28,13 @@
 # Without samples the estimate decays, so that an engine that gets few requests is
 # tried again.
 SLOWDOWN_HALF_LIFE_S = 4.0
+# Time by which a first output may be later than expected on a machine that is not slow,
+# and the longest delay that counts as prefill still to come.
+STALL_MARGIN_S = 0.03
+STALL_MAX_S = 0.5
+# Part of the running requests up to which unknown ones may have been miscounted, as
+# reports and messages are under way at the same time.
+MAX_UNKNOWN_RATIO = 0.25
 # Output that begins is noticed within this time unless an instance is overloaded.
 RECENT_START_S = 0.25
 # An engine that loses single responses is not suspended, one that is silent is.
@@ -108,6 +117,12 @@
         Whether it has stated that it accepts no new requests.
     paused_until
         Ends of the pauses in which it wants no requests of an instance.
+    load, speed
+        Its last report, and its lasting speed as far as it was learned.
+    last_start_at
+        Time of the last first output of a request.
+    uses_loads
+        Whether endpoints of the service state their pace.
     """
 
     endpoint: Endpoint
@@ -125,6 +140,10 @@
     rate_limit: RateLimit | None = None
     leaving: bool = False
     paused_until: dict[str, float] = field(default_factory=dict)
+    load: LoadRecord = field(default_factory=LoadRecord)
+    speed: EngineSpeed = field(default_factory=EngineSpeed)
+    last_start_at: float = -math.inf
+    uses_loads: bool = False
     _slowdown: float = 1.0
     _slowdown_at: float = 0.0
 
@@ -148,6 +167,7 @@
         if work is None or work.started_at is not None:
             return None
         work.started_at = now
+        self.last_start_at = now
         self.overdue = 0
         if not work.prefilled:
             if not work.adopted:
@@ -207,14 +227,37 @@
             return 0.0
         prefilled = (now - self.prefill_since) / seconds_per_token
         oldest = next(iter(self.prefilling.values()))
-        return max(self.uncached_tokens - min(prefilled, oldest), 0.0)
+        backlog = max(self.uncached_tokens - min(prefilled, oldest), 0.0)
+        if self.uses_loads and not self.has_unknown(now):
+            # A prompt that takes longer than expected shows that the machine is slow
+            # now, before any report does.
+            stalled = (now - self.prefill_since - STALL_MARGIN_S) / seconds_per_token
+            backlog += max(min(stalled - oldest, STALL_MAX_S / seconds_per_token), 0.0)
+        return backlog
 
     def slowdown(self, now: float) -> float:
         """Return its prefill time relative to the service's engines, 1 if not slow."""
+        expected = self.expected_ratio(now) if self.uses_loads else 1.0
         if self._slowdown == 1.0:
-            return 1.0
+            return expected
         factor = self._decayed_slowdown(now)
-        return factor if factor >= MIN_SLOWDOWN_RATIO else 1.0
+        return factor * expected if factor >= MIN_SLOWDOWN_RATIO else expected
+
+    def expected_ratio(self, now: float) -> float:
+        """Return the relative prefill time by its lasting speed and its last report."""
+        return self.speed.ratio * self.load.pace(now)
+
+    def has_unknown(self, now: float) -> bool:
+        """Return whether enough unknown requests run there to explain delays."""
+        if not self.load.unknown:
+            return False
+        limit = MAX_UNKNOWN_RATIO * len(self.running)
+        return self.load.unknown_requests(now) > limit
+
+    def record_load(self, load: EngineLoad, stated_at: float) -> None:
+        """Record a report that the endpoint stated at some time."""
+        known = sum(work.placed_at <= stated_at for work in self.running.values())
+        self.load.record(load, stated_at, known)
 
     def record_first_token(
         self, now: float, measured_s: float, expected_s: float
--- a/borageworks/placement/selection.py
+++ b/borageworks/placement/selection.py
@@ -6,6 +6,8 @@
 import math
 from collections.abc import Iterable, Mapping
 
+import xxhash
+
 from borageworks.placement.endpoint_state import EndpointState
 from borageworks.placement.part_index import PartIndex
 from borageworks.placement.settings import PlacementSettings
@@ -25,6 +27,10 @@
 # they get the requests that the others do not take.
 SCARCE_PREFILL_WEIGHT = 2.0
 
+# Factor of the weight of recomputation beside other instances: they see each other's
+# backlog late, and what one prefills again delays all.
+BESIDE_RECOMPUTE_RATIO = 8.0
+
 # Longest time at a rate limit that counts as a cost: beyond it a request would miss its
 # target latency wherever it waits.
 MAX_LIMIT_TIME_S = 0.5
@@ -48,8 +54,8 @@
         Index of the parts that the endpoints have cached.
     settings
         Settings of placement.
-    domain
-        Failure domain of the instance.
+    domain, instance
+        Failure domain of the instance, and its id.
     """
 
     def __init__(
@@ -60,6 +66,7 @@
         index: PartIndex,
         settings: PlacementSettings,
         domain: str,
+        instance: str = "",
     ) -> None:
         self._endpoints = endpoints
         self._waiting_tokens = waiting_tokens
@@ -71,6 +78,35 @@
         self._order: list[str] = []
         self._ordered_at = -math.inf
         self._placements = 0
+        self._instance = instance
+        self._spread_s = 0.0
+        self._recompute_weight = settings.recompute_weight
+        self._uses_loads = False
+        self._offsets: dict[str, float] = {}
+
+    def use_loads(self) -> None:
+        """Use the loads that endpoints report, and their lasting speeds."""
+        self._uses_loads = True
+
+    def set_spread(self, spread_s: float) -> None:
+        """Set the largest cost by which choices of this instance differ from others'.
+
+        Instances that place at the same time would otherwise all choose the endpoint
+        that the last reports show as the least loaded.
+        """
+        self._spread_s = spread_s
+        self._recompute_weight = self._settings.recompute_weight
+        if spread_s:
+            self._recompute_weight *= BESIDE_RECOMPUTE_RATIO
+
+    def _offset_s(self, state: EndpointState) -> float:
+        """Return the cost that differs by instance."""
+        name = state.endpoint.id
+        offset = self._offsets.get(name)
+        if offset is None:
+            digest = xxhash.xxh3_64_intdigest(f"{self._instance}/{name}".encode())
+            offset = self._offsets[name] = digest / 2.0**64
+        return offset * self._spread_s
 
     def invalidate(self) -> None:
         """Discard the order by load, after a change of endpoints or their limits."""
@@ -122,14 +158,25 @@
         """
         settings = self._settings
         # A request waits for a free slot as it does for the prefill of others.
-        occupancy = len(state.running) / state.endpoint.slots
+        running: float = len(state.running)
+        if state.load.unknown:
+            running += state.load.unknown_requests(now)
+        occupancy = running / state.endpoint.slots
         cost_s = settings.failure_penalty_s * state.failure_rate
         if state.endpoint.domain != self._domain:
             cost_s += settings.domain_penalty_s
         limit_wait_s = self._limit_wait_s(now, state)
         if work.prompt is None:
             # Without a token an endpoint is as full as one without a free slot.
-            return cost_s + max(occupancy, float(limit_wait_s > 0.0)) + limit_wait_s
+            occupancy = max(occupancy, float(limit_wait_s > 0.0))
+            if self._uses_loads:
+                # The request takes a slot for longer where work takes longer.
+                occupancy += 1.0 / state.endpoint.slots
+                occupancy *= state.load.pace(now)
+            if self._spread_s:
+                cost_s += self._offset_s(state)
+            return cost_s + occupancy + limit_wait_s
+        usual_s = seconds_per_token
         seconds_per_token *= state.slowdown(now)
         uncached = work.prompt.tokens - state.cache.cached_tokens(work.prompt)
         recomputed = max(uncached - own_prompt_tokens(work), 0)
@@ -142,17 +189,17 @@
             prefill_weight = SCARCE_PREFILL_WEIGHT
         ahead = state.backlog_tokens(now, seconds_per_token)
         ahead += self._waiting_tokens.get(state.endpoint.id, 0.0)
-        return (
-            cost_s
-            + seconds_per_token
-            * (
-                ahead
-                + prefill_weight * uncached
-                + settings.recompute_weight * recomputed
-            )
-            + occupancy * settings.prefill_ahead_s
-            + limit_wait_s
-        )
+        tokens = ahead + prefill_weight * uncached
+        again = self._recompute_weight * recomputed
+        if self._uses_loads:
+            # A part that is prefilled again evicts another one, which costs as much at
+            # any engine.
+            prefill_s = seconds_per_token * tokens + usual_s * again
+        else:
+            prefill_s = seconds_per_token * (tokens + again)
+        if self._spread_s:
+            cost_s += self._offset_s(state)
+        return cost_s + prefill_s + occupancy * settings.prefill_ahead_s + limit_wait_s
 
     def _limit_wait_s(self, now: float, state: EndpointState) -> float:
         """Return the time until an endpoint's rate limit allows another request."""
@@ -202,7 +249,12 @@
         """Return the part of an endpoint's cost that is the same for all requests."""
         settings = self._settings
         load_s = settings.failure_penalty_s * state.failure_rate
-        load_s += len(state.running) / state.endpoint.slots * settings.prefill_ahead_s
+        running: float = len(state.running)
+        if state.load.unknown:
+            running += state.load.unknown_requests(now)
+        load_s += running / state.endpoint.slots * settings.prefill_ahead_s
+        if self._spread_s:
+            load_s += self._offset_s(state)
         load_s += self._limit_wait_s(now, state)
         if state.endpoint.domain != self._domain:
             load_s += settings.domain_penalty_s
