Tell owners the reported loads with messages that are sent anyway

Cause: the response with a report arrives at the entry instance, while the owner of the shard places. Change: WorkStarted and WorkEnded carry the last report of the endpoint once to each owner; PlaceReply carries the lasting speed. A new owner is told both in one message. Reports that cannot be read are counted, with one log line for each endpoint and minute. Services without a pace send nothing.

--- a/borageworks/events.py
+++ b/borageworks/events.py
@@ -54,6 +54,8 @@
     STREAM_RESOLVED = (413, "stream_resolved")
     VERSIONS_STORED = (414, "versions_stored")
     ORGANISATION_SHARES = (415, "organisation_shares")
+    ENDPOINT_LOAD_MALFORMED = (416, "endpoint_load_malformed")
+    ENDPOINT_LOADS_USED = (417, "endpoint_loads_used")
     ENDPOINT_DOWN = (501, "endpoint_down")
     ENDPOINT_UP = (502, "endpoint_up")
     ENDPOINT_OWNED = (503, "endpoint_owned")
--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -394,6 +394,9 @@
                     self._notices.observe(
                         endpoint, head.notice, sent_at, usable=violation is None
                     )
+                    self._placer.record_load(
+                        endpoint, head.load, malformed=head.load_malformed
+                    )
                 if violation is not None:
                     raise violation
                 if head.not_run:
--- a/borageworks/gateway/placement_messages.py
+++ b/borageworks/gateway/placement_messages.py
@@ -97,6 +97,8 @@
                 else 0.0,
                 start_s=prefill_speed.start_s if prefill_speed and learned else 0.0,
                 software_version=decision.software_version,
+                incarnation=decision.incarnation,
+                speed=decision.speed,
             )
         case Refused():
             return PlaceReply(
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -17,8 +17,10 @@
     StreamUnknownError,
 )
 from borageworks.gateway.directory import Directory
+from borageworks.gateway.endpoint import Endpoint
 from borageworks.gateway.endpoint_notices import EndpointNotices
 from borageworks.gateway.fleet import Fleet
+from borageworks.gateway.load_reports import LoadReports, decode_load, encode_load
 from borageworks.gateway.organisation_tally import OrganisationTally
 from borageworks.gateway.pending_placement import PendingPlacement
 from borageworks.gateway.placement_messages import (
@@ -33,6 +35,7 @@
 from borageworks.placement.crash_evidence import CrashEvidence
 from borageworks.placement.decisions import Decision, Placed, RefusalReason, Refused
 from borageworks.placement.dispatcher import Dispatcher
+from borageworks.placement.engine_load import EngineLoad
 from borageworks.placement.outcome import WorkOutcome
 from borageworks.placement.prefill_speed import PrefillSpeed
 from borageworks.placement.settings import PlacementSettings
@@ -43,6 +46,8 @@
 from borageworks.timers import Timers, TimerSubscription
 from borageworks.wire.messages import (
     CrashTrait,
+    EndpointLoad,
+    EndpointLoads,
     EndpointStatement,
     Message,
     PlacementState,
@@ -137,6 +142,7 @@
         self._asked_at: dict[Shard, dict[str, float]] = {}
         self._evidence = CrashEvidence(self._share_evidence)
         self._evidence_store: Callable[[CrashTrait], None] | None = None
+        self._loads = LoadReports(timers, metrics)
         self._requests: dict[int, PendingPlacement] = {}
         self._numbers = itertools.count(1)
         self._tick_timer: TimerSubscription | None = None
@@ -240,7 +246,8 @@
         if pending.owner == self._instance:
             self._start(pending.shard, key, delayed)
         else:
-            self._fleet.send(pending.owner, WorkStarted(key[1], delayed))
+            loads = self._untold_load(pending)
+            self._fleet.send(pending.owner, WorkStarted(key[1], delayed, loads))
 
     def record_end(self, key: WorkKey, outcome: WorkOutcome) -> None:
         """Record the end of a placed request."""
@@ -250,7 +257,55 @@
         if pending.owner == self._instance:
             self._end(pending.shard, key, outcome)
         else:
-            self._fleet.send(pending.owner, WorkEnded(key[1], int(outcome)))
+            loads = self._untold_load(pending)
+            self._fleet.send(pending.owner, WorkEnded(key[1], int(outcome), loads))
+
+    def record_load(
+        self, endpoint: Endpoint, load: EngineLoad | None, *, malformed: bool
+    ) -> None:
+        """Record the load that a response of an endpoint reports."""
+        if self._loads.observe(endpoint, load, malformed=malformed) and load:
+            self._apply_load(endpoint.incarnation, load, 0.0)
+
+    def _untold_load(self, pending: PendingPlacement) -> tuple[EndpointLoad, ...]:
+        """Return the report to attach to a message about a request."""
+        dispatcher = self._dispatchers.get(pending.shard)
+        state = dispatcher and dispatcher.endpoints.get(pending.endpoint or "")
+        if not state:
+            return ()
+        return self._loads.untold(pending.owner, state.endpoint.incarnation)
+
+    def _apply_load(self, incarnation: str, load: EngineLoad, age_s: float) -> None:
+        """Apply a report; that of an incarnation which is not listed is dropped."""
+        now = self._timers.now()
+        for (service, number), dispatcher in self._dispatchers.items():
+            if dispatcher.find_endpoint(incarnation) is None:
+                continue
+            used = dispatcher.uses_loads
+            dispatcher.record_load(now, incarnation, load, age_s)
+            if dispatcher.uses_loads and not used:
+                emit(Event.ENDPOINT_LOADS_USED, service=service, shard=number)
+            return
+        self._metrics.count("endpoint_loads_dropped")
+
+    def _receive_loads(self, loads: Iterable[EndpointLoad]) -> None:
+        for item in loads:
+            if item.speed > 0.0:
+                for dispatcher in self._dispatchers.values():
+                    dispatcher.adopt_speed(item.incarnation, item.speed, replaces=False)
+            if item.slots or item.pace > 0.0:
+                age_s = max(item.age_s, 0.0)
+                self._apply_load(item.incarnation, decode_load(item), age_s)
+
+    def _tell_loads(self, owner: str, dispatcher: Dispatcher) -> None:
+        """Tell a new owner the last reports and the lasting speeds."""
+        now = self._timers.now()
+        loads = tuple(
+            encode_load(item.incarnation, item.load, now - item.stated_at, item.speed)
+            for item in dispatcher.known_loads()
+        )
+        if loads:
+            self._fleet.send(owner, EndpointLoads(loads))
 
     def apply_cache_update(
         self, shard: Shard, endpoint: str, update: CacheUpdate
@@ -293,6 +348,7 @@
                         self._evidence,
                         self._streams.origins,
                         number,
+                        self._instance,
                     )
                     self._dispatchers[shard] = dispatcher
                 if profile.engine is not None and deployment.tokens_per_s:
@@ -316,6 +372,7 @@
             for incarnation in dispatcher.incarnations
         }
         self._notices.retain(listed)
+        self._loads.retain(listed)
         for incarnation in listed:
             self._apply_notice(incarnation)
         self.review_owners()
@@ -378,13 +435,17 @@
             case PlaceWithdraw(number=number):
                 for dispatcher in self._dispatchers.values():
                     self._deliver(dispatcher.withdraw(now, (instance, number)))
-            case WorkStarted(number=number, delayed=delayed):
+            case EndpointLoads(loads=loads):
+                self._receive_loads(loads)
+            case WorkStarted(number=number, delayed=delayed, loads=loads):
+                self._receive_loads(loads)
                 delayed = delayed or self._is_overloaded()
                 for dispatcher in self._dispatchers.values():
                     self._deliver(
                         dispatcher.start(now, (instance, number), delayed=delayed)
                     )
-            case WorkEnded(number=number, outcome=code):
+            case WorkEnded(number=number, outcome=code, loads=loads):
+                self._receive_loads(loads)
                 for dispatcher in self._dispatchers.values():
                     self._deliver(
                         dispatcher.end(now, (instance, number), WorkOutcome(code))
@@ -716,6 +777,8 @@
                     dispatcher.prefill_speed.adopt(
                         reply.seconds_per_token, reply.start_s
                     )
+                if dispatcher is not None and reply.speed > 0.0:
+                    dispatcher.adopt_speed(reply.incarnation, reply.speed)
                 self._resolve(
                     Placed(
                         key,
@@ -750,6 +813,7 @@
                 dispatcher.restart_limits(self._timers.now())
                 if owner != self._instance:
                     self._notices.tell(owner, dispatcher.incarnations)
+                    self._tell_loads(owner, dispatcher)
             if owner == self._instance:
                 self._announce(shard)
         return owner
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -344,6 +344,8 @@
     `unread_tokens` counts the uncached tokens. `seconds_per_token` and `start_s` are
     the prefill speed of engines as measured by the owner, for the next owner of the
     shard; 0 if it has not been measured. `software_version` is that of the endpoint.
+    `speed` is the prefill time of the endpoint's `incarnation` relative to the others,
+    as learned by the owner; 0 if unknown.
     """
 
     number: int
@@ -355,6 +357,8 @@
     seconds_per_token: float = 0.0
     start_s: float = 0.0
     software_version: str = ""
+    incarnation: str = ""
+    speed: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -364,24 +368,54 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointLoad:
+    """Load that an incarnation of an endpoint stated `age_s` seconds ago.
+
+    `pace` is the time that work takes there relative to the usual one, 0 if not stated.
+    `speed` is its prefill time relative to the others, as learned by the sender; 0 if
+    unknown.
+    """
+
+    incarnation: str
+    running: int
+    waiting: int
+    slots: int
+    pace: float
+    age_s: float
+    speed: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointLoads:
+    """Tells a new owner what endpoints stated about their load."""
+
+    loads: tuple[EndpointLoad, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class WorkStarted:
     """The endpoint has begun to respond to a placed request.
 
     `delayed` tells that the sender is overloaded, so that the response may have begun
-    well before this message.
+    well before this message. `loads` is the endpoint's last report if it is new.
     """
 
     number: int
     delayed: bool = False
+    loads: tuple[EndpointLoad, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class WorkEnded:
-    """A placed request has ended; `outcome` is a `WorkOutcome`."""
+    """A placed request has ended; `outcome` is a `WorkOutcome`.
+
+    `loads` is the endpoint's last report if it is new.
+    """
 
     number: int
     outcome: int
+    loads: tuple[EndpointLoad, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -593,4 +627,5 @@
     | EndpointStatement
     | ConfigurationVersion
     | StreamsBegan
+    | EndpointLoads
 )
--- a/borageworks/wire/tests/test_codec.py
+++ b/borageworks/wire/tests/test_codec.py
@@ -17,10 +17,12 @@
 INTEGER_BITS = {"waiting": 32, "owners": 32, "sequence": 32, "requests": 32}
 INTEGER_BITS |= {"tokens": 32, "prompt_tokens": 32, "generated_tokens": 32}
 INTEGER_BITS |= {"unread_tokens": 32, "reason": 8, "outcome": 8, "crashes": 8}
+INTEGER_BITS |= {"running": 32, "slots": 32}
 INTEGER_BITS |= {"shard": 16, "status": 16, "port": 16, "peer_port": 16}
 FLOAT32_FIELDS = {"first_token", "token_interval"}
 FLOAT32_FIELDS |= {"aim_s", "patience_s", "retry_after_s"}
 FLOAT32_FIELDS |= {"seconds_per_token", "start_s", "age_s", "lapse_grace_s"}
+FLOAT32_FIELDS |= {"pace", "speed"}
 
 
 def _value_strategy(name: str, value_type: typing.Any) -> st.SearchStrategy[typing.Any]:
