Drop told reports whose age is not a number

Cause: a pace weighted by such an age would not be a number either, and neither would the costs of the endpoint. Change: the owner ignores these reports; the lasting speed is still taken.

--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -293,7 +293,7 @@
             if item.speed > 0.0:
                 for dispatcher in self._dispatchers.values():
                     dispatcher.adopt_speed(item.incarnation, item.speed, replaces=False)
-            if item.slots or item.pace > 0.0:
+            if (item.slots or item.pace > 0.0) and item.age_s < math.inf:
                 age_s = max(item.age_s, 0.0)
                 self._apply_load(item.incarnation, decode_load(item), age_s)
 
