Decode cold periods, their limits and the keys of evacuations

Cause: the platform states how long an engine stays cold, how many requests a second it then takes, and which failure domains are evacuated; the gateway ignored all of it.

Change: entries (`cold_ms`), services (`cold_s`, `cold_per_s`), settings (`bounds.cold_over`, `cold_slack`, `evacuate_ms`) and response heads are decoded at the border, with defaults that change nothing where they are missing. An entry with an invalid `cold_ms` counts as unreadable.

Measured: pytest borageworks/platform passes.

--- a/borageworks/gateway/codec.py
+++ b/borageworks/gateway/codec.py
@@ -19,6 +19,7 @@
 
     configuration_key: str
     endpoint_prefix: str
+    evacuation_prefix: str
     own_prefix: str
     cache_wait_header: str
     cache_list_target: str
--- a/borageworks/gateway/deployment.py
+++ b/borageworks/gateway/deployment.py
@@ -25,11 +25,15 @@
     """A service; `engine` is None for plain services.
 
     `max_connections` is the number that each endpoint accepts, None if not stated.
+    After an endpoint starts during traffic it is cold for `cold_s` seconds, in which it
+    takes `cold_per_s` requests a second from all instances together; 0 for any number.
     """
 
     name: str
     engine: EngineProfile | None
     max_connections: int | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/borageworks/gateway/endpoint.py
+++ b/borageworks/gateway/endpoint.py
@@ -30,6 +30,8 @@
     software_version
         Version of its software, empty if unknown. Streams of different versions cannot
         be joined.
+    cold_s
+        Seconds for which it stays cold, as of when the entry was written.
     """
 
     id: str
@@ -42,6 +44,7 @@
     started_ms: int = 0
     sequence: int = 0
     software_version: str = ""
+    cold_s: float = 0.0
 
     @property
     def incarnation(self) -> str:
--- a/borageworks/gateway/response_head.py
+++ b/borageworks/gateway/response_head.py
@@ -25,6 +25,8 @@
         Whether the address now belongs to another endpoint than the expected one.
     notice
         What the endpoint states about itself.
+    cold_s
+        Seconds for which the endpoint stays cold, None if not stated.
     """
 
     status: int
@@ -33,3 +35,4 @@
     not_run: bool
     wrong_endpoint: bool
     notice: EndpointNotice = field(default_factory=EndpointNotice)
+    cold_s: float | None = None
--- a/borageworks/gateway/settings.py
+++ b/borageworks/gateway/settings.py
@@ -57,6 +57,10 @@
         that is no longer ready.
     first_start
         Whether the whole system starts for the first time.
+    evacuate_s
+        Time after which an evacuated failure domain must get no request.
+    cold_over, cold_slack
+        Bound of the requests to a cold endpoint, see `PlacementSettings`.
     """
 
     instance: str
@@ -82,3 +86,6 @@
     metrics_port: int | None = None
     first_start: bool = False
     memory_bytes: float = math.inf
+    evacuate_s: float = 5.0
+    cold_over: float = 1.5
+    cold_slack: float = 5.0
--- a/borageworks/platform/codec.py
+++ b/borageworks/platform/codec.py
@@ -25,6 +25,7 @@
 
     configuration_key = protocol_names.CONFIGURATION_KEY
     endpoint_prefix = protocol_names.ENDPOINT_PREFIX
+    evacuation_prefix = protocol_names.EVACUATION_PREFIX
     own_prefix = protocol_names.OWN_PREFIX
     cache_wait_header = WAIT_HEADER
     cache_list_target = LIST_PATH
--- a/borageworks/platform/configuration.py
+++ b/borageworks/platform/configuration.py
@@ -64,6 +64,8 @@
     name: str
     max_conns: Count | None = None
     engine: _Engine | None = None
+    cold_s: Annotated[float, Field(ge=0, le=MAX_DURATION_MS)] = 0.0
+    cold_per_s: Annotated[float, Field(ge=0, le=MAX_COUNT)] = 0.0
 
 
 class _Limits(_Model):
@@ -148,6 +150,8 @@
         name=model.name,
         engine=EngineProfile(engine.slots, engine.kv_capacity) if engine else None,
         max_connections=model.max_conns,
+        cold_s=model.cold_s,
+        cold_per_s=model.cold_per_s,
     )
 
 
--- a/borageworks/platform/entries.py
+++ b/borageworks/platform/entries.py
@@ -17,6 +17,9 @@
 MAX_SLOTS = 65_535
 # Versions are sent in messages between instances.
 MAX_VERSION_LENGTH = 200
+# Longer periods do not fit into timers.
+MAX_COLD_MS = 1e9
+MILLISECONDS_PER_SECOND = 1000.0
 # Ids are sent in headers; keys of the store may hold any text.
 _ID = re.compile(r"[!-~]{1,200}", re.ASCII)
 _PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
@@ -36,6 +39,7 @@
     state: Literal["ready", "draining"]
     seq: Count
     born: Count = 0
+    cold_ms: Annotated[float, Field(ge=0, le=MAX_COLD_MS)] = 0.0
 
 
 def decode_entry(key: str, data: bytes) -> Endpoint:
@@ -76,4 +80,5 @@
         started_ms=entry.born,
         sequence=entry.seq,
         software_version=entry.version,
+        cold_s=entry.cold_ms / MILLISECONDS_PER_SECOND,
     )
--- a/borageworks/platform/protocol_names.py
+++ b/borageworks/platform/protocol_names.py
@@ -13,6 +13,8 @@
 RATE_LIMIT = "Server-Limit"
 ENDPOINT_LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
+# Milliseconds for which the endpoint stays cold.
+COLD_REMAINING = "X-Borageworks-Cold-Remaining"
 # Number that rises by one when the store comes back from an older copy.
 STORE_ERA = "Store-Era"
 LAST_EVENT_ID = "Last-Event-Id"
@@ -21,4 +23,6 @@
 
 CONFIGURATION_KEY = "op/config"
 ENDPOINT_PREFIX = "servers/"
+# A failure domain follows, which is evacuated while the key exists.
+EVACUATION_PREFIX = "op/evacuate/"
 OWN_PREFIX = "borageworks/"
--- a/borageworks/platform/responses.py
+++ b/borageworks/platform/responses.py
@@ -12,6 +12,7 @@
 
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
+MILLISECONDS_PER_SECOND = 1000.0
 # Digits of other scripts, signs, exponents and underscores, which `float` accepts, are
 # no decimal numbers of the protocol. The length keeps every number finite.
 _DECIMAL = re.compile(r"[0-9]{1,18}(?:\.[0-9]{0,18})?|\.[0-9]{1,18}", re.ASCII)
@@ -26,6 +27,7 @@
         not_run=protocol_names.NOT_EXECUTED in headers or status == MISDIRECTED_STATUS,
         wrong_endpoint=status == MISDIRECTED_STATUS,
         notice=_decode_notice(status, headers),
+        cold_s=_decode_cold_s(headers),
     )
 
 
@@ -52,5 +54,13 @@
     )
 
 
+def _decode_cold_s(headers: CIMultiDictProxy[str]) -> float | None:
+    """Return the longest cold period that a response states, None if it states none."""
+    stated = headers.getall(protocol_names.COLD_REMAINING, ())
+    periods = [_parse_decimal(text.strip()) for text in stated]
+    longest_ms = max((item for item in periods if item is not None), default=None)
+    return None if longest_ms is None else longest_ms / MILLISECONDS_PER_SECOND
+
+
 def _parse_decimal(text: str) -> float | None:
     return float(text) if _DECIMAL.fullmatch(text) else None
--- a/borageworks/platform/settings.py
+++ b/borageworks/platform/settings.py
@@ -75,6 +75,9 @@
     budget_window_s: Positive
     budget_extra: Annotated[float, Field(ge=0)]
     quota_window_s: Positive = PlacementSettings().share_window_s
+    evacuate_ms: Positive = 5000.0
+    cold_over: Annotated[float, Field(ge=0)] = PlacementSettings().cold_over
+    cold_slack: Annotated[float, Field(ge=0)] = PlacementSettings().cold_slack
 
 
 class _Store(_Model):
@@ -191,6 +194,9 @@
         balancer_lag_s=BALANCER_LAG_S,
         share_window_s=bounds.quota_window_s,
         first_start=model.bootstrap,
+        evacuate_s=bounds.evacuate_ms / MILLISECONDS_PER_SECOND,
+        cold_over=bounds.cold_over,
+        cold_slack=bounds.cold_slack,
     )
 
 
--- a/borageworks/platform/tests/test_decoding.py
+++ b/borageworks/platform/tests/test_decoding.py
@@ -72,6 +72,12 @@
         self.assertEqual((3.0, 2.0), (decoded.recovery_grace_s, decoded.config_apply_s))
         self.assertEqual(8.0, decoded.shutdown_timeout_s)
         self.assertEqual(4, decoded.peer_port)
+        lines = "bounds.evacuate_ms=700", "bounds.cold_over=2", "bounds.cold_slack=0"
+        changed = parse_settings("\n".join((self.text(), *lines)))
+        self.assertEqual(
+            (0.7, 2.0, 0.0),
+            (changed.evacuate_s, changed.cold_over, changed.cold_slack),
+        )
 
     def test_all_invalid_fields_are_reported_at_once(self):
         """Guards against reporting only one invalid field for each start."""
@@ -160,6 +166,9 @@
             ("i-1", "10.0.0.1", 80), (decoded.id, decoded.host, decoded.port)
         )
         self.assertEqual((False, "i-1/17"), (decoded.leaving, decoded.incarnation))
+        self.assertEqual(0.0, decoded.cold_s)
+        cold = decode_entry("servers/i-1", orjson.dumps({**ENTRY, "cold_ms": 1500}))
+        self.assertEqual(1.5, cold.cold_s)
 
     def test_invalid_entries_are_rejected(self):
         """Guards against sending requests to addresses that another writer stored."""
@@ -175,6 +184,9 @@
             {"version": None},
             {"version": 3},
             {"version": "v" * 201},
+            {"cold_ms": -1},
+            {"cold_ms": "9"},
+            {"cold_ms": None},
         ]
         for change in changes:
             self.assertRaises(
@@ -381,6 +393,18 @@
         notice = decode_response_head(503, CIMultiDictProxy(several)).notice
         self.assertEqual(3.0, notice.pause_s)
 
+    def test_cold_period_that_an_endpoint_states(self):
+        """Guards against cold periods that are ignored, and text that is no number."""
+        for values, cold_s in (
+            ((), None),
+            (("1500",), 1.5),
+            (("200", "x", "1000"), 1.0),
+            (("-5",), None),
+        ):
+            headers = [("X-Borageworks-Cold-Remaining", value) for value in values]
+            head = decode_response_head(200, CIMultiDictProxy(CIMultiDict(headers)))
+            self.assertEqual(cold_s, head.cold_s)
+
     def test_endpoint_that_says_that_it_leaves(self):
         """Guards against endpoints that are taken for leaving, or not."""
         for text, leaving in {"1": True, " 1 ": True, "0": False, "yes": False}.items():
