Bound requests to cold engines, and evacuate failure domains

Cause: a cold engine got 16 requests in a second where 15.1 are allowed, and 3,234 requests reached an evacuated failure domain.

Change: `placement/cold_limit.py` counts placements of a window against the parts of the limit that instances delegate to the one that they ask; a part is used only when its former holder cannot use it any more. `gateway/ evacuations.py` follows the operator's keys. Placement, entry instances and the check at the open connection apply both; an entry instance that knows more than the owner gives the request back unrun. Services without `cold_per_s` and domains that are not evacuated are served as before.

--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -156,6 +156,8 @@
         self._attempts = 0
         self._connect_failures = 0
         self._may_have_run = False
+        # Whether another endpoint answered the last attempt.
+        self._misdirected = False
         self._last_event_id = exchange.request.last_event_id
         self._fingerprint = _fingerprint(exchange)
         # Version of the engine whose events the caller has, None before its first event
@@ -166,6 +168,8 @@
         self._stream = _stream(exchange, self._resumed) if resumable else b""
         self._failure_response: BufferedResponse | None = None
         self._timeout: asyncio.Timeout | None = None
+        # The last placement, and when it arrived.
+        self._placed: tuple[Placed, float] | None = None
         self.endpoint = ""
         self.first_event_s: float | None = None
         self.longest_pause_s = 0.0
@@ -199,6 +203,10 @@
     def _reuses_connections(self) -> bool:
         return self._exchange.route.retry_policy is not RetryPolicy.NEVER
 
+    @property
+    def _refusal_outcome(self) -> WorkOutcome:
+        return WorkOutcome.MISDIRECTED if self._misdirected else WorkOutcome.REFUSED
+
     async def run(self) -> None:
         """Forward the request until its response has been sent to the caller.
 
@@ -239,7 +247,7 @@
             outcome = WorkOutcome.CALLER_DISCONNECTED
             try:
                 done = await self._attempt(endpoint, work)
-                outcome = WorkOutcome.SERVED if done else WorkOutcome.REFUSED
+                outcome = WorkOutcome.SERVED if done else self._refusal_outcome
                 if done and self._sink.response.status in SERVER_ERROR_STATUSES:
                     outcome = WorkOutcome.FAILED
             except (EndpointsBusyError, AnswerLostError, _NoFurtherAttemptError):
@@ -267,6 +275,7 @@
             if done:
                 return
             self._excluded.add(endpoint.id)
+            self._excluded |= self._placer.evacuated_endpoints(self._exchange.service)
 
     def _prepare_retry(self, endpoint: Endpoint, error: EndpointFailedError) -> bool:
         """Return False if the request may be retried, or raise AnswerLostError."""
@@ -308,6 +317,7 @@
                     raise AnswerLostError(str(error)) from error
                 raise
             endpoint = self._directory.endpoints.get(placed.endpoint)
+            self._placed = placed, self._loop.time()
             wait_s = self._loop.time() - now
             self._metrics.observe("placement_wait", wait_s, exchange.route.name)
             emit(
@@ -327,8 +337,8 @@
             if endpoint is None or endpoint.leaving:
                 # The endpoint has become unavailable since the decision.
                 outcome = WorkOutcome.UNLISTED
-            elif not self._may_go_on_at(endpoint, placed) or not self._notices.accepts(
-                endpoint.incarnation
+            elif not self._may_go_on_at(endpoint, placed) or not self._is_wanted(
+                endpoint
             ):
                 # The owner does not know yet what this instance knows of the endpoint.
                 outcome = WorkOutcome.RETURNED
@@ -340,6 +350,14 @@
                 return endpoint, work
             self._placer.record_end(work.key, outcome)
             self._excluded.add(placed.endpoint)
+            self._excluded |= self._placer.evacuated_endpoints(exchange.service)
+
+    def _is_wanted(self, endpoint: Endpoint) -> bool:
+        """Return whether the request is still to be sent, as far as known here."""
+        assert self._placed is not None
+        return self._notices.accepts(endpoint.incarnation) and self._placer.may_send(
+            endpoint, *self._placed
+        )
 
     def _may_go_on_at(self, endpoint: Endpoint, placed: Placed) -> bool:
         """Return whether an endpoint has the version that it was chosen for.
@@ -373,6 +391,7 @@
             self._last_event_id,
         )
         self._attempts += 1
+        self._misdirected = False
         sent_at = self._loop.time()
         may_have_run_before, self._may_have_run = self._may_have_run, True
         try:
@@ -383,7 +402,7 @@
                 headers,
                 exchange.body,
                 fresh=not self._reuses_connections,
-                is_wanted=lambda: self._notices.accepts(endpoint.incarnation),
+                is_wanted=lambda: self._is_wanted(endpoint),
             ) as response:
                 head = self._codec.decode_response_head(
                     response.status, response.headers
@@ -394,10 +413,13 @@
                     self._notices.observe(
                         endpoint, head.notice, sent_at, usable=violation is None
                     )
+                    if head.cold_s is not None:
+                        self._placer.learn_cold(endpoint, head.cold_s)
                 if violation is not None:
                     raise violation
                 if head.not_run:
                     self._may_have_run = may_have_run_before
+                    self._misdirected = head.wrong_endpoint
                     await self._handle_refusal(endpoint, head, response)
                     return False
                 if head.status in SUCCESS_STATUSES and exchange.route.stream:
--- a/borageworks/gateway/feed.py
+++ b/borageworks/gateway/feed.py
@@ -43,8 +43,9 @@
         timers: Timers,
         metrics: Metrics,
     ) -> None:
-        self._read_interval_s = settings.config_apply_s * READ_INTERVAL_RATIO
-        self._timeout_s = settings.config_apply_s * FEED_TIMEOUT_RATIO
+        apply_s = min(settings.config_apply_s, settings.evacuate_s)
+        self._read_interval_s = apply_s * READ_INTERVAL_RATIO
+        self._timeout_s = apply_s * FEED_TIMEOUT_RATIO
         self._fleet = fleet
         self._timers = timers
         self._metrics = metrics
--- a/borageworks/gateway/fleet.py
+++ b/borageworks/gateway/fleet.py
@@ -144,6 +144,11 @@
             return 1.0
         return (self.count - suspected) / self.count
 
+    @property
+    def registered_s(self) -> float:
+        """Seconds for which all instances could know this one, 0 if not now."""
+        return self._instances.registered_s(self._timers.now())
+
     @property
     def linked(self) -> bool:
         """Whether links are open, so that messages can be sent."""
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -18,6 +18,7 @@
 from borageworks.gateway.crash_store import CrashStore
 from borageworks.gateway.directory import Directory
 from borageworks.gateway.endpoint_notices import EndpointNotices
+from borageworks.gateway.evacuations import Evacuations
 from borageworks.gateway.feed import Feed
 from borageworks.gateway.fleet import LINK_KEY, Fleet
 from borageworks.gateway.follower import Follower
@@ -148,16 +149,22 @@
             self._metrics,
             self._spawn,
         )
+        self._evacuations = Evacuations(self._codec.evacuation_prefix)
         self._placer = Placer(
             self._fleet,
             self._directory,
             self._notices,
             timers,
             self._metrics,
-            PlacementSettings(share_window_s=settings.share_window_s),
+            PlacementSettings(
+                share_window_s=settings.share_window_s,
+                cold_over=settings.cold_over,
+                cold_slack=settings.cold_slack,
+            ),
             lambda: self._loop_lag.overloaded,
             self._streams,
             self._confirm_replica,
+            self._evacuations,
         )
         self._crash_store = CrashStore(
             self._codec.own_prefix,
@@ -303,6 +310,7 @@
             self._fleet.broadcast(self._configuration_version())
             if self._key_name not in change.puts:
                 self._spawn(self._fleet.restore_key())
+        self._evacuations.apply(change)
         self._stream_store.apply(change)
         self._crash_store.apply(change)
         self._update_versions()
--- a/borageworks/gateway/instances.py
+++ b/borageworks/gateway/instances.py
@@ -31,6 +31,9 @@
 INITIAL_RETRY_DELAY_S = 0.5
 # Together with a renewal interval and the time of a call, shorter than the lease.
 MAX_RETRY_DELAY_S = 4.0
+# Before its lease ends, an instance no longer counts on being known to others: for the
+# time in which parts of limits that it has delegated are still used.
+LEASE_RESERVE_S = 4.0
 # Spreads the calls of instances that lost the store at the same moment.
 RETRY_JITTER = 0.2
 # Records that a restored store does not hold are written again within this time.
@@ -102,6 +105,9 @@
         # Times until which instances without a record are still taken for registered.
         self._grace_until: dict[str, float] = {}
         self._lease: Lease | None = None
+        # Times of the registration and of the last renewal, as known to be valid.
+        self._registered_at = 0.0
+        self._renewed_at = 0.0
         self._leaving = False
         self._rng = random.Random()
 
@@ -115,6 +121,15 @@
         """Number of instances, including this one."""
         return len(self._others) + 1
 
+    def registered_s(self, now: float) -> float:
+        """Return the seconds for which all instances could know this one.
+
+        0 if the store may have dropped its record.
+        """
+        if self._lease is None or now >= self._renewed_at + LEASE_S - LEASE_RESERVE_S:
+            return 0.0
+        return now - self._registered_at
+
     def relay_addresses(self) -> list[HostPort]:
         """Return the relay addresses of other instances; the seeds if none is known."""
         known = [HostPort(item.host, item.relay_port) for item in self._others.values()]
@@ -188,8 +203,10 @@
         retry_delay_s = INITIAL_RETRY_DELAY_S
         while not self._leaving:
             try:
+                started_at = asyncio.get_running_loop().time()
                 if self._lease is None:
                     await self._write_record()
+                    self._registered_at = asyncio.get_running_loop().time()
                     if self._leaving:
                         await self._remove_record()
                 else:
@@ -205,6 +222,7 @@
                 )
                 retry_delay_s = min(2.0 * retry_delay_s, MAX_RETRY_DELAY_S)
                 continue
+            self._renewed_at = started_at
             retry_delay_s = INITIAL_RETRY_DELAY_S
             await self._wait_for_renewal()
 
--- a/borageworks/gateway/placement_messages.py
+++ b/borageworks/gateway/placement_messages.py
@@ -97,6 +97,7 @@
                 else 0.0,
                 start_s=prefill_speed.start_s if prefill_speed and learned else 0.0,
                 software_version=decision.software_version,
+                cold=decision.cold,
             )
         case Refused():
             return PlaceReply(
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -17,7 +17,13 @@
     StreamUnknownError,
 )
 from borageworks.gateway.directory import Directory
-from borageworks.gateway.endpoint_notices import EndpointNotices
+from borageworks.gateway.endpoint import Endpoint
+from borageworks.gateway.endpoint_notices import (
+    MAX_AGE_S,
+    NO_LIMIT,
+    EndpointNotices,
+)
+from borageworks.gateway.evacuations import Evacuations
 from borageworks.gateway.fleet import Fleet
 from borageworks.gateway.organisation_tally import OrganisationTally
 from borageworks.gateway.pending_placement import PendingPlacement
@@ -30,6 +36,12 @@
 from borageworks.gateway.stream_versions import StreamVersions
 from borageworks.metrics import Metrics
 from borageworks.placement.cache_update import CacheUpdate
+from borageworks.placement.cold_limit import (
+    MAX_HOLD_S,
+    MAX_SEND_DELAY_S,
+    ColdDelegation,
+    ColdParts,
+)
 from borageworks.placement.crash_evidence import CrashEvidence
 from borageworks.placement.decisions import Decision, Placed, RefusalReason, Refused
 from borageworks.placement.dispatcher import Dispatcher
@@ -102,6 +114,8 @@
     confirm_replica
         Reads the store; returns whether this instance then knows all engines that were
         listed at the time of the call.
+    evacuations
+        Failure domains that the operator has evacuated.
     """
 
     def __init__(
@@ -115,6 +129,7 @@
         is_overloaded: Callable[[], bool] = lambda: False,
         streams: StreamVersions | None = None,
         confirm_replica: Callable[[], Awaitable[bool]] | None = None,
+        evacuations: Evacuations | None = None,
     ) -> None:
         self._fleet = fleet
         self._instance = fleet.instance
@@ -127,6 +142,7 @@
         self._is_overloaded = is_overloaded
         self._streams = StreamVersions() if streams is None else streams
         self._confirm_replica = confirm_replica
+        self._evacuations = Evacuations("") if evacuations is None else evacuations
         self._dispatchers: dict[Shard, Dispatcher] = {}
         self._service_shards: dict[str, ServiceShards] = {}
         self._most_endpoints: dict[str, int] = {}
@@ -143,6 +159,12 @@
         self._tallies: dict[Shard, OrganisationTally] = {}
         # Refusals since the last report.
         self._refusal_reasons: dict[Shard, Counter[RefusalReason]] = {}
+        # Parts of the limits of cold endpoints, of this instance and of others.
+        self._delegations: dict[Shard, ColdDelegation] = {}
+        self._cold_parts: dict[Shard, ColdParts] = {}
+        self._reviewed_at = timers.now()
+        self._cold_logged: dict[str, float] = {}
+        metrics.before_render(self._update_gauges)
 
     @property
     def dispatchers(self) -> dict[Shard, Dispatcher]:
@@ -202,6 +224,7 @@
                     break
                 pending.owner = successor
             pending.owner = self._instance
+            self._delegate(shard, self._instance)
             self._submit(shard, work)
             return await pending.future
         except BaseException as error:
@@ -222,7 +245,7 @@
         if service_shards is None:
             return service, 0
         found = service_shards.find(work.prompt, request_id)
-        if work.software_version is None:
+        if work.software_version is None and not self._evacuations.domains:
             return service, found
         for number in (found, *range(service_shards.count)):
             dispatcher = self._dispatchers.get((service, number))
@@ -247,11 +270,163 @@
         pending = self._requests.pop(key[1], None)
         if pending is None:
             return
+        self._note_cold_end(pending, outcome)
         if pending.owner == self._instance:
             self._end(pending.shard, key, outcome)
         else:
             self._fleet.send(pending.owner, WorkEnded(key[1], int(outcome)))
 
+    def may_send(self, endpoint: Endpoint, placed: Placed, placed_at: float) -> bool:
+        """Return whether a placed request may still be sent to its endpoint.
+
+        Its placement may have been decided before the owner knew of an evacuation or
+        that the endpoint is cold, or too long ago to be counted any more.
+
+        Parameters
+        ----------
+        endpoint, placed
+            Endpoint, and the decision.
+        placed_at
+            Time at which the decision arrived.
+        """
+        if endpoint.domain in self._evacuations.domains:
+            return False
+        dispatcher = self._cold_dispatcher(endpoint.service, endpoint.incarnation)
+        if dispatcher is None:
+            return True
+        now = self._timers.now()
+        if placed.cold:
+            held = now - self._reviewed_at > MAX_HOLD_S
+            return now - placed_at <= MAX_SEND_DELAY_S and not held
+        return not dispatcher.is_cold(now, endpoint.incarnation)
+
+    def evacuated_endpoints(self, service: str) -> set[str]:
+        """Return the ids of a service's endpoints in evacuated failure domains."""
+        domains = self._evacuations.domains
+        if not domains:
+            return set()
+        return {
+            endpoint.id
+            for endpoint in self._directory.endpoints_of(service)
+            if endpoint.domain in domains
+        }
+
+    def learn_cold(self, endpoint: Endpoint, cold_s: float) -> None:
+        """Apply what an endpoint states of its cold period, and tell the owner."""
+        incarnation = endpoint.incarnation
+        dispatcher = self._cold_dispatcher(endpoint.service, incarnation)
+        if dispatcher is None or cold_s <= 0.0:
+            return
+        now = self._timers.now()
+        known = dispatcher.is_cold(now, incarnation)
+        dispatcher.learn_cold(incarnation, now + cold_s)
+        owner = self._owner_of_endpoint(incarnation)
+        if not known and owner is not None and owner != self._instance:
+            self._tell_cold(owner, dispatcher, (incarnation,))
+
+    def _cold_dispatcher(self, service: str, incarnation: str) -> Dispatcher | None:
+        """Return the dispatcher of an endpoint whose service has a cold limit."""
+        service_shards = self._service_shards.get(service)
+        if service_shards is None:
+            return None
+        for number in range(service_shards.count):
+            dispatcher = self._dispatchers.get((service, number))
+            if dispatcher is None or not dispatcher.cold_budget:
+                continue
+            if dispatcher.find_endpoint(incarnation) is not None:
+                return dispatcher
+        return None
+
+    def _tell_cold(
+        self, instance: str, dispatcher: Dispatcher, incarnations: Iterable[str]
+    ) -> None:
+        """Tell an instance which of some endpoints are cold, and for how long."""
+        now = self._timers.now()
+        cold = dispatcher.cold_endpoints(now)
+        for incarnation in incarnations:
+            if incarnation in cold:
+                statement = EndpointStatement(
+                    incarnation, NO_LIMIT, MAX_AGE_S, cold_s=cold[incarnation] - now
+                )
+                self._fleet.send(instance, statement)
+
+    def _note_cold_end(self, pending: PendingPlacement, outcome: WorkOutcome) -> None:
+        """Apply the end of a request to what this instance knows of cold endpoints."""
+        dispatcher = self._dispatchers.get(pending.shard)
+        if (
+            dispatcher is None
+            or not dispatcher.cold_budget
+            or pending.endpoint is None
+            or pending.owner == self._instance
+        ):
+            return
+        state = dispatcher.endpoints.get(pending.endpoint)
+        if state is None:
+            return
+        incarnation = state.endpoint.incarnation
+        dispatcher.note_outcome(self._timers.now(), incarnation, outcome)
+        if outcome is WorkOutcome.RETURNED:
+            self._tell_cold(pending.owner, dispatcher, (incarnation,))
+
+    def _delegate(self, shard: Shard, holder: str) -> float:
+        """Delegate this instance's part of the cold limits of a shard.
+
+        Returns the seconds for which only the holder has had it, 0 while other
+        instances may not count this one.
+        """
+        dispatcher = self._dispatchers.get(shard)
+        if dispatcher is None or not dispatcher.cold_budget:
+            return 0.0
+        now = self._timers.now()
+        delegation = self._delegations.setdefault(shard, ColdDelegation(now))
+        return min(delegation.delegate(now, holder), self._fleet.registered_s)
+
+    def _update_cold_allowed(
+        self, now: float, shard: Shard, dispatcher: Dispatcher
+    ) -> None:
+        """Set what this instance may place on cold endpoints of a shard."""
+        budget = dispatcher.cold_budget
+        if not budget:
+            return
+        delegation = self._delegations.setdefault(shard, ColdDelegation(now))
+        sole_s = min(delegation.held_s(now, self._instance), self._fleet.registered_s)
+        parts = self._parts_of(now, shard)
+        count = self._fleet.count
+        dispatcher.set_cold_allowed(parts.allowed(now, budget, sole_s, count))
+
+    def _parts_of(self, now: float, shard: Shard) -> ColdParts:
+        """Return the parts of a shard, none if this process was held until now."""
+        parts = self._cold_parts.setdefault(shard, ColdParts())
+        if now - self._reviewed_at > MAX_HOLD_S:
+            parts.discard(now + MAX_HOLD_S)
+        return parts
+
+    def _log_cold(self, now: float) -> None:
+        """Log which endpoints have become cold, and which are no longer."""
+        cold = {
+            incarnation: until
+            for dispatcher in self._dispatchers.values()
+            for incarnation, until in dispatcher.cold_endpoints(now).items()
+        }
+        for incarnation in sorted(cold.keys() ^ self._cold_logged.keys()):
+            emit(
+                Event.COLD_LIMIT,
+                endpoint=incarnation.rpartition("/")[0],
+                cold_s=round(max(cold.get(incarnation, now) - now, 0.0), 3),
+            )
+        self._cold_logged = cold
+
+    def _update_gauges(self) -> None:
+        self._metrics.gauge("endpoints_cold", len(self._cold_logged))
+        domains = self._evacuations.domains
+        self._metrics.gauge("evacuated_domains", len(domains))
+        evacuated = sum(
+            state.evacuated
+            for dispatcher in self._dispatchers.values()
+            for state in dispatcher.endpoints.values()
+        )
+        self._metrics.gauge("endpoints_evacuated", evacuated)
+
     def apply_cache_update(
         self, shard: Shard, endpoint: str, update: CacheUpdate
     ) -> None:
@@ -295,6 +470,8 @@
                         number,
                     )
                     self._dispatchers[shard] = dispatcher
+                dispatcher.configure_service(profile)
+                self._deliver(dispatcher.set_evacuated(now, self._evacuations.domains))
                 if profile.engine is not None and deployment.tokens_per_s:
                     dispatcher.set_throughput(deployment.tokens_per_s / most_endpoints)
                 self._deliver(
@@ -364,8 +541,12 @@
 
     def review_owners(self) -> None:
         """Update shard owners and report running requests to new owners."""
+        now = self._timers.now()
         for shard in self._dispatchers:
             self._owner(shard)
+            self._parts_of(now, shard)
+        self._reviewed_at = now
+        self._log_cold(now)
 
     def receive(self, instance: str, message: Message) -> None:
         """Handle a message from another instance."""
@@ -395,6 +576,9 @@
                 self._evidence.learn(now, message)
             case EndpointStatement():
                 self._notices.receive(instance, message)
+                if message.cold_s > 0.0:
+                    for dispatcher in self._dispatchers.values():
+                        dispatcher.learn_cold(message.incarnation, now + message.cold_s)
             case ShardOwner(owner=owner):
                 self._fleet.vouch(owner)
                 self.review_owners()
@@ -413,6 +597,8 @@
     def link_opened(self, instance: str) -> None:
         """Tell an instance, which may have restarted, what is known of endpoints."""
         self._notices.tell(instance)
+        for dispatcher in self._dispatchers.values():
+            self._tell_cold(instance, dispatcher, dispatcher.incarnations)
         for report in self._evidence.reports(self._timers.now()):
             self._fleet.send(instance, report)
 
@@ -471,7 +657,11 @@
 
     async def _request_from_owner(self, pending: PendingPlacement) -> Placed:
         work = pending.work
-        request = encode_work(pending.shard, work)
+        dispatcher = self._dispatchers.get(pending.shard)
+        if dispatcher is not None:
+            dispatcher.note_traffic()
+        sole_s = self._delegate(pending.shard, pending.owner)
+        request = replace(encode_work(pending.shard, work), sole_s=sole_s)
         if not self._fleet.send(pending.owner, request):
             raise PlacementSilentError(f"no link to {pending.owner}")
         ack_timeout_s = min(
@@ -526,6 +716,7 @@
         owns = self.owns(shard)
         dispatcher.set_capacity_ratio(1.0 if owns else 1.0 / self._fleet.count)
         dispatcher.set_limit_ratio(now, self._limit_ratio(shard, owns))
+        self._update_cold_allowed(now, shard, dispatcher)
         self._tally(shard).record_requested(work.organisation, work.units)
         decisions = self._submit_bound(now, shard, dispatcher, work)
         self._deliver(self._count_refusals(shard, decisions))
@@ -681,6 +872,9 @@
         dispatcher.set_capacity_ratio(1.0)
         owns = owner == self._instance
         dispatcher.set_limit_ratio(now, self._limit_ratio(shard, owns))
+        if dispatcher.cold_budget:
+            self._parts_of(now, shard).receive(now, instance, request.sole_s)
+            self._update_cold_allowed(now, shard, dispatcher)
         self._tally(shard).record_requested(work.organisation, work.units)
         decisions = self._submit_bound(now, shard, dispatcher, work)
         self._deliver(self._count_refusals(shard, decisions), dispatcher.prefill_speed)
@@ -723,6 +917,7 @@
                         reply.unread_tokens,
                         instance,
                         reply.software_version,
+                        reply.cold,
                     )
                 )
             case PlacementState.REFUSED:
@@ -748,7 +943,9 @@
             dispatcher = self._dispatchers.get(shard)
             if dispatcher is not None:
                 dispatcher.restart_limits(self._timers.now())
+                self._delegate(shard, owner)
                 if owner != self._instance:
+                    self._tell_cold(owner, dispatcher, dispatcher.incarnations)
                     self._notices.tell(owner, dispatcher.incarnations)
             if owner == self._instance:
                 self._announce(shard)
@@ -834,6 +1031,7 @@
         waiting = 0
         for shard, dispatcher in list(self._dispatchers.items()):
             if dispatcher.waiting:
+                self._update_cold_allowed(now, shard, dispatcher)
                 self._deliver(self._count_refusals(shard, dispatcher.tick(now)))
                 waiting += dispatcher.waiting
         if not waiting and self._tick_timer is not None:
--- a/borageworks/placement/decisions.py
+++ b/borageworks/placement/decisions.py
@@ -25,7 +25,8 @@
 
     `uncached_tokens` is the number of prompt tokens that the endpoint is expected to
     prefill; `placed_by` is the instance that decided, if it was another one, and
-    `software_version` the version of the endpoint as known to it.
+    `software_version` the version of the endpoint as known to it; `cold` tells that the
+    placement is within the limit of a cold endpoint.
     """
 
     key: WorkKey
@@ -33,6 +34,7 @@
     uncached_tokens: int = 0
     placed_by: str = ""
     software_version: str = ""
+    cold: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -10,6 +10,7 @@
 from borageworks.gateway.deployment import ServiceProfile
 from borageworks.gateway.endpoint import Endpoint
 from borageworks.placement.cache_update import CacheUpdate
+from borageworks.placement.cold_limit import ColdLimit, cold_rule
 from borageworks.placement.crash_evidence import CrashEvidence
 from borageworks.placement.decisions import Decision, Placed, RefusalReason, Refused
 from borageworks.placement.endpoint_state import EndpointState, RunningWork
@@ -123,6 +124,13 @@
         self._free_wait_s = 0.0
         self._free_computed_at = -math.inf
         self._expired_at = -math.inf
+        self._cold_rule = cold_rule(service, settings)
+        # By endpoint id, also of endpoints whose entry is gone for a moment.
+        self._cold_limits: dict[str, ColdLimit] = {}
+        self._cold_allowed = 0
+        self._listed = False
+        self._in_traffic = False
+        self._evacuated: Set[str] = frozenset()
 
     @property
     def endpoints(self) -> dict[str, EndpointState]:
@@ -154,6 +162,82 @@
         """Estimate of the engines' prefill speed."""
         return self._prefill_speed
 
+    @property
+    def cold_budget(self) -> int:
+        """Requests that all instances may place on a cold endpoint in a window.
+
+        0 if the service has no limit for cold endpoints.
+        """
+        return 0 if self._cold_rule is None else self._cold_rule.budget
+
+    def cold_endpoints(self, now: float) -> dict[str, float]:
+        """Return the ends of the cold periods, by the incarnation of the endpoint."""
+        if self._cold_rule is None:
+            return {}
+        return {
+            state.endpoint.incarnation: state.cold.until
+            for state in self._endpoints.values()
+            if state.cold is not None and state.cold.is_cold(now)
+        }
+
+    def is_cold(self, now: float, incarnation: str) -> bool:
+        """Return whether an endpoint is cold."""
+        state = self.find_endpoint(incarnation)
+        return state is not None and state.cold is not None and state.cold.is_cold(now)
+
+    def configure_service(self, service: ServiceProfile) -> None:
+        """Apply a changed limit of cold endpoints."""
+        rule = cold_rule(service, self._settings)
+        if rule == self._cold_rule:
+            return
+        self._cold_rule = rule
+        self._cold_limits.clear()
+        for name, state in self._endpoints.items():
+            state.cold = None if rule is None else ColdLimit(rule)
+            if state.cold is not None:
+                self._cold_limits[name] = state.cold
+
+    def set_cold_allowed(self, allowed: int) -> None:
+        """Set the requests that this instance may place on a cold endpoint."""
+        if allowed != self._cold_allowed:
+            self._cold_allowed = allowed
+            for limit in self._cold_limits.values():
+                limit.set_allowed(allowed)
+
+    def note_traffic(self) -> None:
+        """Record that the service has requests: what starts from now on is cold."""
+        self._in_traffic = True
+
+    def note_outcome(self, now: float, incarnation: str, outcome: WorkOutcome) -> None:
+        """Take an endpoint for cold if a request ended as at a crash."""
+        state = self.find_endpoint(incarnation)
+        if state is not None and state.cold is not None:
+            state.cold.note_outcome(now, state.endpoint, outcome)
+
+    def learn_cold(self, incarnation: str, until: float) -> None:
+        """Apply the end of a cold period that the endpoint or an instance tells."""
+        state = self.find_endpoint(incarnation)
+        if state is not None and state.cold is not None:
+            state.cold.learn(until, state.endpoint)
+
+    def set_evacuated(self, now: float, domains: Set[str]) -> list[Decision]:
+        """Place nothing in evacuated failure domains; waiting requests choose again.
+
+        Endpoints of a domain whose evacuation ends may have become cold.
+        """
+        if domains == self._evacuated:
+            return []
+        self._evacuated = domains
+        for name, state in self._endpoints.items():
+            evacuated = state.endpoint.domain in domains
+            if evacuated and not state.evacuated:
+                self._waiting.forget_endpoint(name)
+            if state.evacuated and not evacuated and state.cold is not None:
+                state.cold.begin(now, state.endpoint)
+            state.evacuated = evacuated
+        self._selector.invalidate()
+        return self._place_waiting(now)
+
     def summarise(self, now: float) -> PlacementSummary:
         """Return what this dispatcher believes, for its periodic log line."""
         speed = self._prefill_speed
@@ -219,7 +303,9 @@
     def may_run(self, work: Work) -> bool:
         """Return whether an endpoint that is not leaving may run a request."""
         return any(
-            work.may_run_at(state.endpoint) and not state.is_leaving
+            work.may_run_at(state.endpoint)
+            and not state.is_leaving
+            and not state.evacuated
             for state in self._endpoints.values()
         )
 
@@ -277,12 +363,33 @@
             if state is None:
                 capacity = engine.memory_tokens if engine is not None else 0
                 cache = PromptCache(capacity, name, self._part_index)
-                self._endpoints[name] = EndpointState(endpoint, cache)
+                state = self._endpoints[name] = EndpointState(endpoint, cache)
+                self._list_cold(now, state)
             else:
                 state.endpoint = endpoint
+                if state.cold is not None:
+                    state.cold.read_entry(now, endpoint)
+            state.evacuated = endpoint.domain in self._evacuated
+        self._listed = self._listed or bool(listed)
+        for name, limit in list(self._cold_limits.items()):
+            if name not in listed and limit.is_unused(now):
+                del self._cold_limits[name]
         self._selector.invalidate()
         return self._place_waiting(now)
 
+    def _list_cold(self, now: float, state: EndpointState) -> None:
+        """Apply the cold period of an endpoint that was not listed."""
+        if self._cold_rule is None:
+            return
+        name = state.endpoint.id
+        limit = self._cold_limits.get(name)
+        if limit is None:
+            limit = self._cold_limits[name] = ColdLimit(self._cold_rule)
+            limit.set_allowed(self._cold_allowed)
+        in_traffic = self._listed and self._in_traffic
+        limit.list_endpoint(now, state.endpoint, in_traffic=in_traffic)
+        state.cold = limit
+
     def _with_possible_slots(self, endpoint: Endpoint) -> Endpoint:
         """Return an endpoint without the slots that it has no connections for.
 
@@ -299,6 +406,7 @@
         A request that is submitted again gets the decision that it has.
         """
         self._unconfirmed.discard(work.key)
+        self.note_traffic()
         self._expire_overdue(now)
         if work.key in self._waiting:
             return []
@@ -312,7 +420,7 @@
             return [Refused(work.key, reason, SUSPECT_RETRY_AFTER_S, work)]
         preferred = self._select_endpoint(now, work)
         if preferred is None:
-            return [self._refuse(now, work, RefusalReason.NO_ENDPOINT)]
+            return self._wait_for_cold(now, work)
         state = self._endpoints[preferred]
         if not self._waiting.is_behind_others(work) and self._has_room(
             now, state, work
@@ -334,6 +442,37 @@
         self._waiting.add(now, waiting)
         return []
 
+    def _wait_for_cold(self, now: float, work: Work) -> list[Decision]:
+        """Let a request wait for a cold endpoint if it takes one in time, or refuse it.
+
+        Only cold endpoints that do not take a request now are left for it, or none.
+        """
+        states = self._waiting_cold(now, work)
+        if not states:
+            return [self._refuse(now, work, RefusalReason.NO_ENDPOINT)]
+        per_s = sum(state.cold.allowed_per_s for state in states if state.cold)
+        patience_s = _patience_s(work)
+        wait_s = self._cold_wait_s(now, work)
+        if wait_s + len(self._waiting) / max(per_s, MIN_PER_S) > patience_s:
+            return [self._refuse(now, work, RefusalReason.NO_CAPACITY)]
+        tokens = own_prompt_tokens(work)
+        waiting = WaitingWork(work, now, now + patience_s, None, now, tokens)
+        self._waiting.add(now, waiting)
+        return []
+
+    def _waiting_cold(self, now: float, work: Work) -> list[EndpointState]:
+        """Return the endpoints that may run a request but for their cold limit."""
+        return [
+            state
+            for state in self._endpoints.values()
+            if state.cold is not None
+            and state.cold.is_cold(now)
+            and not state.is_leaving
+            and not state.evacuated
+            and now >= state.suspended_until
+            and work.may_run_at(state.endpoint)
+        ]
+
     def _is_below_share(self, now: float, work: Work) -> bool:
         """Return whether an organisation is owed more than it got and waits for."""
         waiting = self._waiting.units.get(work.organisation, 0.0)
@@ -459,6 +598,7 @@
         if state is None:
             return
         if work.key not in self._placed:
+            self.note_traffic()
             self._add_running(now, state, work).adopted = True
             self._entitlements.record_running(now, work.organisation, work.units)
         if started:
@@ -513,6 +653,10 @@
             if ended is not None:
                 self._record_end(now, state, ended, outcome)
             state.record(now, outcome)
+            if state.cold is not None:
+                state.cold.note_outcome(now, state.endpoint, outcome)
+                if outcome in (WorkOutcome.RETURNED, WorkOutcome.MISDIRECTED):
+                    state.cold.withdraw(key)
             if outcome is WorkOutcome.UNREACHABLE:
                 # A crash empties the cache; without one, updates restore its state.
                 state.cache.clear()
@@ -785,7 +929,11 @@
         self._entitlements.record_placed(now, work.organisation, work.units)
         if state.rate_limit is not None:
             state.rate_limit.take(now)
-        return self._placed_at(state, work, self._add_running(now, state, work))
+        running = self._add_running(now, state, work)
+        if state.cold is not None:
+            running.cold = state.cold.is_cold(now)
+            state.cold.record(now, work.key)
+        return self._placed_at(state, work, running)
 
     def _placed_at(
         self, state: EndpointState, work: Work, running: RunningWork
@@ -795,6 +943,7 @@
             state.endpoint.id,
             running.uncached_tokens,
             software_version=state.endpoint.software_version,
+            cold=running.cold,
         )
 
     def _add_running(self, now: float, state: EndpointState, work: Work) -> RunningWork:
@@ -842,6 +991,12 @@
         )
         return min(pauses_s, default=0.0)
 
+    def _cold_wait_s(self, now: float, work: Work) -> float:
+        """Return the seconds until a cold endpoint takes a request, 0 without one."""
+        states = self._waiting_cold(now, work)
+        waits_s = (state.cold.wait_s(now) for state in states if state.cold)
+        return min(waits_s, default=0.0)
+
     def _compute_prefill_wait_s(self, now: float) -> float:
         """Return the seconds in which the endpoints prefill all that is ahead."""
         seconds_per_token = self._prefill_speed.seconds_per_token
--- a/borageworks/placement/endpoint_state.py
+++ b/borageworks/placement/endpoint_state.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from borageworks.gateway.endpoint import Endpoint
+from borageworks.placement.cold_limit import ColdLimit
 from borageworks.placement.outcome import WorkOutcome
 from borageworks.placement.prompt_cache import PromptCache
 from borageworks.placement.rate_limit import RateLimit
@@ -55,6 +56,8 @@
         Whether another instance placed it, at an unknown time.
     prefilled
         Whether its prompt no longer counts as work ahead of later requests.
+    cold
+        Whether it was placed within the limit of a cold endpoint.
     stream, stream_lifetime_s
         Id of its event stream, and seconds for which the caller may resume it.
     """
@@ -67,6 +70,7 @@
     traits: tuple[bytes, ...] = ()
     adopted: bool = False
     prefilled: bool = False
+    cold: bool = False
     stream: bytes = b""
     stream_lifetime_s: float = 0.0
 
@@ -108,6 +112,10 @@
         Whether it has stated that it accepts no new requests.
     paused_until
         Ends of the pauses in which it wants no requests of an instance.
+    cold
+        Limit while it is cold, None if its service has none.
+    evacuated
+        Whether its failure domain is evacuated.
     """
 
     endpoint: Endpoint
@@ -125,6 +133,8 @@
     rate_limit: RateLimit | None = None
     leaving: bool = False
     paused_until: dict[str, float] = field(default_factory=dict)
+    cold: ColdLimit | None = None
+    evacuated: bool = False
     _slowdown: float = 1.0
     _slowdown_at: float = 0.0
 
@@ -239,7 +249,9 @@
 
     def usable(self, now: float) -> bool:
         """Return whether it may get a request now."""
-        if self.is_leaving or now < self.suspended_until:
+        if self.is_leaving or self.evacuated or now < self.suspended_until:
+            return False
+        if self.cold is not None and not self.cold.allows(now):
             return False
         return not (self.half_open and self.running)
 
@@ -252,7 +264,7 @@
                 self.failure_rate -= FAILURE_RATE_GAIN * self.failure_rate
                 self.half_open = False
                 self.suspension_s = 0.0
-            case WorkOutcome.REFUSED:
+            case WorkOutcome.REFUSED | WorkOutcome.MISDIRECTED:
                 self.suspended_until = max(self.suspended_until, now + SHED_COOL_DOWN_S)
             case WorkOutcome.FAILED | WorkOutcome.DISCONNECTED:
                 self.failure_rate += FAILURE_RATE_GAIN * (1.0 - self.failure_rate)
--- a/borageworks/placement/outcome.py
+++ b/borageworks/placement/outcome.py
@@ -12,7 +12,8 @@
     refused for lack of capacity, DISCONNECTED that its connection closed before the
     response was complete, as at a crash, FAILED that it responded with an error,
     UNLISTED that it is no longer listed, and RETURNED that it was not sent, since the
-    endpoint wants no requests of the entry instance.
+    endpoint wants no requests of the entry instance. MISDIRECTED means that another
+    endpoint has taken over the address.
     """
 
     SERVED = 0
@@ -23,3 +24,4 @@
     UNLISTED = 5
     DISCONNECTED = 6
     RETURNED = 7
+    MISDIRECTED = 8
--- a/borageworks/wire/fleet.capnp
+++ b/borageworks/wire/fleet.capnp
@@ -25,8 +25,8 @@
 struct AloneGrant { requestId @0 :UInt64; grant @1 :Grant; }
 struct Suspect { fingerprint @0 :Data; endpoint @1 :Text; incarnation @2 :Text; alone @3 :Bool; }
 struct PromptPiece { id @0 :Text; tokens @1 :UInt32; }
-struct PlaceRequest { number @0 :UInt64; service @1 :Text; shard @2 :UInt16; organisation @3 :Text; aimS @4 :Float32; patienceS @5 :Float32; excluded @6 :List(Text); prompt @7 :Bool; model @8 :Text; promptTokens @9 :UInt32; generatedTokens @10 :UInt32; pieces @11 :List(PromptPiece); fingerprint @12 :Data; versionBound @13 :Bool; softwareVersion @14 :Text; stream @15 :Data; streamLifetimeS @16 :Float64; resumed @17 :Bool; }
-struct PlaceReply { number @0 :UInt64; state @1 :UInt8; endpoint @2 :Text; unreadTokens @3 :UInt32; reason @4 :UInt8; retryAfterS @5 :Float32; secondsPerToken @6 :Float32; startS @7 :Float32; softwareVersion @8 :Text; }
+struct PlaceRequest { number @0 :UInt64; service @1 :Text; shard @2 :UInt16; organisation @3 :Text; aimS @4 :Float32; patienceS @5 :Float32; excluded @6 :List(Text); prompt @7 :Bool; model @8 :Text; promptTokens @9 :UInt32; generatedTokens @10 :UInt32; pieces @11 :List(PromptPiece); fingerprint @12 :Data; versionBound @13 :Bool; softwareVersion @14 :Text; stream @15 :Data; streamLifetimeS @16 :Float64; resumed @17 :Bool; soleS @18 :Float64; }
+struct PlaceReply { number @0 :UInt64; state @1 :UInt8; endpoint @2 :Text; unreadTokens @3 :UInt32; reason @4 :UInt8; retryAfterS @5 :Float32; secondsPerToken @6 :Float32; startS @7 :Float32; softwareVersion @8 :Text; cold @9 :Bool; }
 struct PlaceWithdraw { number @0 :UInt64; }
 struct WorkStarted { number @0 :UInt64; delayed @1 :Bool; }
 struct WorkEnded { number @0 :UInt64; outcome @1 :UInt8; }
@@ -37,7 +37,7 @@
 struct TraitTrial { process @0 :Text; number @1 :UInt64; ageS @2 :Float64; ended @3 :Bool; }
 struct CrashTrait { trait @0 :Data; crashes @1 :UInt8; details @2 :List(TraitCrash); cleared @3 :List(Text); trials @4 :List(TraitTrial); }
 
-struct EndpointStatement { incarnation @0 :Text; limitPerS @1 :Float64; ageS @2 :Float32; leaving @3 :Bool; pauseS @4 :Float64; }
+struct EndpointStatement { incarnation @0 :Text; limitPerS @1 :Float64; ageS @2 :Float32; leaving @3 :Bool; pauseS @4 :Float64; coldS @5 :Float64; }
 
 struct StreamsBegan { version @0 :Text; lifetimeS @1 :Float64; streams @2 :List(Data); }
 
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -314,7 +314,9 @@
     an endpoint, both in seconds from now. The fields after `prompt` describe a prompt
     only if it is true. If `version_bound` is true, only endpoints with that
     `software_version` may run the request. `stream` is the id of its event stream, of
-    which the receiver has to find the version if `resumed` is true.
+    which the receiver has to find the version if `resumed` is true. `sole_s` is the
+    time in seconds for which the sender has asked only the receiver for placements of
+    the shard, 0 if the sender's registration is not valid.
     """
 
     number: int
@@ -335,6 +337,7 @@
     stream: bytes = b""
     stream_lifetime_s: float = 0.0
     resumed: bool = False
+    sole_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -343,7 +346,8 @@
 
     `unread_tokens` counts the uncached tokens. `seconds_per_token` and `start_s` are
     the prefill speed of engines as measured by the owner, for the next owner of the
-    shard; 0 if it has not been measured. `software_version` is that of the endpoint.
+    shard; 0 if it has not been measured. `software_version` is that of the endpoint,
+    `cold` whether the request was placed within the limit of a cold endpoint.
     """
 
     number: int
@@ -355,6 +359,7 @@
     seconds_per_token: float = 0.0
     start_s: float = 0.0
     software_version: str = ""
+    cold: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -454,7 +459,8 @@
     `limit_per_s` is the number of requests a second that it takes, negative for any
     number; `age_s` the time since the last response with the limit arrived, or since
     the request was sent whose response had no limit any more. `leaving` tells that it
-    accepts no new requests, `pause_s` for how long it wants none from the sender.
+    accepts no new requests, `pause_s` for how long it wants none from the sender, and
+    `cold_s` for how long it stays cold.
     """
 
     incarnation: str
@@ -462,6 +468,7 @@
     age_s: float
     leaving: bool = False
     pause_s: float = 0.0
+    cold_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
