Test evacuations and cold engines before the emulated store

Cause: the bound and the time until an evacuation is in force depend on the store, its faults, and on two instances that learn of it at different times.

Change: the emulated endpoint states its failure domain, start, cold period and entry number; the emulated store can delay calls.

--- a/borageworks_emulator/platform/endpoint.py
+++ b/borageworks_emulator/platform/endpoint.py
@@ -111,6 +111,8 @@
         Headers of all its responses in which it states something about itself.
     software_version
         Version of its software in its entry.
+    domain, born, cold_ms, sequence
+        Failure domain, start, cold period and number of its entry.
     on_run_started, on_run_finished
         Called when a request starts to run, and when the endpoint has stopped working
         on it.
@@ -129,6 +131,10 @@
         self.refused = 0
         self.stated_headers: Mapping[str, str] = {}
         self.software_version = "v1"
+        self.domain = "zone-a"
+        self.born = 0
+        self.cold_ms = 0
+        self.sequence = 1
         self.cancelled: list[str] = []
         self.address = ("127.0.0.1", 0)
         self._server: web.Server | None = None
@@ -155,7 +161,15 @@
     def entry(self, service: str, *, state: str = "ready", slots: int = 8) -> bytes:
         """Return the store entry that registers the endpoint."""
         return endpoint_entry(
-            self.address, service, state, slots, self.software_version
+            self.address,
+            service,
+            state,
+            slots,
+            self.software_version,
+            zone=self.domain,
+            born=self.born,
+            cold_ms=self.cold_ms,
+            seq=self.sequence,
         )
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -287,8 +301,9 @@
     state: str = "ready",
     slots: int = 8,
     software_version: str = "v1",
+    **fields: object,
 ) -> bytes:
-    """Return the store entry that registers an endpoint."""
+    """Return the store entry that registers an endpoint; `fields` replace others."""
     return orjson.dumps(
         {
             "service": service,
@@ -299,6 +314,7 @@
             "state": state,
             "cold_ms": 0,
             "seq": 1,
+            **fields,
         }
     )
 
--- a/borageworks_emulator/platform/harness.py
+++ b/borageworks_emulator/platform/harness.py
@@ -221,6 +221,14 @@
         """Write the operator's configuration to the store."""
         await self.store.put("op/config", orjson.dumps(body))
 
+    async def evacuate(self, domain: str) -> None:
+        """Request the evacuation of a failure domain as the operator does."""
+        await self.store.put(f"op/evacuate/{domain}", b"{}")
+
+    async def withdraw_evacuation(self, domain: str) -> None:
+        """Withdraw the evacuation of a failure domain as the operator does."""
+        await self.store.delete(f"op/evacuate/{domain}")
+
     async def ready(self) -> bool:
         """Return whether the gateway reports that it is ready."""
         async with self.session.get(
--- a/borageworks_emulator/platform/store.py
+++ b/borageworks_emulator/platform/store.py
@@ -76,6 +76,8 @@
         self.fault = StoreFault.NONE
         # Whether watch calls that begin get no reply.
         self.watches_hang = False
+        # Seconds by which each call is delayed.
+        self.delay_s = 0.0
         self.calls: Counter[str] = Counter()
         self.address = ("127.0.0.1", 0)
 
@@ -223,6 +225,7 @@
         self, request: web.Request, handler: Any
     ) -> web.StreamResponse:
         self.calls[request.path.split("/")[1]] += 1
+        await asyncio.sleep(self.delay_s)
         fault_response = await self._apply_fault(request)
         if fault_response is not None:
             return fault_response
