Teach the soak evacuations and cold engines

Cause: the soak played neither, so that combinations with kills, cuts and store faults were not covered.

Two checks with a test each.

--- a/borageworks_emulator/soak/bounds.py
+++ b/borageworks_emulator/soak/bounds.py
@@ -14,3 +14,8 @@
 MAX_RECOVERY_S = 12.0
 FAIRNESS_WINDOW_S = 6
 MAX_ATTEMPTS = 2
+EVACUATE_BOUND_S = 5.0
+# Cold engines, as in the configuration that the operator of a soak writes.
+COLD_S = 4.0
+COLD_PER_S = 5.0
+COLD_BOUND_PER_S = COLD_PER_S * 1.5 + 5
--- a/borageworks_emulator/soak/endpoints.py
+++ b/borageworks_emulator/soak/endpoints.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from borageworks_emulator.platform.endpoint import Behaviour, EmulatedEndpoint, Run
+from borageworks_emulator.soak.bounds import COLD_S
 from borageworks_emulator.soak.guarantee_checker import (
     SOFTWARE_VERSIONS,
     GuaranteeChecker,
@@ -44,12 +45,20 @@
         Whether it is a model engine.
     checker
         Receives the start and end of each run.
+    domain
+        Failure domain.
     """
 
     def __init__(
-        self, name: str, service: str, engine: bool, checker: GuaranteeChecker
+        self,
+        name: str,
+        service: str,
+        engine: bool,
+        checker: GuaranteeChecker,
+        domain: str,
     ) -> None:
         super().__init__(name, self._behaviour_of)
+        self.domain = domain
         self.service = service
         self.engine = engine
         self.misbehaviour: Misbehaviour = regular
@@ -74,6 +83,9 @@
         self.software_version = self._version()
         self._cached_parts.clear()
         self._prefill_free_at = 0.0
+        if self.engine:
+            self.cold_ms = round(COLD_S * 1000)
+            self._checker.endpoint_cold(name)
 
     def _version(self) -> str:
         """Return the version of its software, which each restart may change."""
@@ -121,6 +133,7 @@
     def _record_start(self, run: Run) -> None:
         self._running.add(id(run))
         self._checker.run_started(self.name, run)
+        self._checker.check_domain(self.name, self.domain, run)
 
     def _record_end(self, run: Run) -> None:
         self._running.discard(id(run))
--- a/borageworks_emulator/soak/fault_planner.py
+++ b/borageworks_emulator/soak/fault_planner.py
@@ -14,6 +14,7 @@
     ChangeConfiguration,
     CrashEndpoint,
     DrainEndpoint,
+    EvacuateDomain,
     Fault,
     ForgetHistory,
     HarmPaths,
@@ -36,6 +37,9 @@
 PATH_DELAY_RANGE_S = (0.05, 0.6)
 CLOCK_STEPS_S = (-3600.0, -30.0, 30.0, 3600.0)
 LARGE_GROUP_RATIO = 0.6
+# Longer than the time after which an evacuated domain must get no requests.
+EVACUATION_RANGE_S = (5.5, 8.0)
+EVACUATION_PROBABILITY = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +107,11 @@
                 if at_s < duration_s:
                     planned.append(PlannedFault(at_s, factory()))
                 at_s += rng.uniform(*FAULT_INTERVAL_RANGE_S)
+        # Drawn last, so that the other faults of a seed stay as they were.
+        if rng.random() < EVACUATION_PROBABILITY:
+            domain = rng.choice(sorted(set(self._domains.values())))
+            evacuation = EvacuateDomain(domain, rng.uniform(*EVACUATION_RANGE_S))
+            planned.append(PlannedFault(rng.uniform(0.0, duration_s), evacuation))
         return sorted(planned, key=lambda fault: fault.at_s)
 
     def _duration_s(self) -> float:
--- a/borageworks_emulator/soak/faults.py
+++ b/borageworks_emulator/soak/faults.py
@@ -107,6 +107,14 @@
     """The operator writes a new configuration version."""
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuateDomain:
+    """The operator evacuates a failure domain for a while."""
+
+    domain: str
+    for_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class RogueEntry:
     """Another writer puts malformed entries into the store."""
@@ -126,5 +134,6 @@
     | DrainEndpoint
     | TroubleEndpoint
     | ChangeConfiguration
+    | EvacuateDomain
     | RogueEntry
 )
--- a/borageworks_emulator/soak/guarantee.py
+++ b/borageworks_emulator/soak/guarantee.py
@@ -16,6 +16,8 @@
     ONE_VERSION = "a stream has events of one version of the engines' software"
     TRUE_REFUSAL = "a request that was refused as not run has not run"
     LEAVING_ENDPOINT = "an endpoint that leaves gets no requests after its delay"
+    EVACUATED_DOMAIN = "an evacuated failure domain gets no requests after its delay"
+    COLD_ENGINE = "a cold engine gets no more requests in a second than it may"
     CONFIGURATION_APPLIED = "a configuration is in force after its delay"
     CONFIGURATION_FORWARD = "a process does not go back to an older configuration"
     NO_CUT_AT_SHUTDOWN = "a shutdown cuts no request"
--- a/borageworks_emulator/soak/guarantee_checker.py
+++ b/borageworks_emulator/soak/guarantee_checker.py
@@ -11,8 +11,11 @@
 from borageworks_emulator.soak.bounds import (
     CANCELLATION_TOLERANCE_S,
     CLOSE_RACE_TOLERANCE_S,
+    COLD_BOUND_PER_S,
+    COLD_S,
     CONTACT_BOUND_S,
     DRAIN_BOUND_S,
+    EVACUATE_BOUND_S,
     MAX_ATTEMPTS,
     SHUTDOWN_GRACE_S,
 )
@@ -58,6 +61,10 @@
         self._started_at = clock()
         self._requests: dict[str, _Request] = {}
         self._draining: dict[str, float] = {}
+        self._evacuated: dict[str, float] = {}
+        self._cold_until: dict[str, float] = {}
+        # Starts of the runs at endpoints that are cold.
+        self._cold_runs: dict[str, list[float]] = defaultdict(list)
         self._stopping: dict[str, list[float]] = defaultdict(list)
         self.violations: list[Violation] = []
 
@@ -83,6 +90,44 @@
         """Record that the store holds an endpoint's draining state."""
         self._draining[endpoint] = self._clock()
 
+    def domain_evacuated(self, domain: str) -> None:
+        """Record that the store holds the evacuation of a failure domain."""
+        self._evacuated[domain] = self._clock()
+
+    def domain_returning(self, domain: str) -> None:
+        """Record that the evacuation of a failure domain is being withdrawn."""
+        self._evacuated.pop(domain, None)
+
+    def endpoint_cold(self, endpoint: str) -> None:
+        """Record that an endpoint has become cold."""
+        self._cold_until[endpoint] = self._clock() + COLD_S
+
+    def check_domain(self, endpoint: str, domain: str, run: Run) -> None:
+        """Check a request that an endpoint of a failure domain starts to run."""
+        at = run.started_at
+        if at < self._cold_until.get(endpoint, at):
+            starts = self._cold_runs[endpoint]
+            starts.append(at)
+            count = sum(start > at - 1.0 for start in starts)
+            if count > COLD_BOUND_PER_S:
+                self.report(
+                    Guarantee.COLD_ENGINE,
+                    f"{endpoint} got {count} requests in a second",
+                )
+        evacuated_at = self._evacuated.get(domain, at)
+        request = self._requests.get(run.id)
+        if (
+            request is not None
+            and at > evacuated_at + EVACUATE_BOUND_S
+            and self._undisturbed(request.call.gateway, evacuated_at, at)
+            and self._disturbances.undisturbed(STORE, evacuated_at, at)
+        ):
+            self.report(
+                Guarantee.EVACUATED_DOMAIN,
+                f"{_describe(request.call)} reached {endpoint} of {domain} "
+                f"{at - evacuated_at:.2f} s after its evacuation",
+            )
+
     def gateway_stopping(self, gateway: str) -> None:
         """Record that a gateway is sent SIGTERM."""
         self._stopping[gateway].append(self._clock())
--- a/borageworks_emulator/soak/injector.py
+++ b/borageworks_emulator/soak/injector.py
@@ -16,6 +16,7 @@
     ChangeConfiguration,
     CrashEndpoint,
     DrainEndpoint,
+    EvacuateDomain,
     Fault,
     ForgetHistory,
     HarmPaths,
@@ -143,6 +144,8 @@
                 await self._misbehave(number, misbehaviour, for_s)
             case ChangeConfiguration():
                 await self._operator.write_next_version()
+            case EvacuateDomain(domain, for_s):
+                await self._evacuate(domain, for_s)
             case RogueEntry():
                 for key in MALFORMED_ENTRY_KEYS:
                     await self._store.put(key, b"\xff{")
@@ -254,6 +257,14 @@
         self._disturbances.end(old_name)
         self._busy.discard(path)
 
+    async def _evacuate(self, domain: str, for_s: float) -> None:
+        key = f"op/evacuate/{domain}"
+        await self._store.put(key, b"{}")
+        self._checker.domain_evacuated(domain)
+        await asyncio.sleep(for_s)
+        self._checker.domain_returning(domain)
+        await self._store.delete(key)
+
     async def _start_new_incarnation(self, path: str, endpoint: SoakEndpoint) -> None:
         self._incarnation_count += 1
         endpoint.restart_as(f"{endpoint.name.split('.')[0]}.{self._incarnation_count}")
--- a/borageworks_emulator/soak/operator.py
+++ b/borageworks_emulator/soak/operator.py
@@ -13,6 +13,7 @@
 from borageworks_emulator.platform.endpoint import ATTEMPT_ID_HEADER
 from borageworks_emulator.platform.harness import API_KEY, HOST, configuration
 from borageworks_emulator.platform.store import EmulatedPlatformStore
+from borageworks_emulator.soak.bounds import COLD_PER_S, COLD_S
 from borageworks_emulator.soak.configuration_checker import (
     MARKER_ROUTE_COUNT,
     ConfigurationChecker,
@@ -63,6 +64,7 @@
         ]
         tenants.append({"name": "operator", "api_keys": [API_KEY]})
         document = configuration(version, tenants=tenants)
+        document["services"][0].update(cold_s=COLD_S, cold_per_s=COLD_PER_S)
         template = next(item for item in document["routes"] if item["name"] == "look")
         marker = self._checker.marker_route(version)
         document["routes"].append({**template, "name": marker, "prefix": f"/{marker}/"})
--- a/borageworks_emulator/soak/runner.py
+++ b/borageworks_emulator/soak/runner.py
@@ -108,7 +108,9 @@
         self._tasks: list[asyncio.Task[None]] = []
 
     def _endpoint(self, name: str, service: str) -> SoakEndpoint:
-        return SoakEndpoint(name, service, service == ENGINE_SERVICE, self._checker)
+        domain = DOMAINS[int(name.rpartition("-")[2]) % len(DOMAINS)]
+        engine = service == ENGINE_SERVICE
+        return SoakEndpoint(name, service, engine, self._checker, domain)
 
     def plan(self) -> list[PlannedFault]:
         """Return the faults drawn from the seed."""
--- a/borageworks_emulator/soak/tests/test_checkers.py
+++ b/borageworks_emulator/soak/tests/test_checkers.py
@@ -9,9 +9,11 @@
 from borageworks_emulator.platform.endpoint import plain_body_text
 from borageworks_emulator.soak.bounds import (
     CANCELLATION_TOLERANCE_S,
+    COLD_BOUND_PER_S,
     CONFIGURATION_APPLY_BOUND_S,
     CONTACT_BOUND_S,
     DRAIN_BOUND_S,
+    EVACUATE_BOUND_S,
     ROLLBACK_TOLERANCE_S,
 )
 from borageworks_emulator.soak.call import Call, Ending
@@ -63,6 +65,42 @@
         )
 
 
+class DomainTest(CheckerTestCase):
+    def test_request_to_an_evacuated_domain(self):
+        """Guards against a check that misses late requests, or reports early ones."""
+        self.checker.domain_evacuated("zone-a")
+        for elapsed_s, guarantees in (
+            (EVACUATE_BOUND_S, ()),
+            (EVACUATE_BOUND_S + 0.1, (Guarantee.EVACUATED_DOMAIN,)),
+        ):
+            self.time = UNDISTURBED_S + elapsed_s
+            run = self.start_run(self.send_call(request_id=f"r-{elapsed_s}"))
+            self.checker.check_domain("e", "zone-a", run)
+            self.checker.check_domain("f", "zone-b", run)
+            self.assert_violations(*guarantees)
+        self.checker.domain_returning("zone-a")
+        self.checker.check_domain("e", "zone-a", run)
+        self.assert_violations(Guarantee.EVACUATED_DOMAIN)
+
+    def test_requests_to_a_cold_engine(self):
+        """Guards against a check that misses a burst, or counts more than a second."""
+        self.checker.endpoint_cold("e")
+        for number in range(2 * int(COLD_BOUND_PER_S) + 1):
+            self.time = UNDISTURBED_S + 1.01 * (number // int(COLD_BOUND_PER_S))
+            run = self.start_run(self.send_call(request_id=f"r-{number}"))
+            self.checker.check_domain("e", "zone-a", run)
+            self.assert_violations()
+            last = run
+        self.time = UNDISTURBED_S + 1.5
+        for _ in range(int(COLD_BOUND_PER_S)):
+            last.started_at = self.time
+            self.checker.check_domain("e", "zone-a", last)
+        self.assertEqual(
+            {Guarantee.COLD_ENGINE},
+            {violation.guarantee for violation in self.checker.violations},
+        )
+
+
 class RunTest(CheckerTestCase):
     def test_regular_request_violates_nothing(self):
         call = self.send_call()
