Drop a suspected cold period when a request shows that nothing crashed

Cause: one instance that is cut off reports engines as unreachable, which limited them for all instances until their entries were renewed; a changed configuration forgot cold periods.

Change: signs of a crash are kept apart from what is known. A request that had begun before the sign and is served ends the suspicion; only what is known is told to owners and makes an entry instance give requests back. A changed `cold_per_s` keeps periods and counts.

--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -298,7 +298,7 @@
         if placed.cold:
             held = now - self._reviewed_at > MAX_HOLD_S
             return now - placed_at <= MAX_SEND_DELAY_S and not held
-        return not dispatcher.is_cold(now, endpoint.incarnation)
+        return not dispatcher.is_known_cold(now, endpoint.incarnation)
 
     def evacuated_endpoints(self, service: str) -> set[str]:
         """Return the ids of a service's endpoints in evacuated failure domains."""
@@ -318,7 +318,7 @@
         if dispatcher is None or cold_s <= 0.0:
             return
         now = self._timers.now()
-        known = dispatcher.is_cold(now, incarnation)
+        known = dispatcher.is_known_cold(now, incarnation)
         dispatcher.learn_cold(incarnation, now + cold_s)
         owner = self._owner_of_endpoint(incarnation)
         if not known and owner is not None and owner != self._instance:
@@ -365,7 +365,9 @@
             return
         incarnation = state.endpoint.incarnation
         dispatcher.note_outcome(self._timers.now(), incarnation, outcome)
-        if outcome is WorkOutcome.RETURNED:
+        if outcome is WorkOutcome.RETURNED and dispatcher.is_known_cold(
+            self._timers.now(), incarnation
+        ):
             self._tell_cold(pending.owner, dispatcher, (incarnation,))
 
     def _delegate(self, shard: Shard, holder: str) -> float:
@@ -470,7 +472,7 @@
                         number,
                     )
                     self._dispatchers[shard] = dispatcher
-                dispatcher.configure_service(profile)
+                dispatcher.configure_service(now, profile)
                 self._deliver(dispatcher.set_evacuated(now, self._evacuations.domains))
                 if profile.engine is not None and deployment.tokens_per_s:
                     dispatcher.set_throughput(deployment.tokens_per_s / most_endpoints)
--- a/borageworks/placement/cold_limit.py
+++ b/borageworks/placement/cold_limit.py
@@ -99,7 +99,10 @@
         self._window_s = rule.window_s
         self._allowed = 0
         self._placed: deque[tuple[float, WorkKey]] = deque()
-        self._until = -math.inf
+        self._known_until = -math.inf
+        # End of a period that only signs of a crash suggest, and their time.
+        self._suspected_until = -math.inf
+        self._suspected_at = -math.inf
         self._entry: tuple[int, int, float] | None = None
         # Sequence of the entry from which on an entry ends the cold period.
         self._ends_from = 0
@@ -108,7 +111,17 @@
     @property
     def until(self) -> float:
         """Time at which the endpoint is no longer cold."""
-        return self._until
+        return max(self._known_until, self._suspected_until)
+
+    @property
+    def known_until(self) -> float:
+        """Time up to which it is cold by more than signs of a crash."""
+        return self._known_until
+
+    def configure(self, rule: ColdRule) -> None:
+        """Apply a changed rule; what is known stays."""
+        self._rule = rule
+        self._window_s = rule.window_s
 
     @property
     def allowed_per_s(self) -> float:
@@ -121,11 +134,11 @@
 
     def is_cold(self, now: float) -> bool:
         """Return whether the endpoint is cold."""
-        return now < self._until
+        return now < self.until
 
     def allows(self, now: float) -> bool:
         """Return whether a request may be placed now."""
-        if now >= self._until:
+        if not self.is_cold(now):
             return True
         self._prune(now)
         return len(self._placed) < self._allowed
@@ -135,7 +148,7 @@
         if self.allows(now):
             return 0.0
         if not self._allowed:
-            return min(self._until - now, self._window_s)
+            return min(self.until - now, self._window_s)
         return self._placed[-self._allowed][0] + self._window_s - now
 
     def record(self, now: float, key: WorkKey) -> None:
@@ -161,6 +174,7 @@
             them: then the endpoint has started, or has been silent.
         """
         self._entry = None
+        self._ends_from = 0
         if in_traffic and endpoint.cold_s <= 0.0:
             self.begin(now, endpoint)
         self.read_entry(now, endpoint)
@@ -174,9 +188,11 @@
         later = endpoint.sequence >= self._ends_from
         if endpoint.cold_s > 0.0:
             stated = now + endpoint.cold_s
-            self._until = stated if later else max(self._until, stated)
+            self._known_until = stated if later else max(self._known_until, stated)
         elif later:
-            self._until = min(self._until, now)
+            self._known_until = min(self._known_until, now)
+        if later:
+            self._suspected_until = -math.inf
 
     def begin(self, now: float, endpoint: Endpoint) -> None:
         """Begin a cold period of unknown length, until an entry states its end.
@@ -188,34 +204,47 @@
         endpoint
             Last known entry; those written before the period do not end it.
         """
-        self._until = max(self._until, now + self._rule.cold_s)
+        self._known_until = max(self._known_until, now + self._rule.cold_s)
         self._ends_from = endpoint.sequence + LATER_ENTRIES
 
     def note_outcome(
         self, now: float, endpoint: Endpoint, outcome: WorkOutcome
     ) -> None:
-        """Begin a cold period if a request ended as at a crash of the endpoint.
+        """Suspect a cold period if a request ended as at a crash of the endpoint.
 
         It may start again under the same id before its entry tells.
         """
         match outcome:
             case WorkOutcome.UNREACHABLE:
-                self.begin(now, endpoint)
+                self._suspect(now, endpoint)
             case WorkOutcome.DISCONNECTED:
                 if now - self._disconnected_at < CRASH_SIGNS_S:
-                    self.begin(now, endpoint)
+                    self._suspect(now, endpoint)
                 self._disconnected_at = now
 
+    def note_served(self, started_at: float) -> None:
+        """End a suspicion if a request that had begun before it has been served.
+
+        A crash would have ended that request.
+        """
+        if started_at < self._suspected_at:
+            self._suspected_until = -math.inf
+
+    def _suspect(self, now: float, endpoint: Endpoint) -> None:
+        self._suspected_at = now
+        self._suspected_until = now + self._rule.cold_s
+        self._ends_from = endpoint.sequence + LATER_ENTRIES
+
     def learn(self, until: float, endpoint: Endpoint) -> None:
         """Apply the end of a cold period that the endpoint or an instance tells."""
-        if until > self._until:
-            self._until = until
+        if until > self._known_until:
+            self._known_until = until
             self._ends_from = endpoint.sequence + 1
 
     def is_unused(self, now: float) -> bool:
         """Return whether nothing is known that still counts."""
         self._prune(now)
-        return not self._placed and now >= self._until
+        return not self._placed and not self.is_cold(now)
 
     def _prune(self, now: float) -> None:
         oldest = now - self._window_s
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -180,22 +180,29 @@
             if state.cold is not None and state.cold.is_cold(now)
         }
 
-    def is_cold(self, now: float, incarnation: str) -> bool:
-        """Return whether an endpoint is cold."""
+    def is_known_cold(self, now: float, incarnation: str) -> bool:
+        """Return whether an endpoint is cold by more than signs of a crash."""
         state = self.find_endpoint(incarnation)
-        return state is not None and state.cold is not None and state.cold.is_cold(now)
+        if state is None or state.cold is None:
+            return False
+        return now < state.cold.known_until
 
-    def configure_service(self, service: ServiceProfile) -> None:
+    def configure_service(self, now: float, service: ServiceProfile) -> None:
         """Apply a changed limit of cold endpoints."""
         rule = cold_rule(service, self._settings)
         if rule == self._cold_rule:
             return
         self._cold_rule = rule
-        self._cold_limits.clear()
-        for name, state in self._endpoints.items():
-            state.cold = None if rule is None else ColdLimit(rule)
-            if state.cold is not None:
-                self._cold_limits[name] = state.cold
+        if rule is None:
+            self._cold_limits.clear()
+        for limit in self._cold_limits.values():
+            if rule is not None:
+                limit.configure(rule)
+        for state in self._endpoints.values():
+            if rule is None:
+                state.cold = None
+            elif state.cold is None:
+                self._list_cold(now, state, in_traffic=False)
 
     def set_cold_allowed(self, allowed: int) -> None:
         """Set the requests that this instance may place on a cold endpoint."""
@@ -364,7 +371,8 @@
                 capacity = engine.memory_tokens if engine is not None else 0
                 cache = PromptCache(capacity, name, self._part_index)
                 state = self._endpoints[name] = EndpointState(endpoint, cache)
-                self._list_cold(now, state)
+                in_traffic = self._listed and self._in_traffic
+                self._list_cold(now, state, in_traffic=in_traffic)
             else:
                 state.endpoint = endpoint
                 if state.cold is not None:
@@ -377,7 +385,7 @@
         self._selector.invalidate()
         return self._place_waiting(now)
 
-    def _list_cold(self, now: float, state: EndpointState) -> None:
+    def _list_cold(self, now: float, state: EndpointState, *, in_traffic: bool) -> None:
         """Apply the cold period of an endpoint that was not listed."""
         if self._cold_rule is None:
             return
@@ -386,7 +394,6 @@
         if limit is None:
             limit = self._cold_limits[name] = ColdLimit(self._cold_rule)
             limit.set_allowed(self._cold_allowed)
-        in_traffic = self._listed and self._in_traffic
         limit.list_endpoint(now, state.endpoint, in_traffic=in_traffic)
         state.cold = limit
 
@@ -657,6 +664,8 @@
                 state.cold.note_outcome(now, state.endpoint, outcome)
                 if outcome in (WorkOutcome.RETURNED, WorkOutcome.MISDIRECTED):
                     state.cold.withdraw(key)
+                if outcome is WorkOutcome.SERVED and ended and ended.started_at:
+                    state.cold.note_served(ended.started_at)
             if outcome is WorkOutcome.UNREACHABLE:
                 # A crash empties the cache; without one, updates restore its state.
                 state.cache.clear()
--- a/borageworks/placement/tests/test_cold_limit.py
+++ b/borageworks/placement/tests/test_cold_limit.py
@@ -224,12 +224,35 @@
         for sequence, cold in ((2, True), (3, False)):
             later = endpoint("d0", "desk", 64, sequence=sequence)
             dispatcher.set_endpoints(2.0, [later])
-            self.assertEqual(cold, dispatcher.is_cold(2.0, "d0/0"))
+            self.assertEqual(cold, "d0/0" in dispatcher.cold_endpoints(2.0))
         for outcome in (WorkOutcome.DISCONNECTED, WorkOutcome.DISCONNECTED):
-            self.assertFalse(dispatcher.is_cold(3.0, "d0/0"))
+            self.assertEqual({}, dispatcher.cold_endpoints(3.0))
             dispatcher.note_outcome(3.0, "d0/0", outcome)
-        self.assertTrue(dispatcher.is_cold(3.0 + COLD_S - 0.1, "d0/0"))
-        self.assertFalse(dispatcher.is_cold(3.0 + COLD_S, "d0/0"))
+        self.assertIn("d0/0", dispatcher.cold_endpoints(3.0 + COLD_S - 0.1))
+        self.assertEqual({}, dispatcher.cold_endpoints(3.0 + COLD_S))
+
+    def test_request_that_a_crash_would_have_ended(self):
+        """Guards against engines that are limited since one instance is cut off."""
+        dispatcher = self.dispatcher()
+        first, second = (dispatcher.submit(0.0, work())[0] for _ in range(2))
+        dispatcher.start(0.1, first.key)
+        dispatcher.end(0.2, second.key, WorkOutcome.UNREACHABLE)
+        self.assertIn("d0/0", dispatcher.cold_endpoints(0.2))
+        dispatcher.end(0.3, first.key, WorkOutcome.SERVED)
+        self.assertEqual({}, dispatcher.cold_endpoints(0.3))
+
+    def test_changed_limit_of_the_service(self):
+        """Guards against a new configuration that ends cold periods, or is ignored."""
+        dispatcher = self.dispatcher(COLD)
+        self.assertEqual(2, self.placed(dispatcher, 0.0))
+        changed = ServiceProfile("desk", None, cold_s=COLD_S, cold_per_s=2.0 * PER_S)
+        dispatcher.configure_service(0.1, changed)
+        self.assertEqual(0, self.placed(dispatcher, 0.1))
+        self.assertEqual(20, dispatcher.cold_budget)
+        dispatcher.configure_service(0.2, ServiceProfile("desk", None))
+        self.assertEqual({}, dispatcher.cold_endpoints(0.2))
+        dispatcher.configure_service(0.3, changed)
+        self.assertIn("d0/0", dispatcher.cold_endpoints(0.3))
 
     def test_start_without_traffic_and_of_the_instance(self):
         """Guards against engines that are limited although they are not cold."""
--- a/borageworks_emulator/platform/tests/test_evacuation.py
+++ b/borageworks_emulator/platform/tests/test_evacuation.py
@@ -5,7 +5,6 @@
 
 from testtools import TestCase
 
-from borageworks.placement.outcome import WorkOutcome
 from borageworks_emulator.platform.endpoint import Behaviour, EmulatedEndpoint
 from borageworks_emulator.platform.harness import (
     ENGINE_SERVICE,
@@ -239,8 +238,7 @@
             entries = self.placing(fleet, owners=False)
             dispatcher = entries[0].gateway._placer.dispatchers[ENGINE_SERVICE, 0]
             for item in self.engines[:2]:
-                outcome = WorkOutcome.UNREACHABLE
-                dispatcher.note_outcome(now(), f"{item.name}/0", outcome)
+                dispatcher.learn_cold(f"{item.name}/0", now() + 20.0)
             return await self.send(entries, 20)
 
         # The third engine alone may refuse some of them.
