--- a/borageworks/gateway/placement_messages.py
+++ b/borageworks/gateway/placement_messages.py
@@ -99,6 +99,7 @@
                 software_version=decision.software_version,
                 incarnation=decision.incarnation,
                 speed=decision.speed,
+                cold=decision.cold,
             )
         case Refused():
             return PlaceReply(
--- a/borageworks/gateway/response_head.py
+++ b/borageworks/gateway/response_head.py
@@ -30,6 +30,8 @@
         Load that the endpoint reports, None if it reports none that can be read.
     load_malformed
         Whether it reports a load that cannot be read.
+    cold_s
+        Seconds for which the endpoint stays cold, None if not stated.
     """
 
     status: int
@@ -40,3 +42,4 @@
     notice: EndpointNotice = field(default_factory=EndpointNotice)
     load: EngineLoad | None = None
     load_malformed: bool = False
+    cold_s: float | None = None
--- a/borageworks/placement/decisions.py
+++ b/borageworks/placement/decisions.py
@@ -27,6 +27,7 @@
     prefill; `placed_by` is the instance that decided, if it was another one, and
     `software_version` the version of the endpoint as known to it. `speed` is the
     prefill time of the endpoint's `incarnation` relative to the others, 0 if unknown.
+    `cold` tells that the placement is within the limit of a cold endpoint.
     """
 
     key: WorkKey
@@ -36,6 +37,7 @@
     software_version: str = ""
     incarnation: str = field(default="", compare=False)
     speed: float = field(default=0.0, compare=False)
+    cold: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/borageworks/placement/endpoint_state.py
+++ b/borageworks/placement/endpoint_state.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from borageworks.gateway.endpoint import Endpoint
+from borageworks.placement.cold_limit import ColdLimit
 from borageworks.placement.engine_load import EngineLoad, LoadRecord
 from borageworks.placement.engine_speed import EngineSpeed
 from borageworks.placement.outcome import WorkOutcome
@@ -64,6 +65,8 @@
         Whether another instance placed it, at an unknown time.
     prefilled
         Whether its prompt no longer counts as work ahead of later requests.
+    cold
+        Whether it was placed within the limit of a cold endpoint.
     stream, stream_lifetime_s
         Id of its event stream, and seconds for which the caller may resume it.
     """
@@ -76,6 +79,7 @@
     traits: tuple[bytes, ...] = ()
     adopted: bool = False
     prefilled: bool = False
+    cold: bool = False
     stream: bytes = b""
     stream_lifetime_s: float = 0.0
 
@@ -123,6 +127,10 @@
         Time of the last first output of a request.
     uses_loads
         Whether endpoints of the service state their pace.
+    cold
+        Limit while it is cold, None if its service has none.
+    evacuated
+        Whether its failure domain is evacuated.
     """
 
     endpoint: Endpoint
@@ -144,6 +152,8 @@
     speed: EngineSpeed = field(default_factory=EngineSpeed)
     last_start_at: float = -math.inf
     uses_loads: bool = False
+    cold: ColdLimit | None = None
+    evacuated: bool = False
     _slowdown: float = 1.0
     _slowdown_at: float = 0.0
 
@@ -282,7 +292,9 @@
 
     def usable(self, now: float) -> bool:
         """Return whether it may get a request now."""
-        if self.is_leaving or now < self.suspended_until:
+        if self.is_leaving or self.evacuated or now < self.suspended_until:
+            return False
+        if self.cold is not None and not self.cold.allows(now):
             return False
         return not (self.half_open and self.running)
 
@@ -295,7 +307,7 @@
                 self.failure_rate -= FAILURE_RATE_GAIN * self.failure_rate
                 self.half_open = False
                 self.suspension_s = 0.0
-            case WorkOutcome.REFUSED:
+            case WorkOutcome.REFUSED | WorkOutcome.MISDIRECTED:
                 self.suspended_until = max(self.suspended_until, now + SHED_COOL_DOWN_S)
             case WorkOutcome.FAILED | WorkOutcome.DISCONNECTED:
                 self.failure_rate += FAILURE_RATE_GAIN * (1.0 - self.failure_rate)
--- a/borageworks/platform/protocol_names.py
+++ b/borageworks/platform/protocol_names.py
@@ -14,6 +14,8 @@
 ENGINE_LOAD = "X-Borageworks-Engine-Load"
 ENDPOINT_LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
+# Milliseconds for which the endpoint stays cold.
+COLD_REMAINING = "X-Borageworks-Cold-Remaining"
 # Number that rises by one when the store comes back from an older copy.
 STORE_ERA = "Store-Era"
 LAST_EVENT_ID = "Last-Event-Id"
@@ -22,4 +24,6 @@
 
 CONFIGURATION_KEY = "op/config"
 ENDPOINT_PREFIX = "servers/"
+# A failure domain follows, which is evacuated while the key exists.
+EVACUATION_PREFIX = "op/evacuate/"
 OWN_PREFIX = "borageworks/"
