Take no response for complete that ends before its upload was received

Cause: the HTTP library takes any loss of a connection for the end of a response without a length. The gateway looked for an error of the connection after reading the body; there is none if the endpoint ends its sending first and resets later. A Transfer-Encoding without chunks counted as a length. The product's own interface did not look.

Change: the protocol of both interfaces ends such a body with an error unless the connection was closed orderly after the endpoint's system had acknowledged the whole request.

Cut bodies with a length or chunks were handled before.

--- a/borageworks/endpoints/bounded_connector.py
+++ b/borageworks/endpoints/bounded_connector.py
@@ -8,6 +8,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from borageworks.endpoints.end_checked_handler import EndCheckedHandler
 from borageworks.receiving.paced_protocol import PacedProtocol
 from borageworks.receiving.turns import ReceiveTurns
 
@@ -20,7 +21,7 @@
     """An endpoint sent too many bytes outside a response body."""
 
 
-class OverheadLimitedHandler(ResponseHandler):
+class OverheadLimitedHandler(EndCheckedHandler):
     """Receives responses, and aborts the connection on excessive overhead.
 
     The HTTP library limits the length of a line and the number of headers. It limits
--- a/borageworks/endpoints/sockets.py
+++ b/borageworks/endpoints/sockets.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+import fcntl
 import socket
+import struct
+import termios
 from typing import Any
 
 # A connection is closed when sent data stays unacknowledged for this long. This allows
@@ -36,3 +40,14 @@
     )
     tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBE_COUNT)
     tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def unacknowledged_bytes(transport: asyncio.Transport) -> int:
+    """Return the written bytes that the peer's system has not acknowledged."""
+    connection = transport.get_extra_info("socket")
+    descriptor = -1 if connection is None else connection.fileno()
+    unacknowledged = 0
+    if descriptor >= 0:
+        reply = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(struct.calcsize("i")))
+        (unacknowledged,) = struct.unpack("i", reply)
+    return transport.get_write_buffer_size() + unacknowledged
--- a/borageworks/endpoints/tests/test_clients.py
+++ b/borageworks/endpoints/tests/test_clients.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 from typing import Any
 
 import testtools
@@ -87,8 +89,9 @@
 class ScriptedEndpoint:
     """Sends the next response on each connection, and repeats the last one."""
 
-    def __init__(self, *responses):
+    def __init__(self, *responses, resets=False):
         self.responses = list(responses)
+        self.resets = resets
         self.requests = []
         self.connections = 0
 
@@ -103,6 +106,10 @@
             await asyncio.sleep(3600)
         writer.write(response)
         await writer.drain()
+        if self.resets:
+            # An immediate reset would discard data that is still in flight.
+            await asyncio.sleep(0.02)
+            reset(writer)
         writer.close()
 
 
@@ -123,9 +130,9 @@
 
 
 class ClientTest(testtools.TestCase):
-    def exchange(self, client_kind, call, *responses, progress=None):
+    def exchange(self, client_kind, call, *responses, progress=None, resets=False):
         """Return (exchange or error, sink, progress, endpoint)."""
-        scripted_endpoint = ScriptedEndpoint(*responses)
+        scripted_endpoint = ScriptedEndpoint(*responses, resets=resets)
         sink: Any = RecordingSink()
         progress = progress or Progress()
 
@@ -287,6 +294,17 @@
         self.assertIsInstance(result, EndpointReplyIncompleteError)
         self.assertFalse(sink.finished)
 
+    def test_reset_response_without_a_length_is_incomplete(self):
+        """Guards against a reset that is taken for the end of a response."""
+        head = response_head(200, "application/json") + b"\r\n"
+        for client_kind in ("engine", "plain"):
+            call = make_call(stream=False)
+            result, sink, _, _ = self.exchange(
+                client_kind, call, head + b'{"choices": []}', resets=True
+            )
+            self.assertIsInstance(result, EndpointReplyIncompleteError, client_kind)
+            self.assertFalse(sink.finished)
+
     def test_request_to_unreachable_endpoint_was_not_sent(self):
         """Guards against confusing unsent requests with those that may have run."""
         for client_kind in ("engine", "plain"):
@@ -327,5 +345,12 @@
         self.assertTrue(progress.sent)
 
 
+def reset(writer):
+    linger = struct.pack("ii", 1, 0)
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 def _fields(call):
     return {name: getattr(call, name) for name in call.__slots__}
--- a/borageworks/gateway/upstream.py
+++ b/borageworks/gateway/upstream.py
@@ -17,7 +17,6 @@
     always,
 )
 from borageworks.endpoints.sockets import open_socket
-from borageworks.exceptions import EndpointReplyIncompleteError
 from borageworks.gateway.endpoint import Endpoint
 from borageworks.receiving.loop_watch import LoopWatch
 from borageworks.receiving.turns import MAX_PIECE_BYTES, ReceiveTurns
@@ -138,21 +137,9 @@
 
 
 async def read_body(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
-    """Yield the body as it arrives.
-
-    Raises
-    ------
-    EndpointReplyIncompleteError
-        If the body has no stated length and the connection was reset: aiohttp treats
-        any loss of such a connection as the end of the body.
-    """
-    connection = response.connection
-    protocol = connection.protocol if connection is not None else None
+    """Yield the body as it arrives."""
     while data := await response.content.readany():
         yield data
-    error = protocol.exception() if protocol is not None else None
-    if isinstance(error, OSError) and not _has_length(response):
-        raise EndpointReplyIncompleteError(f"the connection was reset: {error!r}")
 
 
 async def read_in_pieces(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
@@ -167,11 +154,6 @@
             yield data[start : start + MAX_PIECE_BYTES]
 
 
-def _has_length(response: aiohttp.ClientResponse) -> bool:
-    headers = response.headers
-    return "Content-Length" in headers or "Transfer-Encoding" in headers
-
-
 def _new_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=connector,
