Reject responses with statuses outside 200 to 599

Cause: the parser of the HTTP library takes any three digits for a status, and 101 for an answer. The gateway and the product's own interface passed such a response on, or believed that its request was not executed. The platform store's client counted such a reply as contact and believed its era.

Change: such a response is a failed attempt, its request may have run, and its connection is not used again. A promise in it that the request was not executed does not count. A reply of the store is a failed call. A retained response of another instance with such a status counts as no longer retained.

--- a/borageworks/endpoints/tests/test_clients.py
+++ b/borageworks/endpoints/tests/test_clients.py
@@ -1,6 +1,7 @@
 """Tests for the endpoint clients, with faulty endpoints."""
 
 import asyncio
+import itertools
 import json
 import socket
 import struct
@@ -305,6 +306,19 @@
             self.assertIsInstance(result, EndpointReplyIncompleteError, client_kind)
             self.assertFalse(sink.finished)
 
+    def test_response_with_an_invalid_status(self):
+        """Guards against a status that is none, and a refusal that promises nothing."""
+        for status, client_kind, idempotent in itertools.product(
+            ("000", "099", "101", "600", "999"), ("engine", "plain"), (True, False)
+        ):
+            head = response_head(status, "application/json", "Content-Length: 2")
+            call = make_call(stream=False, idempotent=idempotent)
+            result, sink, progress, _ = self.exchange(
+                client_kind, call, head + b"\r\n{}"
+            )
+            self.assertIsInstance(result, EndpointReplyMalformedError, status)
+            self.assertEqual((False, True), (sink.started, progress.sent))
+
     def test_request_to_unreachable_endpoint_was_not_sent(self):
         """Guards against confusing unsent requests with those that may have run."""
         for client_kind in ("engine", "plain"):
--- a/borageworks/endpoints/transport.py
+++ b/borageworks/endpoints/transport.py
@@ -13,6 +13,7 @@
 from borageworks.endpoints.call import Call
 from borageworks.endpoints.http_errors import convert_http_errors
 from borageworks.endpoints.progress import Progress
+from borageworks.endpoints.response_status import FINAL_STATUSES
 from borageworks.endpoints.single_attempt import SingleAttempt
 from borageworks.exceptions import (
     EndpointRefusedError,
@@ -149,6 +150,7 @@
                     allow_redirects=False,
                     middlewares=(SingleAttempt(),),
                 ) as response:
+                    _check_status(endpoint, response)
                     _check_request_id(endpoint, call, response)
                     yield response
         except (EndpointRefusedError, EndpointUnreachableError):
@@ -173,6 +175,14 @@
     return f"http://{host}:{endpoint.port}{path}"
 
 
+def _check_status(endpoint: Endpoint, response: aiohttp.ClientResponse) -> None:
+    if response.status not in FINAL_STATUSES:
+        response.close()
+        raise EndpointReplyMalformedError(
+            f"endpoint {endpoint.id!r} responded with invalid status {response.status}"
+        )
+
+
 def _check_request_id(
     endpoint: Endpoint, call: Call, response: aiohttp.ClientResponse
 ) -> None:
--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -13,6 +13,7 @@
 from borageworks.api.sink import ResponseSink
 from borageworks.endpoints.bounded_body import read_bounded
 from borageworks.endpoints.headers import end_to_end
+from borageworks.endpoints.response_status import FINAL_STATUSES
 from borageworks.events import Event, emit
 from borageworks.exceptions import (
     AnswerLostError,
@@ -420,6 +421,12 @@
         self, endpoint: Endpoint, head: ResponseHead
     ) -> EndpointReplyMalformedError | None:
         """Return how a response violates the protocol, None if it does not."""
+        if head.status not in FINAL_STATUSES:
+            # What it says of the request is not trusted either: the request may have
+            # run.
+            return EndpointReplyMalformedError(
+                f"endpoint {endpoint.id!r} responded with invalid status {head.status}"
+            )
         if head.not_run:
             if head.request_id is None and self._reuses_connections:
                 # It may be the copy of an earlier refusal on the same connection.
--- a/borageworks/platform/store.py
+++ b/borageworks/platform/store.py
@@ -14,6 +14,7 @@
 import orjson
 from multidict import CIMultiDictProxy
 
+from borageworks.endpoints.response_status import FINAL_STATUSES
 from borageworks.endpoints.sockets import open_socket
 from borageworks.events import Event, emit
 from borageworks.exceptions import (
@@ -368,8 +369,12 @@
                 ),
                 allow_redirects=False,
             ) as response:
-                data = await response.read()
                 status = response.status
+                if status not in FINAL_STATUSES:
+                    # Nothing that such a reply says is true for certain, nor its era.
+                    response.close()
+                    raise aiohttp.ClientPayloadError(f"invalid status {status}")
+                data = await response.read()
                 era = self._observe_era(response.headers)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise StoreUnavailableError(
--- a/borageworks/router/at_most_once.py
+++ b/borageworks/router/at_most_once.py
@@ -12,6 +12,7 @@
 from borageworks.claims.service import ClaimService
 from borageworks.config.settings import ClaimSettings
 from borageworks.endpoints.call import Call
+from borageworks.endpoints.response_status import FINAL_STATUSES
 from borageworks.endpoints.sink import Sink
 from borageworks.exceptions import (
     AnswerNotHeldError,
@@ -187,7 +188,8 @@
         if holder is not None:
             holder_reply = await self._query_holder(holder, key.hash(call.organisation))
             match holder_reply.found:
-                case HeldAnswer.HELD:
+                # An instance of an earlier version may hold a response with any status.
+                case HeldAnswer.HELD if holder_reply.status in FINAL_STATUSES:
                     await _write_retained(sink, holder_reply)
                     return
                 case HeldAnswer.RUNNING:
@@ -196,7 +198,7 @@
                         ran=Ran.UNKNOWN,
                         retry_after=1.0,
                     )
-                case HeldAnswer.GONE:
+                case HeldAnswer.HELD | HeldAnswer.GONE:
                     pass
         if reply.state is ClaimState.DONE:
             raise AnswerNotHeldError(
