--- a/borageworks/platform/configuration.py
+++ b/borageworks/platform/configuration.py
@@ -78,7 +78,9 @@
     api_keys: tuple[str, ...] = ()
 
 
-class _Configuration(_Model):
+class ConfigurationModel(_Model):
+    """Validated configuration; unknown fields are ignored, as new ones may come."""
+
     version: Size
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
@@ -95,11 +97,16 @@
         If the configuration is invalid.
     """
     try:
-        model = _Configuration.model_validate_json(data)
+        model = ConfigurationModel.model_validate_json(data)
     except ValidationError as error:
         first_error = error.errors(include_url=False, include_input=False)[0]
         location = ".".join(str(step) for step in first_error["loc"])
         raise DeploymentMalformedError(f"{location}: {first_error['msg']}") from error
+    return to_deployment(model)
+
+
+def to_deployment(model: ConfigurationModel) -> Deployment:
+    """Return the deployment of a validated configuration."""
     return Deployment(
         version=model.version,
         routes=tuple(_route(route) for route in model.routes),
@@ -159,3 +166,8 @@
     return {
         key: Organisation(tenant.name) for tenant in tenants for key in tenant.api_keys
     }
+
+
+def to_services(model: ConfigurationModel) -> tuple[ServiceProfile, ...]:
+    """Return all services of a validated configuration, also those of equal names."""
+    return tuple(_service(service) for service in model.services)
