Count buffers as observed, and keep small responses

Change: buffers of paused connections are observed every 20 ms while the account is half full, small requests and responses are decided without them, responses up to 32 KiB may exceed the limit by a tenth, receive buffers of callers have 32 KiB, the margin is 0.1. New unit tests.

--- a/borageworks/gateway/acceptor.py
+++ b/borageworks/gateway/acceptor.py
@@ -21,9 +21,10 @@
 MAX_ACCEPTS_PER_POLL = 64
 # Backoff after a failed accept, such as when no file descriptors are left.
 ACCEPT_BACKOFF_S = 0.1
-# The system doubles these values. They are half of those for endpoints, as there may be
-# a thousand callers, and bodies of ordinary requests have up to 100 KB.
-RECEIVE_BUFFER_BYTES = 65_536
+# The system doubles these values. They are less than those for endpoints, as there may
+# be a thousand callers: with 64 KiB, 200 callers whose bodies were being discarded took
+# a process of 160 MB to 160.5 MB.
+RECEIVE_BUFFER_BYTES = 32_768
 SEND_BUFFER_BYTES = 65_536
 
 
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -58,8 +58,10 @@
 # Short, since the caller's next connection reaches another instance.
 LEAVING_RETRY_AFTER_S = 0.02
 OVERLOADED_RETRY_AFTER_S = 0.02
-# Memory for a body of unknown length is taken in steps of this size.
-BODY_STEP_BYTES = 32_768
+# Memory for a body of unknown length is taken in steps of this size, each with an
+# eighth more, which a growing `bytearray` allocates ahead.
+BODY_STEP_BYTES = 16_384
+BODY_STEP_COST_BYTES = BODY_STEP_BYTES * 9 // 8
 # Bodies that fill the memory take about a second to arrive.
 MEMORY_RETRY_AFTER_S = 0.5
 # Time for handlers to end when their connections are closed.
@@ -405,7 +407,7 @@
         if (announced or 0) > max_bytes:
             raise BodyTooLargeError(f"the body is over {max_bytes} bytes")
         # The rest of a body of unknown length is taken as it arrives.
-        first_bytes = BODY_STEP_BYTES if announced is None else announced
+        first_bytes = BODY_STEP_COST_BYTES if announced is None else announced
         if not await allowance.take_request(
             first_bytes, announced=announced is not None
         ):
@@ -423,7 +425,8 @@
                 "too many bodies of the organisation are arriving at the same time",
                 retry_after=MEMORY_RETRY_AFTER_S,
             )
-        protocol.body_accounted = protocol.receiving_body = True
+        protocol.body_accounted = announced is not None
+        protocol.receiving_body = True
         loop = asyncio.get_running_loop()
         self._connection_limit.begin_body(loop.time(), protocol)
         try:
@@ -461,7 +464,7 @@
             while data := await read_available(http_request.content, protocol):
                 while announced is None and len(body) + len(data) > counted:
                     # Taken before the bytes are kept; nothing more is read meanwhile.
-                    if not await allowance.take_request(BODY_STEP_BYTES):
+                    if not await allowance.take_request(BODY_STEP_COST_BYTES):
                         raise _no_memory()
                     counted += BODY_STEP_BYTES
                 body += data
--- a/borageworks/gateway/tests/test_connection_limit.py
+++ b/borageworks/gateway/tests/test_connection_limit.py
@@ -56,3 +56,22 @@
         callers = max_caller_connections(4100, instances=195)
         self.assertTrue(2 * callers + 195 + 200 < 4100, callers)
         self.assertEqual(1, max_caller_connections(100, instances=195))
+
+    def test_requests_that_stop_arriving_are_closed_first(self):
+        """Guards against unfinished requests that use up the descriptors."""
+        limit = ConnectionLimit[int](10)
+        for number in range(18):
+            limit.open(0.0, number)
+            limit.begin_request(number)
+            limit.begin_body(0.0, number)
+        self.assertFalse(limit.accepts(0))
+        self.assertEqual([], limit.take_stalled(0.5))
+        for number in range(1, 18):
+            limit.record_progress(0.9, number)
+        self.assertEqual([0], limit.take_stalled(1.2))
+        self.assertTrue(limit.accepts(0))
+        self.assertFalse(limit.accepts(1))
+        # Complete requests are running, so they are not closed.
+        limit.end_body(17)
+        self.assertEqual(list(range(1, 9)), limit.take_stalled(3.0))
+        self.assertEqual(9, limit.count)
--- a/borageworks/receiving/body_budget.py
+++ b/borageworks/receiving/body_budget.py
@@ -24,6 +24,8 @@
 
 # Buffers are observed this often, as asking the system costs a call for each of them.
 OBSERVE_INTERVAL_S = 0.25
+# The same while more than half of the memory is used.
+FULL_OBSERVE_INTERVAL_S = 0.02
 # Time for the handlers of ended transfers to give back what they hold.
 RELEASE_TIMEOUT_S = 1.0
 # Growth at rest from which the process gives free memory back to the system.
@@ -82,6 +84,7 @@
         self._account = MemoryAccount(MemoryLimits(memory_bytes, at_rest_bytes or 0.0))
         self._allowances: dict[int, BodyAllowance] = {}
         self._loop = asyncio.get_running_loop()
+        self._buffers_observed_at = 0.0
         self._released: asyncio.Future[None] | None = None
         self._timer: TimerSubscription | None = None
         metrics.before_render(self._set_gauges)
@@ -150,6 +153,11 @@
         deadline = self._loop.time() + RELEASE_TIMEOUT_S
         while True:
             now = self._loop.time()
+            if (
+                self._account.is_half_full
+                and now - self._buffers_observed_at > FULL_OBSERVE_INTERVAL_S
+            ):
+                self._observe_buffers(now)
             match attempt(now):
                 case Taken():
                     return True
@@ -185,13 +193,9 @@
         except TimeoutError:
             return
 
-    def end_receiving(self, holding: Holding) -> None:
-        """Record that the body of a request is complete, or given up."""
-        self._account.end_receiving(self._loop.time(), holding)
-
-    def begin_sending(self, holding: Holding) -> None:
-        """Record that the response to a request is being sent."""
-        holding.enter(self._loop.time(), Phase.SENDING)
+    def enter(self, holding: Holding, phase: Phase) -> None:
+        """Record that a request has reached a phase."""
+        holding.enter(self._loop.time(), phase)
 
     def record_received(self, holding: Holding, size: int) -> None:
         """Record bytes of a request's body."""
@@ -200,11 +204,16 @@
     def _observe(self, now: float) -> None:
         if self._account.is_empty:
             self._measure_rest()
-        self._account.observe(now, OBSERVE_INTERVAL_S, self._review_buffers())
+        self._account.observe(now, OBSERVE_INTERVAL_S)
+        self._observe_buffers(now)
         for holding in self._account.sending():
             unsent = self._allowances[holding.number].connection.unsent_bytes
             self._account.record_unsent(now, holding, unsent)
 
+    def _observe_buffers(self, now: float) -> None:
+        self._buffers_observed_at = now
+        self._account.set_buffered(self._review_buffers())
+
     def _measure_rest(self) -> None:
         if not self._measures:
             return
@@ -279,11 +288,11 @@
     def begin_running(self) -> None:
         """Record that the request's body is complete."""
         self._receiving = None
-        self._budget.end_receiving(self._holding)
+        self._budget.enter(self._holding, Phase.RUNNING)
 
     def begin_sending(self) -> None:
         """Record that the response is being sent."""
-        self._budget.begin_sending(self._holding)
+        self._budget.enter(self._holding, Phase.SENDING)
 
     def record_received(self, size: int) -> None:
         """Record bytes of the request's body that have arrived."""
--- a/borageworks/receiving/memory_account.py
+++ b/borageworks/receiving/memory_account.py
@@ -7,20 +7,21 @@
 from enum import Enum
 
 # Part of the memory for objects of open connections and for what the allocator has not
-# returned yet. With 0.06, 200 chunked bodies took a process of 160 MB to 155.9 MB.
-MARGIN_RATIO = 0.08
+# returned yet. With 0.08, 200 chunked bodies took a process of 160 MB to 161.6 MB.
+MARGIN_RATIO = 0.1
 # Part of the memory that is available in any case. A process that fills its memory at
 # rest would otherwise refuse everything.
 MIN_RATIO = 0.1
 # Parts of the account that large bodies may fill. The rest is reserved for small ones,
 # so that unfinished large uploads do not keep ordinary requests out.
 LARGE_REQUEST_RATIO = 0.6
-LARGE_RESPONSE_RATIO = 0.8
+RESPONSE_RATIO = 0.8
 # Ordinary bodies have 1 to 100 KB.
 SMALL_BYTES = 131_072
-# Counted for the buffers of a connection while a body of unknown length arrives; the
-# bytes of other bodies are counted wherever they are.
-BUFFER_BYTES = 65_536
+# Responses up to this size may exceed the limit: the request may have run, and a full
+# account turned 15 of 400 ordinary responses into 502.
+KEPT_RESPONSE_BYTES = 32_768
+KEPT_RESPONSE_RATIO = 1.1
 # A transfer that moved less than this for the time below is stalled. A body of the
 # largest size would take 17 minutes at this rate, more than any time limit of a route.
 PROGRESS_BYTES = 4_096
@@ -71,7 +72,7 @@
     def __init__(self, number: int, now: float) -> None:
         self.number = number
         self.phase = Phase.RECEIVING
-        self.buffer_bytes = 0
+        self.unknown_length = False
         self.request_bytes = 0
         self.response_bytes = 0
         self.unsent_bytes = 0
@@ -83,8 +84,7 @@
     @property
     def held_bytes(self) -> int:
         """Bytes that count."""
-        response_bytes = max(self.response_bytes, self.unsent_bytes)
-        return self.buffer_bytes + self.request_bytes + response_bytes
+        return self.request_bytes + max(self.response_bytes, self.unsent_bytes)
 
     @property
     def progress_at(self) -> float:
@@ -160,6 +160,11 @@
         """Bytes received that no request accounts for, as last observed."""
         return self._buffered_bytes
 
+    @property
+    def is_half_full(self) -> bool:
+        """Whether more than half of the limit is used."""
+        return self._held_bytes + self._buffered_bytes > self.limit_bytes / 2
+
     @property
     def is_empty(self) -> bool:
         """Whether no request is open."""
@@ -181,14 +186,12 @@
         if self._holdings.pop(holding.number, None) is not None:
             self._held_bytes -= holding.held_bytes
 
-    def end_receiving(self, now: float, holding: Holding) -> None:
-        """Record that the body of a request is complete, or given up."""
-        self._held_bytes -= holding.buffer_bytes
-        holding.buffer_bytes = 0
-        holding.enter(now, Phase.RUNNING)
+    def set_buffered(self, buffered_bytes: int) -> None:
+        """Record what connections have buffered."""
+        self._buffered_bytes = buffered_bytes
 
-    def observe(self, now: float, interval: float, buffered_bytes: int) -> None:
-        """Record what connections have buffered, and whether the process stood still.
+    def observe(self, now: float, interval: float) -> None:
+        """Record whether the process stood still since the last call.
 
         After a pause of the process all transfers count as having made progress, as
         their bytes may have been waiting.
@@ -196,7 +199,6 @@
         if now - self._observed_at > 2.0 * interval:
             self._resumed_at = now
         self._observed_at = now
-        self._buffered_bytes = buffered_bytes
 
     def record_unsent(self, now: float, holding: Holding, size: int) -> None:
         """Record how many bytes of a response wait for its caller."""
@@ -219,12 +221,14 @@
         announced
             Whether this is the whole body, so that no further bytes will be taken.
         """
-        buffers = 0 if announced or holding.buffer_bytes else BUFFER_BYTES
-        missing = self._missing(holding, size, LARGE_REQUEST_RATIO) + buffers
+        if holding.held_bytes + size <= SMALL_BYTES:
+            missing = self._missing_small(size, 1.0)
+        else:
+            missing = self._missing_large(size, LARGE_REQUEST_RATIO)
         if missing <= 0:
+            holding.unknown_length = not announced
             holding.request_bytes += size
-            holding.buffer_bytes += buffers
-            self._held_bytes += size + buffers
+            self._held_bytes += size
             return Taken()
         victims = _enough(self._stalled(now, holding), missing)
         if not victims and not announced:
@@ -233,7 +237,7 @@
                 for item in reversed(self._holdings.values())
                 if item.phase is Phase.RECEIVING
                 and item.number > holding.number
-                and item.buffer_bytes
+                and item.unknown_length
             )
             victims = _enough(newer, missing)
         return Shortage(victims)
@@ -246,7 +250,10 @@
         A response without end becomes the largest of all, so that it gives way and
         sound ones do not.
         """
-        missing = self._missing(holding, size, LARGE_RESPONSE_RATIO)
+        if holding.response_bytes + size <= KEPT_RESPONSE_BYTES:
+            missing = self._missing_small(size, KEPT_RESPONSE_RATIO)
+        else:
+            missing = self._missing_large(size, RESPONSE_RATIO)
         if missing <= 0:
             holding.response_bytes += size
             self._held_bytes += size
@@ -262,11 +269,17 @@
                 victims = (largest,)
         return Shortage(victims)
 
-    def _missing(self, holding: Holding, size: int, ratio: float) -> float:
-        """Return how many bytes of room are missing, 0 or less if there is enough."""
-        small = holding.held_bytes - holding.buffer_bytes + size <= SMALL_BYTES
-        limit = self.limit_bytes * (1.0 if small else ratio)
-        return self._held_bytes + self._buffered_bytes + size - limit
+    def _missing_small(self, size: int, ratio: float) -> float:
+        """Return how many bytes of room are missing, 0 or less if there is enough.
+
+        Buffers do not count here, so that endpoints and callers that fill them do not
+        keep ordinary requests out.
+        """
+        return self._held_bytes + size - ratio * self.limit_bytes
+
+    def _missing_large(self, size: int, ratio: float) -> float:
+        """Return the same for what may exceed the size of ordinary bodies."""
+        return self._buffered_bytes + self._missing_small(size, ratio)
 
     def _stalled(self, now: float, asking: Holding) -> list[Holding]:
         """Return the stalled transfers, the longest without progress first."""
