--- a/borageworks/receiving/body_budget.py
+++ b/borageworks/receiving/body_budget.py
@@ -138,17 +138,23 @@
             lambda now: self._account.take_request(
                 now, holding, size, announced=announced
             ),
+            holding,
             "request",
         )
 
     async def take_response(self, holding: Holding, size: int) -> bool:
         """Take bytes of a response's body; return False if there is no room."""
         return await self._take(
-            lambda now: self._account.take_response(now, holding, size), "response"
+            lambda now: self._account.take_response(now, holding, size),
+            holding,
+            "response",
         )
 
     async def _take(
-        self, attempt: Callable[[float], Taken | Shortage], kind: str
+        self,
+        attempt: Callable[[float], Taken | Shortage],
+        holding: Holding,
+        kind: str,
     ) -> bool:
         deadline = self._loop.time() + RELEASE_TIMEOUT_S
         while True:
@@ -164,6 +170,7 @@
                 case Shortage(victims=victims):
                     if not victims or now >= deadline:
                         self._metrics.count("bodies_denied", kind)
+                        self._record_rejection("no_room", holding)
                         return False
                     for victim in victims:
                         self._end(victim)
@@ -173,17 +180,22 @@
         allowance = self._allowances.get(victim.number)
         if allowance is None or victim.ended:
             return
+        self._record_rejection("memory", victim)
         victim.ended = True
         self._metrics.count("bodies_denied", f"ended_{victim.phase.value}")
-        self._rejections.record(
-            "memory",
-            allowance.connection.peer,
-            allowance.organisation,
-            phase=victim.phase.value,
-            size=victim.held_bytes,
-        )
         allowance.end()
 
+    def _record_rejection(self, reason: str, holding: Holding) -> None:
+        allowance = self._allowances.get(holding.number)
+        if allowance is not None:
+            self._rejections.record(
+                reason,
+                allowance.connection.peer,
+                allowance.organisation,
+                phase=holding.phase.value,
+                size=holding.held_bytes,
+            )
+
     async def _wait_for_release(self, deadline: float) -> None:
         if self._released is None or self._released.done():
             self._released = self._loop.create_future()
--- a/borageworks/receiving/turns.py
+++ b/borageworks/receiving/turns.py
@@ -165,13 +165,10 @@
     poll = select.poll()
     by_descriptor: dict[int, BufferingConnection] = {}
     for connection in connections:
-        descriptor = connection.descriptor
+        descriptor = connection.descriptor if connection.ends_with_peer else None
         if descriptor is not None:
             by_descriptor[descriptor] = connection
-            poll.register(
-                descriptor, select.POLLRDHUP if connection.ends_with_peer else 0
-            )
+            poll.register(descriptor, select.POLLRDHUP)
     if not by_descriptor:
         return []
-    left = (by_descriptor[descriptor] for descriptor, _ in poll.poll(0))
-    return [connection for connection in left if connection.ends_with_peer]
+    return [by_descriptor[descriptor] for descriptor, _ in poll.poll(0)]
