Close idle connections when nothing more is accepted

Cause: at the limit of accepted connections idle ones were closed only for a new connection, which was not accepted. Change: they are closed before the limit is checked.

--- a/borageworks/gateway/connection_limit.py
+++ b/borageworks/gateway/connection_limit.py
@@ -104,6 +104,10 @@
     def open(self, now: float, connection: Connection) -> list[Connection]:
         """Add a connection and return the idle ones to close for it."""
         self._idle[connection] = now
+        return self.take_idle(now)
+
+    def take_idle(self, now: float) -> list[Connection]:
+        """Return the longest idle connections to close above the limit."""
         to_close: list[Connection] = []
         while self.count > self._limit:
             longest_idle, since = next(iter(self._idle.items()))
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -207,21 +207,26 @@
             on_lost=self._connection_lost,
         )
         now = asyncio.get_running_loop().time()
-        for idle in self._connection_limit.open(now, connection):
+        self._close_idle(now, self._connection_limit.open(now, connection))
+        return connection
+
+    def _close_idle(self, now: float, connections: list[CallerConnection]) -> None:
+        for idle in connections:
             if idle.close_if_idle():
                 self._metrics.count("connections_closed", "descriptors")
             elif idle.close_if_stalled(MIN_IDLE_S):
                 self._rejections.record("descriptors", idle.peer, "", phase="head")
             else:
                 self._connection_limit.keep(now, idle)
-        return connection
 
     def _may_accept(self, opening: int) -> bool:
-        """Close stalled connections if needed; return whether another one fits."""
+        """Close connections of no use if needed; return whether another one fits."""
         now = asyncio.get_running_loop().time()
         for stalled in self._connection_limit.take_stalled(now):
             self._rejections.record("descriptors", stalled.peer, "", phase="receiving")
             stalled.abort()
+        if not self._connection_limit.accepts(opening):
+            self._close_idle(now, self._connection_limit.take_idle(now))
         return self._connection_limit.accepts(opening)
 
     def _connection_made(self, connection: CallerConnection) -> None:
--- a/borageworks/gateway/tests/test_connection_limit.py
+++ b/borageworks/gateway/tests/test_connection_limit.py
@@ -75,3 +75,13 @@
         limit.end_body(17)
         self.assertEqual(list(range(1, 9)), limit.take_stalled(3.0))
         self.assertEqual(9, limit.count)
+
+    def test_idle_connections_when_nothing_more_is_accepted(self):
+        """Guards against connections without a request that keep all others out."""
+        limit = ConnectionLimit[int](10)
+        for number in range(18):
+            limit.open(0.0, number)
+        self.assertFalse(limit.accepts(0))
+        self.assertEqual([], limit.take_idle(0.5))
+        self.assertEqual(list(range(8)), limit.take_idle(1.0))
+        self.assertTrue(limit.accepts(0))
