--- a/borageworks/config/deployment_check.py
+++ b/borageworks/config/deployment_check.py
@@ -17,7 +17,7 @@
 )
 from borageworks.gateway.route import RetryPolicy, Route
 from borageworks.gateway.settings import GatewaySettings
-from borageworks.receiving.body_budget import MEMORY_RATIO
+from borageworks.receiving.memory_account import MemoryLimits
 
 # Characters that a request line cannot contain, or that end its path.
 NOT_IN_PATH = re.compile(r"[^\x21-\x7e]|[?#]")
@@ -313,7 +313,7 @@
     listing: DeploymentListing, settings: GatewaySettings
 ) -> Iterator[Finding]:
     body_bytes = listing.deployment.limits.body_bytes
-    memory_bytes = MEMORY_RATIO * settings.memory_bytes
+    memory_bytes = MemoryLimits(settings.memory_bytes).account_bytes
     if body_bytes > memory_bytes:
         yield error(
             FindingCode.BODY_LIMIT_OVER_MEMORY,
