End connections of callers that do not read what is left

A cut response and an idle connection were closed by transport.close(), which waits without limit for the caller. A caller that does not read kept the write buffer, the descriptor and its place among the connections of its peer address; no account counted the memory any more.

A connection on which a response is cut is now aborted a second after it is closed. After close_if_idle() and force_close(), where a complete response may still be on its way, it is aborted when the caller has taken nothing for a second.

--- a/borageworks/api/connection.py
+++ b/borageworks/api/connection.py
@@ -23,6 +23,8 @@
 # Time in which the rest of a refused request is discarded, so that its caller reads the
 # refusal before the connection is reset.
 DISCARD_TIMEOUT_S = 1.0
+# Time for a caller to read what is left of a response that is cut.
+ABORT_TIMEOUT_S = 1.0
 
 RefusalCounter = Callable[[RefusalError], None]
 ConnectionCallback = Callable[["CallerConnection"], None]
@@ -162,6 +164,37 @@
         if self._on_lost is not None:
             self._on_lost(self)
 
+    def close_cut(self) -> None:
+        """Close the connection on which a response is cut.
+
+        What was written is sent for `ABORT_TIMEOUT_S` at most. Otherwise a caller that
+        does not read would keep the buffer and the descriptor without limit.
+        """
+        transport = self.transport
+        if transport is not None:
+            transport.close()
+            self._loop.call_later(ABORT_TIMEOUT_S, transport.abort)
+
+    def force_close(self) -> None:
+        """Close the connection; complete responses are still sent to a reader."""
+        transport = self.transport
+        super().force_close()
+        if transport is not None:
+            self._abort_if_unread(transport)
+
+    def _abort_if_unread(self, transport: asyncio.Transport) -> None:
+        """Abort a closing transport when its caller takes nothing for a while."""
+        unsent = transport.get_write_buffer_size()
+
+        def check() -> None:
+            if 0 < transport.get_write_buffer_size() < unsent:
+                self._abort_if_unread(transport)
+            else:
+                transport.abort()
+
+        if unsent:
+            self._loop.call_later(ABORT_TIMEOUT_S, check)
+
     def close_if_idle(self) -> bool:
         """Close the connection unless a request is handled or being received.
 
@@ -174,6 +207,7 @@
         busy = self._request_in_progress or self._receiving or bool(self._messages)
         if not busy and self.transport is not None:
             self.transport.close()
+            self._abort_if_unread(self.transport)
         return not busy
 
     def close_if_stalled(self, silent_s: float) -> bool:
--- a/borageworks/api/sink.py
+++ b/borageworks/api/sink.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from borageworks.api.connection import CallerConnection
 from borageworks.endpoints.sink import Headers
 from borageworks.exceptions import CallerDisconnectedError, CallerStalledError
 
@@ -95,6 +96,8 @@
 
     def abort(self) -> None:
         """Close the connection without the end of the body, so truncation shows."""
-        transport = self._request.transport
-        if transport is not None:
-            transport.close()
+        protocol = self._request.protocol
+        if isinstance(protocol, CallerConnection):
+            protocol.close_cut()
+        elif self._request.transport is not None:
+            self._request.transport.close()
