End requests for memory only while they can still be ended

A body that became complete in the iteration of the event loop in which its request was chosen to be ended was sent to an endpoint; the response was then thrown away with a 502 and counted as a failure of the endpoint. A response that became complete within the 0.2 s before its request was aborted was reset while it was being delivered.

An ended request whose body is complete is now refused with 503 before it runs. A response that begins to be sent is no longer ended, and may be chosen again when its caller stalls. A request that ends while its response arrives fails with 502 without a retry and without a failure of the endpoint.

--- a/borageworks/gateway/exchange.py
+++ b/borageworks/gateway/exchange.py
@@ -252,7 +252,9 @@
                 if done and self._sink.response.status in SERVER_ERROR_STATUSES:
                     outcome = WorkOutcome.FAILED
             except (EndpointsBusyError, AnswerLostError, _NoFurtherAttemptError):
-                outcome = WorkOutcome.REFUSED
+                # A request that gave way to others says nothing about the endpoint.
+                if not self._allowance.ended:
+                    outcome = WorkOutcome.REFUSED
                 raise
             except EndpointDeclinedError:
                 outcome = WorkOutcome.RETURNED
@@ -517,6 +519,10 @@
             if len(body) > MAX_BUFFERED_BYTES:
                 raise EndpointReplyMalformedError("the response is too large")
             if not await self._allowance.take_response(len(data)):
+                if self._allowance.ended:
+                    # Memory of this process was short, which is no fault of the
+                    # endpoint, and a retry would need the same memory.
+                    raise AnswerLostError("the response was ended as memory was short")
                 raise EndpointReplyMalformedError(
                     f"the response has {len(body)} bytes, more than memory is left for"
                 )
@@ -625,6 +631,8 @@
     def _may_retry(self) -> bool:
         """Return whether a retry is allowed; if so, take it from the budget."""
         route = self._exchange.route
+        if self._allowance.ended:
+            return False
         if self._may_have_run and route.retry_policy is RetryPolicy.NEVER:
             return False
         if self._attempts >= route.max_attempts:
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -449,6 +449,10 @@
             self._organisation_bodies.release(organisation)
             protocol.body_accounted = protocol.receiving_body = False
             allowance.begin_running()
+        if allowance.ended:
+            # The body was completed in the iteration of the loop in which it was
+            # chosen, before the timeout took effect.
+            raise _no_memory()
         return body
 
     async def _receive_body(
--- a/borageworks/receiving/body_budget.py
+++ b/borageworks/receiving/body_budget.py
@@ -127,6 +127,15 @@
         """Take back all that a request holds."""
         self._account.close(holding)
         self._allowances.pop(holding.number, None)
+        self._wake_waiting()
+
+    def keep(self, holding: Holding) -> None:
+        """Record that a request that was to be ended goes on."""
+        if holding.ended:
+            holding.ended = False
+            self._wake_waiting()
+
+    def _wake_waiting(self) -> None:
         if self._released is not None and not self._released.done():
             self._released.set_result(None)
 
@@ -303,7 +312,12 @@
         self._budget.enter(self._holding, Phase.RUNNING)
 
     def begin_sending(self) -> None:
-        """Record that the response is being sent."""
+        """Record that the response is being sent.
+
+        A response that became complete after it was chosen to be ended is delivered,
+        and may be chosen again if its caller stalls.
+        """
+        self._budget.keep(self._holding)
         self._budget.enter(self._holding, Phase.SENDING)
 
     def record_received(self, size: int) -> None:
@@ -318,7 +332,8 @@
         """Take bytes for the body of a response; return False if there are none."""
         if self._holding.ended:
             return False
-        return await self._budget.take_response(self._holding, size)
+        taken = await self._budget.take_response(self._holding, size)
+        return taken and not self._holding.ended
 
     def end(self) -> None:
         """End the request.
@@ -331,10 +346,14 @@
             if not self._receiving.expired():
                 self._receiving.reschedule(loop.time())
         elif self._holding.phase is Phase.RUNNING:
-            loop.call_later(GIVE_WAY_S, self._abort)
+            loop.call_later(GIVE_WAY_S, self._abort_if_running)
         else:
             self._abort()
 
+    def _abort_if_running(self) -> None:
+        if self._holding.phase is Phase.RUNNING:
+            self._abort()
+
     def _abort(self) -> None:
         if not self._closed:
             self._connection.abort()
