Wait for requests that are already being ended

A request that found no memory chose others to end, leaving out those that were being ended and had not given back their memory yet. With several requests waiting, one shortage ended many unfinished responses.

The memory of requests that are being ended now counts as room to come. If it is enough, the request waits for it and no further ones are chosen.

In the new test six waiting requests ended six responses, and now one.

--- a/borageworks/receiving/memory_account.py
+++ b/borageworks/receiving/memory_account.py
@@ -230,6 +230,10 @@
             holding.request_bytes += size
             self._held_bytes += size
             return Taken()
+        ending = self._ending(holding)
+        missing -= sum(item.held_bytes for item in ending)
+        if missing <= 0:
+            return Shortage(ending)
         victims = _enough(self._stalled(now, holding), missing)
         if not victims and not announced:
             newer = (
@@ -238,6 +242,7 @@
                 if item.phase is Phase.RECEIVING
                 and item.number > holding.number
                 and item.unknown_length
+                and not item.ended
             )
             victims = _enough(newer, missing)
         return Shortage(victims)
@@ -258,6 +263,10 @@
             holding.response_bytes += size
             self._held_bytes += size
             return Taken()
+        ending = self._ending(holding)
+        missing -= sum(item.held_bytes for item in ending)
+        if missing <= 0:
+            return Shortage(ending)
         victims = _enough(self._stalled(now, holding), missing)
         if not victims:
             largest = max(
@@ -281,6 +290,18 @@
         """Return the same for what may exceed the size of ordinary bodies."""
         return self._buffered_bytes + self._missing_small(size, ratio)
 
+    def _ending(self, asking: Holding) -> tuple[Holding, ...]:
+        """Return the requests that are being ended and have not given back yet.
+
+        If their room is enough, no further ones are ended for it: one shortage would
+        otherwise end a request for each that waits.
+        """
+        return tuple(
+            item
+            for item in self._holdings.values()
+            if item.ended and item is not asking
+        )
+
     def _stalled(self, now: float, asking: Holding) -> list[Holding]:
         """Return the stalled transfers, the longest without progress first."""
         before = now - STALLED_S
@@ -290,6 +311,7 @@
             item
             for item in self._holdings.values()
             if item is not asking
+            and not item.ended
             and item.phase is not Phase.RUNNING
             and item.progress_at <= before
         ]
--- a/borageworks/receiving/tests/test_memory_account.py
+++ b/borageworks/receiving/tests/test_memory_account.py
@@ -114,6 +114,23 @@
         shortage = self.account.take_response(LATER, holding, MIB)
         self.assertEqual(Shortage((holdings[3],)), shortage)
 
+    def test_room_of_ending_responses_is_awaited(self):
+        """Guards against one shortage that ends many unfinished responses."""
+        holdings: list[Holding] = []
+        while True:
+            holding = self.account.open(0.0)
+            holding.enter(0.0, Phase.RUNNING)
+            if self.account.take_response(0.0, holding, 2 * MIB) != Taken():
+                break
+            holdings.append(holding)
+        asking = [holding, *(self.account.open(0.0) for _ in range(5))]
+        for item in asking:
+            item.enter(0.0, Phase.RUNNING)
+            shortage = self.account.take_response(0.0, item, MIB)
+            for victim in shortage.victims:
+                victim.ended = True
+        self.assertEqual(1, sum(item.ended for item in holdings))
+
     def test_buffers_of_connections_count(self):
         """Guards against bytes in the system and the HTTP library beside bodies."""
         room = len(self.fill())
