Keep deployments without a memory limit as before

The shorter time for the rest of refused bodies, the fixed socket buffers and the closing after refused bodies of unknown length also applied without limits.memory_mb. The acceptor closed callers that made no progress for connections that nobody was opening.

Receive buffers for endpoints were fixed before and stay so. The acceptor asks for room only while a connection waits to be accepted.

--- a/borageworks/api/connection.py
+++ b/borageworks/api/connection.py
@@ -23,6 +23,8 @@
 # Time in which the rest of a refused request is discarded, so that its caller reads the
 # refusal before the connection is reset.
 DISCARD_TIMEOUT_S = 1.0
+# The same without a limit on memory; the default of the library.
+LINGERING_TIMEOUT_S = 10.0
 # Time for a caller to read what is left of a response that is cut.
 ABORT_TIMEOUT_S = 1.0
 
@@ -63,6 +65,7 @@
         *,
         max_line_bytes: int = MAX_LINE_BYTES,
         idle_timeout_s: float = KEEP_ALIVE_TIMEOUT_S,
+        discard_timeout_s: float = LINGERING_TIMEOUT_S,
         on_made: ConnectionCallback | None = None,
         on_lost: ConnectionCallback | None = None,
     ) -> None:
@@ -75,7 +78,7 @@
             keepalive_timeout=idle_timeout_s,
             auto_decompress=False,
             read_bufsize=READ_BUFFER_BYTES,
-            lingering_time=DISCARD_TIMEOUT_S,
+            lingering_time=discard_timeout_s,
         )
         self._turns = turns
         self._unprocessed = bytearray()
--- a/borageworks/endpoints/sockets.py
+++ b/borageworks/endpoints/sockets.py
@@ -28,11 +28,17 @@
     unconnected = socket.socket(family=family, type=socket_type, proto=protocol)
     unconnected.setblocking(False)
     unconnected.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    unconnected.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
     enable_dead_peer_detection(unconnected)
     return unconnected
 
 
+def open_bounded_socket(address: tuple[Any, ...]) -> socket.socket:
+    """Return the same with a limit on bytes that its peer does not take."""
+    unconnected = open_socket(address)
+    unconnected.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    return unconnected
+
+
 def enable_dead_peer_detection(tcp_socket: socket.socket) -> None:
     """Make the operating system close connections to unresponsive peers."""
     tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/borageworks/gateway/acceptor.py
+++ b/borageworks/gateway/acceptor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from collections.abc import Callable
 
@@ -42,6 +43,9 @@
     may_accept
         Returns whether there is room for another connection beside a number of those
         that are being opened. Without room, callers wait in the queue of the system.
+        It is called only while a connection waits to be accepted.
+    limits_memory
+        Whether to limit what the system keeps for each connection.
     """
 
     def __init__(
@@ -50,7 +54,11 @@
         protocol_factory: Callable[[], asyncio.BaseProtocol],
         metrics: Metrics,
         may_accept: Callable[[int], bool] = lambda _opening: True,
+        *,
+        limits_memory: bool = False,
     ) -> None:
+        self._limits_memory = limits_memory
+        self._pending = select.poll()
         self._may_accept = may_accept
         self._address = address
         self._protocol_factory = protocol_factory
@@ -65,9 +73,14 @@
         """Start listening."""
         listener = socket.create_server(self._address, backlog=LISTEN_BACKLOG)
         listener.setblocking(False)
-        # Accepted connections take it over.
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        if self._limits_memory:
+            # Accepted connections take it over.
+            for option, size in (
+                (socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
+                (socket.SO_SNDBUF, SEND_BUFFER_BYTES),
+            ):
+                listener.setsockopt(socket.SOL_SOCKET, option, size)
+        self._pending.register(listener, select.POLLIN)
         self._socket = listener
         self._loop.add_reader(listener, self._accept)
         self._poll_timer = Timers().every(POLL_INTERVAL_S, lambda _now: self._accept())
@@ -81,6 +94,7 @@
         if self._poll_timer is not None:
             self._poll_timer.cancel()
         self._loop.remove_reader(self._socket)
+        self._pending.unregister(self._socket)
         self._socket.close()
         self._socket = None
 
@@ -88,6 +102,8 @@
         if self._socket is None or self._loop.time() < self._backoff_until:
             return
         for _ in range(MAX_ACCEPTS_PER_POLL):
+            if not self._pending.poll(0):
+                return
             if not self._may_accept(len(self._tasks)):
                 self._pause("no_room")
                 return
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -8,7 +8,11 @@
 
 from aiohttp import web
 
-from borageworks.api.connection import CallerConnection
+from borageworks.api.connection import (
+    DISCARD_TIMEOUT_S,
+    LINGERING_TIMEOUT_S,
+    CallerConnection,
+)
 from borageworks.api.problem import problem_response
 from borageworks.api.sink import ResponseSink
 from borageworks.events import Event, emit
@@ -159,6 +163,7 @@
             self._new_protocol,
             self._metrics,
             self._may_accept,
+            limits_memory=self._settings.limits_memory,
         )
         self._acceptor.start()
 
@@ -203,6 +208,9 @@
             self._turns,
             max_line_bytes=limits.header_bytes if limits else INITIAL_MAX_HEADER_BYTES,
             idle_timeout_s=limits.idle_timeout_s if limits else INITIAL_IDLE_TIMEOUT_S,
+            discard_timeout_s=DISCARD_TIMEOUT_S
+            if self._settings.limits_memory
+            else LINGERING_TIMEOUT_S,
             on_made=self._connection_made,
             on_lost=self._connection_lost,
         )
@@ -274,7 +282,7 @@
             # Refused before any other work, which would cost as much as the refusal.
             self._tally.record_refused(organisation)
             response = self._refuse_overloaded()
-            _discard_rest(http_request, response)
+            self._discard_rest(http_request, response)
             return response
         request = self._codec.decode_request(
             http_request.method, http_request.raw_path, http_request.headers
@@ -312,7 +320,7 @@
                 sink.abort()
                 return sink.response
             response = self._refuse(request, refusal)
-            _discard_rest(http_request, response)
+            self._discard_rest(http_request, response)
             return response
         except CallerFailedError as error:
             self._log_request_end(request, received_at, error.code, runner)
@@ -533,6 +541,28 @@
         ):
             response.force_close()
 
+    def _discard_rest(
+        self, http_request: web.BaseRequest, response: web.Response
+    ) -> None:
+        """Close the connection after a refusal if a large body is still arriving.
+
+        Until its caller has read the refusal, the rest is dropped without being parsed.
+        A body of unknown length is large once as much of it has arrived.
+        """
+        if not self._settings.limits_memory:
+            return
+        length = http_request.content_length
+        content = http_request.content
+        size = content.total_bytes if length is None else length
+        protocol = http_request.protocol
+        if (
+            size > SMALL_BYTES
+            and not content.is_eof()
+            and isinstance(protocol, CallerConnection)
+        ):
+            response.force_close()
+            protocol.discard_rest()
+
     def _refuse_overloaded(self) -> web.Response:
         refusal = InstanceOverloadedError(
             f"the instance admits {self._admission.limit_per_s:.1f} requests a second "
@@ -608,23 +638,6 @@
         raise BodyMalformedError(f"the body is incomplete: {error}") from error
 
 
-def _discard_rest(http_request: web.BaseRequest, response: web.Response) -> None:
-    """Close the connection after a refusal if a large body is still arriving.
-
-    Until its caller has read the refusal, the rest is dropped without being parsed.
-    """
-    length = http_request.content_length
-    is_large = length is None or length > SMALL_BYTES
-    protocol = http_request.protocol
-    if (
-        is_large
-        and not http_request.content.is_eof()
-        and isinstance(protocol, CallerConnection)
-    ):
-        response.force_close()
-        protocol.discard_rest()
-
-
 def _no_memory() -> InstanceOverloadedError:
     return InstanceOverloadedError(
         "the bodies of requests take all the memory that the instance has for them",
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -114,7 +114,7 @@
         settings = self._settings
         timers = self._timers = Timers()
         self._turns = ReceiveTurns(self._metrics)
-        self._upstream = Upstream(self._turns)
+        self._upstream = Upstream(self._turns, limits_memory=settings.limits_memory)
         self._upstream.start()
         self._directory = Directory(self._codec, self._metrics)
         self._instances = Instances(
--- a/borageworks/gateway/settings.py
+++ b/borageworks/gateway/settings.py
@@ -99,3 +99,8 @@
     memory_at_rest_bytes: float | None = None
     peer_connections: int | None = None
     organisation_bodies: int | None = None
+
+    @property
+    def limits_memory(self) -> bool:
+        """Whether the memory of the process is limited."""
+        return math.isfinite(self.memory_bytes)
--- a/borageworks/gateway/tests/test_acceptor.py
+++ b/borageworks/gateway/tests/test_acceptor.py
@@ -52,6 +52,29 @@
             [b"hello"] * (LISTEN_BACKLOG // 2), self.run_scenario(scenario)
         )
 
+    def test_asks_for_room_only_for_waiting_connections(self):
+        """Guards against closing callers for connections that nobody opens."""
+        asked = []
+
+        def may_accept(opening):
+            asked.append(opening)
+            return True
+
+        async def main():
+            address = HostPort(HOST, free_ports(1)[0])
+            acceptor = Acceptor(address, GreetingProtocol, Metrics(), may_accept)
+            acceptor.start()
+            try:
+                acceptor._accept()
+                asked_before = len(asked)
+                await self.read_greeting(address)
+                return asked_before
+            finally:
+                acceptor.stop()
+
+        self.assertEqual(0, asyncio.run(main()))
+        self.assertEqual(1, len(asked))
+
     def test_polls_queue_without_readiness_event(self):
         """Guards against an event loop that does not report the socket as readable."""
 
--- a/borageworks/gateway/upstream.py
+++ b/borageworks/gateway/upstream.py
@@ -16,7 +16,7 @@
     SingleAttempt,
     always,
 )
-from borageworks.endpoints.sockets import open_socket
+from borageworks.endpoints.sockets import open_bounded_socket, open_socket
 from borageworks.gateway.endpoint import Endpoint
 from borageworks.receiving.loop_watch import LoopWatch
 from borageworks.receiving.turns import MAX_PIECE_BYTES, ReceiveTurns
@@ -43,10 +43,13 @@
     ----------
     turns
         Gives connections turns to process what they have received.
+    limits_memory
+        Whether to limit what the system keeps for endpoints that do not read.
     """
 
-    def __init__(self, turns: ReceiveTurns) -> None:
+    def __init__(self, turns: ReceiveTurns, *, limits_memory: bool = False) -> None:
         self._turns = turns
+        self._open_socket = open_bounded_socket if limits_memory else open_socket
         self._pooled: aiohttp.ClientSession | None = None
         self._unpooled: aiohttp.ClientSession | None = None
 
@@ -62,12 +65,12 @@
                 self._turns,
                 limit=0,
                 keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-                socket_factory=open_socket,
+                socket_factory=self._open_socket,
             )
         )
         self._unpooled = _new_session(
             BoundedConnector(
-                self._turns, limit=0, force_close=True, socket_factory=open_socket
+                self._turns, limit=0, force_close=True, socket_factory=self._open_socket
             )
         )
 
--- a/borageworks/receiving/tests/test_memory_account.py
+++ b/borageworks/receiving/tests/test_memory_account.py
@@ -127,6 +127,7 @@
         for item in asking:
             item.enter(0.0, Phase.RUNNING)
             shortage = self.account.take_response(0.0, item, MIB)
+            assert isinstance(shortage, Shortage)
             for victim in shortage.victims:
                 victim.ended = True
         self.assertEqual(1, sum(item.ended for item in holdings))
--- a/borageworks_emulator/platform/tests/test_caller_limits.py
+++ b/borageworks_emulator/platform/tests/test_caller_limits.py
@@ -1,6 +1,7 @@
 """Tests of limits on what one peer address or organisation may have open."""
 
 import asyncio
+import math
 from unittest import mock
 
 import aiohttp
@@ -50,6 +51,36 @@
         refused, served = self.run_with("limits.organisation_bodies", scenario)
         self.assertEqual((503, [200, 200]), (refused, served))
 
+    def test_refused_small_bodies_of_unknown_length(self):
+        """Guards against closing connections whose refused bodies are small."""
+
+        async def main(memory_bytes):
+            endpoint = EmulatedEndpoint("d", lambda _run: Behaviour(plain_body=True))
+            async with Harness(
+                {PLAIN_SERVICE: [endpoint]}, memory_bytes=memory_bytes
+            ) as harness:
+                port = harness.ports[0]
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                headers = harness.request_headers(Transfer_Encoding="chunked")
+                head = "".join(
+                    f"{name}: {value}\r\n" for name, value in headers.items()
+                )
+                refused = []
+                for _ in range(2):
+                    writer.write(
+                        f"POST /none HTTP/1.1\r\n{head}\r\n1\r\nx\r\n".encode()
+                    )
+                    response = await reader.readuntil(b"\r\n\r\n")
+                    refused.append(int(response.split(b" ")[1]))
+                    length = response.lower().split(b"content-length: ")[1]
+                    await reader.readexactly(int(length.split(b"\r\n")[0]))
+                    writer.write(b"0\r\n\r\n")
+                writer.close()
+                return refused
+
+        for memory_bytes in (math.inf, 1e9):
+            self.assertEqual([404, 404], asyncio.run(main(memory_bytes)))
+
     def test_connections_of_a_peer(self):
         """Guards against one peer that takes all connections."""
 
