Count and limit the heads of requests that are incomplete

max_header_bytes limited each line only. The library allows 128 lines, so that one connection could keep 8 MB in its parser, and no account counted it.

With a memory limit, a connection whose incomplete head exceeds max_header_bytes and one piece is closed and counted as a malformed request. Bytes of incomplete heads count as buffered. What arrives while a request is handled, or while its body is read, is not counted: a head pipelined behind a request is not counted until that request has ended.

--- a/borageworks/api/connection.py
+++ b/borageworks/api/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from aiohttp import web
@@ -42,6 +43,8 @@
     __slots__ = (
         "_count_refusal",
         "_discarding",
+        "_head_bytes",
+        "_max_head_bytes",
         "_on_lost",
         "_on_made",
         "_peer",
@@ -64,6 +67,7 @@
         turns: ReceiveTurns,
         *,
         max_line_bytes: int = MAX_LINE_BYTES,
+        max_head_bytes: float = math.inf,
         idle_timeout_s: float = KEEP_ALIVE_TIMEOUT_S,
         discard_timeout_s: float = LINGERING_TIMEOUT_S,
         on_made: ConnectionCallback | None = None,
@@ -97,6 +101,9 @@
         self._request_in_progress = False
         self._receiving = False
         self._discarding = False
+        # What the parser keeps of the head of a request that is incomplete.
+        self._head_bytes = 0
+        self._max_head_bytes = max_head_bytes
 
     @property
     def peer(self) -> str:
@@ -142,6 +149,32 @@
         self._received_at = self._loop.time()
         super().data_received(data)
 
+    def _process(self, data: bytes) -> None:
+        super()._process(data)
+        self._count_head(len(data))
+
+    def _count_head(self, size: int) -> None:
+        """Count bytes of an incomplete head, and close the connection over the limit.
+
+        The library limits lines and their number only, which allows 8 MB. Bytes are
+        those of a head while the library waits for a request: not while one is handled,
+        or the rest of its body is read, so that pipelined requests are not counted.
+        """
+        waits = self._waiter is not None and not self._waiter.done()
+        head_bytes = self._head_bytes + size if waits and not self._messages else 0
+        self._set_head_bytes(head_bytes)
+        # The piece in which a head ends may contain other bytes.
+        if head_bytes > self._max_head_bytes + MAX_PIECE_BYTES:
+            self._count_refusal(
+                RequestMalformedError(f"the head is over {self._max_head_bytes} bytes")
+            )
+            self.discard_unprocessed()
+            self.abort()
+
+    def _set_head_bytes(self, size: int) -> None:
+        self._turns.record_heads(size - self._head_bytes)
+        self._head_bytes = size
+
     def discard_rest(self) -> None:
         """Read and drop what still arrives until the connection is closed."""
         self._discarding = True
@@ -164,6 +197,7 @@
         """
         self.discard_unprocessed()
         super().connection_lost(exc)
+        self._set_head_bytes(0)
         if self._on_lost is not None:
             self._on_lost(self)
 
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -201,12 +202,14 @@
         assert self._server is not None
         deployment = self._directory.deployment
         limits = deployment.limits if deployment is not None else None
+        header_bytes = limits.header_bytes if limits else INITIAL_MAX_HEADER_BYTES
         connection = CallerConnection(
             self._server,
             asyncio.get_running_loop(),
             self._count_refusal,
             self._turns,
-            max_line_bytes=limits.header_bytes if limits else INITIAL_MAX_HEADER_BYTES,
+            max_line_bytes=header_bytes,
+            max_head_bytes=header_bytes if self._settings.limits_memory else math.inf,
             idle_timeout_s=limits.idle_timeout_s if limits else INITIAL_IDLE_TIMEOUT_S,
             discard_timeout_s=DISCARD_TIMEOUT_S
             if self._settings.limits_memory
--- a/borageworks/receiving/turns.py
+++ b/borageworks/receiving/turns.py
@@ -76,6 +76,7 @@
         # In the order of their turns; a dict, as each connection waits at most once.
         self._waiting: dict[WaitingConnection, None] = {}
         self._paused: set[BufferingConnection] = set()
+        self._head_bytes = 0
         self._running = False
         self._handle: asyncio.Handle | None = None
 
@@ -84,6 +85,15 @@
         """Names what has held the loop."""
         return self._watch
 
+    @property
+    def head_bytes(self) -> int:
+        """Bytes that parsers keep of incomplete heads of requests."""
+        return self._head_bytes
+
+    def record_heads(self, change: int) -> None:
+        """Record by how much what parsers keep of incomplete heads has changed."""
+        self._head_bytes += change
+
     def review_paused(self) -> int:
         """Close paused connections whose peer has left.
 
@@ -92,12 +102,14 @@
         Returns
         -------
         int
-            Bytes that the others have received and not processed.
+            Bytes that the others have received and not processed, and those of
+            incomplete heads.
         """
         for connection in _find_left(self._paused):
             self._metrics.count("paused_connections_left")
             connection.abort()
-        return sum(connection.buffered_bytes for connection in self._paused)
+        unprocessed = sum(connection.buffered_bytes for connection in self._paused)
+        return unprocessed + self._head_bytes
 
     def record_paused(self, connection: BufferingConnection) -> None:
         """Record that nothing more is read from a connection for now."""
