Take no transfer for stalled that could not move or holds nothing

After the process itself had stood still for a second, the limit of connections took all unfinished uploads for stalled. Requests that hold no bytes were chosen as stalled, though their end makes no room.

After a pause no upload is closed for descriptors for a second. The pause is now looked for before each decision too, since connections that are ready are handled before the timer that observed it. Stalled transfers are only those that hold bytes.

The three new tests failed before, two of them as the methods they use are new.

--- a/borageworks/gateway/connection_limit.py
+++ b/borageworks/gateway/connection_limit.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Hashable
 from typing import Generic, TypeVar
@@ -61,6 +62,7 @@
         # Those of them whose request is not complete, with the time of their last
         # progress, in its order.
         self._unfinished: OrderedDict[Connection, float] = OrderedDict()
+        self._resumed_at = -math.inf
 
     @property
     def limit(self) -> int:
@@ -121,9 +123,18 @@
         """Add a connection again that was to be closed and is in use."""
         self._idle[connection] = now
 
+    def record_pause(self, now: float) -> None:
+        """Record that the process has stood still until now.
+
+        Bodies may have been waiting for it, so that none counts as stalled for a while.
+        """
+        self._resumed_at = now
+
     def take_stalled(self, now: float) -> list[Connection]:
         """Return connections to close whose requests make no progress."""
         to_close: list[Connection] = []
+        if now - self._resumed_at < MIN_IDLE_S:
+            return to_close
         while self._unfinished and self.count >= self._limit:
             connection, since = next(iter(self._unfinished.items()))
             if now - since < MIN_IDLE_S:
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -233,6 +233,7 @@
     def _may_accept(self, opening: int) -> bool:
         """Close connections of no use if needed; return whether another one fits."""
         now = asyncio.get_running_loop().time()
+        self._body_budget.detect_pause(now)
         for stalled in self._connection_limit.take_stalled(now):
             self._rejections.record("descriptors", stalled.peer, "", phase="receiving")
             stalled.abort()
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -206,6 +206,7 @@
             self._turns.review_paused,
             rejections,
             self._metrics,
+            self._connection_limit.record_pause,
         )
         self._frontend = Frontend(
             settings,
--- a/borageworks/gateway/tests/test_connection_limit.py
+++ b/borageworks/gateway/tests/test_connection_limit.py
@@ -2,7 +2,11 @@
 
 from testtools import TestCase
 
-from borageworks.gateway.connection_limit import ConnectionLimit, max_caller_connections
+from borageworks.gateway.connection_limit import (
+    MIN_IDLE_S,
+    ConnectionLimit,
+    max_caller_connections,
+)
 
 
 class ConnectionLimitTest(TestCase):
@@ -40,6 +44,18 @@
         for number in range(30):
             self.assertEqual([], limit.open(number * 0.01, number))
 
+    def test_bodies_that_waited_for_the_process(self):
+        """Guards against closing all uploads after a pause of the process."""
+        limit = ConnectionLimit[int](3)
+        for number in range(3):
+            limit.open(0.0, number)
+            limit.begin_request(number)
+            limit.begin_body(0.0, number)
+        limit.record_pause(5.0)
+        self.assertEqual([], limit.take_stalled(5.0))
+        limit.record_progress(5.5, 0)
+        self.assertEqual([1], limit.take_stalled(5.0 + MIN_IDLE_S))
+
     def test_callers_are_warned_before_the_limit(self):
         """Guards against closing connections that callers are about to use."""
         limit = ConnectionLimit[int](100)
--- a/borageworks/receiving/body_budget.py
+++ b/borageworks/receiving/body_budget.py
@@ -65,6 +65,8 @@
     metrics
         Shows `body_bytes`, `buffered_bytes` and `memory_limit_bytes`, and counts
         `bodies_denied` by what was denied.
+    on_pause
+        Called with the time when the process had stood still until then.
     """
 
     def __init__(
@@ -74,7 +76,9 @@
         review_buffers: Callable[[], int],
         rejections: Rejections,
         metrics: Metrics,
+        on_pause: Callable[[float], None] = lambda _now: None,
     ) -> None:
+        self._on_pause = on_pause
         self._memory_bytes = memory_bytes
         self._measures = at_rest_bytes is None
         self._review_buffers = review_buffers
@@ -168,6 +172,7 @@
         deadline = self._loop.time() + RELEASE_TIMEOUT_S
         while True:
             now = self._loop.time()
+            self.detect_pause(now)
             if (
                 self._account.is_half_full
                 and now - self._buffers_observed_at > FULL_OBSERVE_INTERVAL_S
@@ -222,10 +227,19 @@
         """Record bytes of a request's body."""
         holding.record_received(self._loop.time(), size)
 
+    def detect_pause(self, now: float) -> None:
+        """Notice whether the process stood still until `now`.
+
+        Connections that became ready meanwhile are handled before the timer that
+        observes the account, so whoever judges progress calls this first.
+        """
+        if self._account.observe(now, OBSERVE_INTERVAL_S):
+            self._on_pause(now)
+
     def _observe(self, now: float) -> None:
         if self._account.is_empty:
             self._measure_rest()
-        self._account.observe(now, OBSERVE_INTERVAL_S)
+        self.detect_pause(now)
         self._observe_buffers(now)
         for holding in self._account.sending():
             unsent = self._allowances[holding.number].connection.unsent_bytes
--- a/borageworks/receiving/memory_account.py
+++ b/borageworks/receiving/memory_account.py
@@ -190,15 +190,17 @@
         """Record what connections have buffered."""
         self._buffered_bytes = buffered_bytes
 
-    def observe(self, now: float, interval: float) -> None:
-        """Record whether the process stood still since the last call.
+    def observe(self, now: float, interval: float) -> bool:
+        """Record and return whether the process stood still since the last call.
 
         After a pause of the process all transfers count as having made progress, as
         their bytes may have been waiting.
         """
-        if now - self._observed_at > 2.0 * interval:
+        stood_still = now - self._observed_at > 2.0 * interval
+        if stood_still:
             self._resumed_at = now
         self._observed_at = now
+        return stood_still
 
     def record_unsent(self, now: float, holding: Holding, size: int) -> None:
         """Record how many bytes of a response wait for its caller."""
@@ -312,6 +314,7 @@
             for item in self._holdings.values()
             if item is not asking
             and not item.ended
+            and item.held_bytes > 0
             and item.phase is not Phase.RUNNING
             and item.progress_at <= before
         ]
--- a/borageworks/receiving/tests/test_body_budget.py
+++ b/borageworks/receiving/tests/test_body_budget.py
@@ -35,6 +35,21 @@
 
 
 class BodyBudgetTest(TestCase):
+    def test_pause_is_noticed_before_the_timer(self):
+        """Guards against closing callers for a pause that is not noticed yet."""
+        pauses: list[float] = []
+
+        async def main():
+            metrics = Metrics()
+            budget = BodyBudget(
+                math.inf, 0.0, lambda: 0, Rejections(metrics), metrics, pauses.append
+            )
+            for now in (100.0, 100.1, 102.0):
+                budget.detect_pause(now)
+
+        asyncio.run(main())
+        self.assertEqual([100.0, 102.0], pauses)
+
     def test_response_that_is_complete_before_it_is_ended(self):
         """Guards against resetting complete responses that are being delivered."""
 
--- a/borageworks/receiving/tests/test_memory_account.py
+++ b/borageworks/receiving/tests/test_memory_account.py
@@ -132,6 +132,15 @@
                 victim.ended = True
         self.assertEqual(1, sum(item.ended for item in holdings))
 
+    def test_requests_that_hold_nothing_do_not_give_way(self):
+        """Guards against closing requests whose end makes no room."""
+        empty = self.account.open(0.0)
+        holdings = self.fill()
+        self.observe_until(LATER)
+        _, shortage = self.upload(LARGEST_BYTES, LATER)
+        self.assertEqual(Shortage((holdings[0],)), shortage)
+        self.assertEqual(0, empty.held_bytes)
+
     def test_buffers_of_connections_count(self):
         """Guards against bytes in the system and the HTTP library beside bodies."""
         room = len(self.fill())
