Measure memory at rest also under constant load

The resident size was measured only while no request was open, which under constant load is never, so that the limit followed from the start of the process alone.

With a memory limit it is now measured whenever requests and buffers hold less than 4 MiB, as the resident size less what requests hold. Announced bytes that have not arrived are subtracted too, so that the limit may be up to 4 MiB too high.

The new test failed before.

--- a/borageworks/receiving/body_budget.py
+++ b/borageworks/receiving/body_budget.py
@@ -57,7 +57,7 @@
     memory_bytes
         Memory that the process may use, infinite if there is no limit.
     at_rest_bytes
-        Resident memory at rest, None to measure it whenever no request is open.
+        Resident memory at rest, None to measure it whenever little is held.
     review_buffers
         Returns the received bytes that no request accounts for.
     rejections
@@ -237,7 +237,7 @@
             self._on_pause(now)
 
     def _observe(self, now: float) -> None:
-        if self._account.is_empty:
+        if self._can_measure:
             self._measure_rest()
         self.detect_pause(now)
         self._observe_buffers(now)
@@ -249,15 +249,27 @@
         self._buffers_observed_at = now
         self._account.set_buffered(self._review_buffers())
 
+    @property
+    def _can_measure(self) -> bool:
+        """Whether what is held is known and little.
+
+        Under constant load some request is always open.
+        """
+        used_bytes = self._account.held_bytes + self._account.buffered_bytes
+        return self._account.is_empty or (
+            math.isfinite(self._memory_bytes) and used_bytes < GROWTH_BYTES
+        )
+
     def _measure_rest(self) -> None:
         if not self._measures:
             return
         resident = resident_bytes()
-        if resident > self._at_rest_bytes + GROWTH_BYTES:
+        held = self._account.held_bytes
+        if resident > self._at_rest_bytes + held + GROWTH_BYTES:
             return_free_pages()
             resident = resident_bytes()
-        self._at_rest_bytes = resident
-        self._account.set_limits(MemoryLimits(self._memory_bytes, resident))
+        self._at_rest_bytes = resident - held
+        self._account.set_limits(MemoryLimits(self._memory_bytes, self._at_rest_bytes))
 
     def _set_gauges(self) -> None:
         self._metrics.gauge("body_bytes", self._account.held_bytes)
--- a/borageworks/receiving/tests/test_body_budget.py
+++ b/borageworks/receiving/tests/test_body_budget.py
@@ -50,6 +50,25 @@
         asyncio.run(main())
         self.assertEqual([100.0, 102.0], pauses)
 
+    def test_memory_at_rest_is_measured_under_load(self):
+        """Guards against a limit that follows the start alone under constant load."""
+
+        async def main():
+            metrics = Metrics()
+            rejections = Rejections(metrics)
+            budget = BodyBudget(100 * MIB, None, lambda: 0, rejections, metrics)
+            resident = 50 * MIB
+            with mock.patch.object(body_budget, "resident_bytes", lambda: resident):
+                budget._measure_rest()
+                before = budget._account.limit_bytes
+                with budget.open(Connection()) as allowance:
+                    await allowance.take_request(MIB, announced=True)
+                    resident = 61 * MIB
+                    budget._observe(0.25)
+                return before - budget._account.limit_bytes
+
+        self.assertEqual(10 * MIB, asyncio.run(main()))
+
     def test_response_that_is_complete_before_it_is_ended(self):
         """Guards against resetting complete responses that are being delivered."""
 
