--- a/borageworks/api/connection.py
+++ b/borageworks/api/connection.py
@@ -212,6 +212,15 @@
             transport.close()
             self._loop.call_later(ABORT_TIMEOUT_S, transport.abort)
 
+    async def start(self) -> None:
+        """Handle requests until the connection is closed."""
+        try:
+            await super().start()
+        finally:
+            transport = self.transport
+            if transport is not None and transport.is_closing():
+                self._abort_if_unread(transport)
+
     def force_close(self) -> None:
         """Close the connection; complete responses are still sent to a reader."""
         transport = self.transport
--- a/borageworks/receiving/tests/test_unread_responses.py
+++ b/borageworks/receiving/tests/test_unread_responses.py
@@ -59,6 +59,17 @@
         """Guards against cut responses that keep memory and descriptor for good."""
         self.assertTrue(self.is_lost_after(lambda _request, sink: sink.abort()))
 
+    def test_last_response(self):
+        """Guards against closed connections whose last response nobody reads."""
+
+        def close(request, sink):
+            # Otherwise the handler itself waits for the caller.
+            request.transport.set_write_buffer_limits(high=2 * RESPONSE_BYTES)
+            request.protocol.resume_writing()
+            sink.response.force_close()
+
+        self.assertTrue(self.is_lost_after(close))
+
     def test_forced_close(self):
         """Guards against connections whose closing waits without limit."""
         self.assertTrue(
