--- a/borageworks/api/connection.py
+++ b/borageworks/api/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from aiohttp import web
@@ -23,6 +24,10 @@
 # Time in which the rest of a refused request is discarded, so that its caller reads the
 # refusal before the connection is reset.
 DISCARD_TIMEOUT_S = 1.0
+# The same without a limit on memory; the default of the library.
+LINGERING_TIMEOUT_S = 10.0
+# Time for a caller to read what is left of a response that is cut.
+ABORT_TIMEOUT_S = 1.0
 
 RefusalCounter = Callable[[RefusalError], None]
 ConnectionCallback = Callable[["CallerConnection"], None]
@@ -38,6 +43,8 @@
     __slots__ = (
         "_count_refusal",
         "_discarding",
+        "_head_bytes",
+        "_max_head_bytes",
         "_on_lost",
         "_on_made",
         "_peer",
@@ -60,7 +67,9 @@
         turns: ReceiveTurns,
         *,
         max_line_bytes: int = MAX_LINE_BYTES,
+        max_head_bytes: float = math.inf,
         idle_timeout_s: float = KEEP_ALIVE_TIMEOUT_S,
+        discard_timeout_s: float = LINGERING_TIMEOUT_S,
         on_made: ConnectionCallback | None = None,
         on_lost: ConnectionCallback | None = None,
     ) -> None:
@@ -73,7 +82,7 @@
             keepalive_timeout=idle_timeout_s,
             auto_decompress=False,
             read_bufsize=READ_BUFFER_BYTES,
-            lingering_time=DISCARD_TIMEOUT_S,
+            lingering_time=discard_timeout_s,
         )
         self._turns = turns
         self._unprocessed = bytearray()
@@ -92,6 +101,9 @@
         self._request_in_progress = False
         self._receiving = False
         self._discarding = False
+        # What the parser keeps of the head of a request that is incomplete.
+        self._head_bytes = 0
+        self._max_head_bytes = max_head_bytes
 
     @property
     def peer(self) -> str:
@@ -137,6 +149,32 @@
         self._received_at = self._loop.time()
         super().data_received(data)
 
+    def _process(self, data: bytes) -> None:
+        super()._process(data)
+        self._count_head(len(data))
+
+    def _count_head(self, size: int) -> None:
+        """Count bytes of an incomplete head, and close the connection over the limit.
+
+        The library limits lines and their number only, which allows 8 MB. Bytes are
+        those of a head while the library waits for a request: not while one is handled,
+        or the rest of its body is read, so that pipelined requests are not counted.
+        """
+        waits = self._waiter is not None and not self._waiter.done()
+        head_bytes = self._head_bytes + size if waits and not self._messages else 0
+        self._set_head_bytes(head_bytes)
+        # The piece in which a head ends may contain other bytes.
+        if head_bytes > self._max_head_bytes + MAX_PIECE_BYTES:
+            self._count_refusal(
+                RequestMalformedError(f"the head is over {self._max_head_bytes} bytes")
+            )
+            self.discard_unprocessed()
+            self.abort()
+
+    def _set_head_bytes(self, size: int) -> None:
+        self._turns.record_heads(size - self._head_bytes)
+        self._head_bytes = size
+
     def discard_rest(self) -> None:
         """Read and drop what still arrives until the connection is closed."""
         self._discarding = True
@@ -159,9 +197,50 @@
         """
         self.discard_unprocessed()
         super().connection_lost(exc)
+        self._set_head_bytes(0)
         if self._on_lost is not None:
             self._on_lost(self)
 
+    def close_cut(self) -> None:
+        """Close the connection on which a response is cut.
+
+        What was written is sent for `ABORT_TIMEOUT_S` at most. Otherwise a caller that
+        does not read would keep the buffer and the descriptor without limit.
+        """
+        transport = self.transport
+        if transport is not None:
+            transport.close()
+            self._loop.call_later(ABORT_TIMEOUT_S, transport.abort)
+
+    async def start(self) -> None:
+        """Handle requests until the connection is closed."""
+        try:
+            await super().start()
+        finally:
+            transport = self.transport
+            if transport is not None and transport.is_closing():
+                self._abort_if_unread(transport)
+
+    def force_close(self) -> None:
+        """Close the connection; complete responses are still sent to a reader."""
+        transport = self.transport
+        super().force_close()
+        if transport is not None:
+            self._abort_if_unread(transport)
+
+    def _abort_if_unread(self, transport: asyncio.Transport) -> None:
+        """Abort a closing transport when its caller takes nothing for a while."""
+        unsent = transport.get_write_buffer_size()
+
+        def check() -> None:
+            if 0 < transport.get_write_buffer_size() < unsent:
+                self._abort_if_unread(transport)
+            else:
+                transport.abort()
+
+        if unsent:
+            self._loop.call_later(ABORT_TIMEOUT_S, check)
+
     def close_if_idle(self) -> bool:
         """Close the connection unless a request is handled or being received.
 
@@ -174,6 +253,7 @@
         busy = self._request_in_progress or self._receiving or bool(self._messages)
         if not busy and self.transport is not None:
             self.transport.close()
+            self._abort_if_unread(self.transport)
         return not busy
 
     def close_if_stalled(self, silent_s: float) -> bool:
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
-from borageworks.api.connection import CallerConnection
+from borageworks.api.connection import (
+    DISCARD_TIMEOUT_S,
+    LINGERING_TIMEOUT_S,
+    CallerConnection,
+)
 from borageworks.api.problem import problem_response
 from borageworks.api.sink import ResponseSink
 from borageworks.events import Event, emit
@@ -159,6 +164,7 @@
             self._new_protocol,
             self._metrics,
             self._may_accept,
+            limits_memory=self._settings.limits_memory,
         )
         self._acceptor.start()
 
@@ -196,13 +202,18 @@
         assert self._server is not None
         deployment = self._directory.deployment
         limits = deployment.limits if deployment is not None else None
+        header_bytes = limits.header_bytes if limits else INITIAL_MAX_HEADER_BYTES
         connection = CallerConnection(
             self._server,
             asyncio.get_running_loop(),
             self._count_refusal,
             self._turns,
-            max_line_bytes=limits.header_bytes if limits else INITIAL_MAX_HEADER_BYTES,
+            max_line_bytes=header_bytes,
+            max_head_bytes=header_bytes if self._settings.limits_memory else math.inf,
             idle_timeout_s=limits.idle_timeout_s if limits else INITIAL_IDLE_TIMEOUT_S,
+            discard_timeout_s=DISCARD_TIMEOUT_S
+            if self._settings.limits_memory
+            else LINGERING_TIMEOUT_S,
             on_made=self._connection_made,
             on_lost=self._connection_lost,
         )
@@ -222,6 +233,7 @@
     def _may_accept(self, opening: int) -> bool:
         """Close connections of no use if needed; return whether another one fits."""
         now = asyncio.get_running_loop().time()
+        self._body_budget.detect_pause(now)
         for stalled in self._connection_limit.take_stalled(now):
             self._rejections.record("descriptors", stalled.peer, "", phase="receiving")
             stalled.abort()
@@ -274,7 +286,7 @@
             # Refused before any other work, which would cost as much as the refusal.
             self._tally.record_refused(organisation)
             response = self._refuse_overloaded()
-            _discard_rest(http_request, response)
+            self._discard_rest(http_request, response)
             return response
         request = self._codec.decode_request(
             http_request.method, http_request.raw_path, http_request.headers
@@ -312,7 +324,7 @@
                 sink.abort()
                 return sink.response
             response = self._refuse(request, refusal)
-            _discard_rest(http_request, response)
+            self._discard_rest(http_request, response)
             return response
         except CallerFailedError as error:
             self._log_request_end(request, received_at, error.code, runner)
@@ -449,6 +461,10 @@
             self._organisation_bodies.release(organisation)
             protocol.body_accounted = protocol.receiving_body = False
             allowance.begin_running()
+        if allowance.ended:
+            # The body was completed in the iteration of the loop in which it was
+            # chosen, before the timeout took effect.
+            raise _no_memory()
         return body
 
     async def _receive_body(
@@ -529,6 +545,28 @@
         ):
             response.force_close()
 
+    def _discard_rest(
+        self, http_request: web.BaseRequest, response: web.Response
+    ) -> None:
+        """Close the connection after a refusal if a large body is still arriving.
+
+        Until its caller has read the refusal, the rest is dropped without being parsed.
+        A body of unknown length is large once as much of it has arrived.
+        """
+        if not self._settings.limits_memory:
+            return
+        length = http_request.content_length
+        content = http_request.content
+        size = content.total_bytes if length is None else length
+        protocol = http_request.protocol
+        if (
+            size > SMALL_BYTES
+            and not content.is_eof()
+            and isinstance(protocol, CallerConnection)
+        ):
+            response.force_close()
+            protocol.discard_rest()
+
     def _refuse_overloaded(self) -> web.Response:
         refusal = InstanceOverloadedError(
             f"the instance admits {self._admission.limit_per_s:.1f} requests a second "
@@ -604,23 +642,6 @@
         raise BodyMalformedError(f"the body is incomplete: {error}") from error
 
 
-def _discard_rest(http_request: web.BaseRequest, response: web.Response) -> None:
-    """Close the connection after a refusal if a large body is still arriving.
-
-    Until its caller has read the refusal, the rest is dropped without being parsed.
-    """
-    length = http_request.content_length
-    is_large = length is None or length > SMALL_BYTES
-    protocol = http_request.protocol
-    if (
-        is_large
-        and not http_request.content.is_eof()
-        and isinstance(protocol, CallerConnection)
-    ):
-        response.force_close()
-        protocol.discard_rest()
-
-
 def _no_memory() -> InstanceOverloadedError:
     return InstanceOverloadedError(
         "the bodies of requests take all the memory that the instance has for them",
--- a/borageworks/receiving/body_budget.py
+++ b/borageworks/receiving/body_budget.py
@@ -57,7 +57,7 @@
     memory_bytes
         Memory that the process may use, infinite if there is no limit.
     at_rest_bytes
-        Resident memory at rest, None to measure it whenever no request is open.
+        Resident memory at rest, None to measure it whenever little is held.
     review_buffers
         Returns the received bytes that no request accounts for.
     rejections
@@ -65,6 +65,8 @@
     metrics
         Shows `body_bytes`, `buffered_bytes` and `memory_limit_bytes`, and counts
         `bodies_denied` by what was denied.
+    on_pause
+        Called with the time when the process had stood still until then.
     """
 
     def __init__(
@@ -74,7 +76,9 @@
         review_buffers: Callable[[], int],
         rejections: Rejections,
         metrics: Metrics,
+        on_pause: Callable[[float], None] = lambda _now: None,
     ) -> None:
+        self._on_pause = on_pause
         self._memory_bytes = memory_bytes
         self._measures = at_rest_bytes is None
         self._review_buffers = review_buffers
@@ -127,6 +131,15 @@
         """Take back all that a request holds."""
         self._account.close(holding)
         self._allowances.pop(holding.number, None)
+        self._wake_waiting()
+
+    def keep(self, holding: Holding) -> None:
+        """Record that a request that was to be ended goes on."""
+        if holding.ended:
+            holding.ended = False
+            self._wake_waiting()
+
+    def _wake_waiting(self) -> None:
         if self._released is not None and not self._released.done():
             self._released.set_result(None)
 
@@ -159,6 +172,7 @@
         deadline = self._loop.time() + RELEASE_TIMEOUT_S
         while True:
             now = self._loop.time()
+            self.detect_pause(now)
             if (
                 self._account.is_half_full
                 and now - self._buffers_observed_at > FULL_OBSERVE_INTERVAL_S
@@ -213,10 +227,19 @@
         """Record bytes of a request's body."""
         holding.record_received(self._loop.time(), size)
 
+    def detect_pause(self, now: float) -> None:
+        """Notice whether the process stood still until `now`.
+
+        Connections that became ready meanwhile are handled before the timer that
+        observes the account, so whoever judges progress calls this first.
+        """
+        if self._account.observe(now, OBSERVE_INTERVAL_S):
+            self._on_pause(now)
+
     def _observe(self, now: float) -> None:
-        if self._account.is_empty:
+        if self._can_measure:
             self._measure_rest()
-        self._account.observe(now, OBSERVE_INTERVAL_S)
+        self.detect_pause(now)
         self._observe_buffers(now)
         for holding in self._account.sending():
             unsent = self._allowances[holding.number].connection.unsent_bytes
@@ -226,15 +249,27 @@
         self._buffers_observed_at = now
         self._account.set_buffered(self._review_buffers())
 
+    @property
+    def _can_measure(self) -> bool:
+        """Whether what is held is known and little.
+
+        Under constant load some request is always open.
+        """
+        used_bytes = self._account.held_bytes + self._account.buffered_bytes
+        return self._account.is_empty or (
+            math.isfinite(self._memory_bytes) and used_bytes < GROWTH_BYTES
+        )
+
     def _measure_rest(self) -> None:
         if not self._measures:
             return
         resident = resident_bytes()
-        if resident > self._at_rest_bytes + GROWTH_BYTES:
+        held = self._account.held_bytes
+        if resident > self._at_rest_bytes + held + GROWTH_BYTES:
             return_free_pages()
             resident = resident_bytes()
-        self._at_rest_bytes = resident
-        self._account.set_limits(MemoryLimits(self._memory_bytes, resident))
+        self._at_rest_bytes = resident - held
+        self._account.set_limits(MemoryLimits(self._memory_bytes, self._at_rest_bytes))
 
     def _set_gauges(self) -> None:
         self._metrics.gauge("body_bytes", self._account.held_bytes)
@@ -303,7 +338,12 @@
         self._budget.enter(self._holding, Phase.RUNNING)
 
     def begin_sending(self) -> None:
-        """Record that the response is being sent."""
+        """Record that the response is being sent.
+
+        A response that became complete after it was chosen to be ended is delivered,
+        and may be chosen again if its caller stalls.
+        """
+        self._budget.keep(self._holding)
         self._budget.enter(self._holding, Phase.SENDING)
 
     def record_received(self, size: int) -> None:
@@ -318,7 +358,8 @@
         """Take bytes for the body of a response; return False if there are none."""
         if self._holding.ended:
             return False
-        return await self._budget.take_response(self._holding, size)
+        taken = await self._budget.take_response(self._holding, size)
+        return taken and not self._holding.ended
 
     def end(self) -> None:
         """End the request.
@@ -331,10 +372,14 @@
             if not self._receiving.expired():
                 self._receiving.reschedule(loop.time())
         elif self._holding.phase is Phase.RUNNING:
-            loop.call_later(GIVE_WAY_S, self._abort)
+            loop.call_later(GIVE_WAY_S, self._abort_if_running)
         else:
             self._abort()
 
+    def _abort_if_running(self) -> None:
+        if self._holding.phase is Phase.RUNNING:
+            self._abort()
+
     def _abort(self) -> None:
         if not self._closed:
             self._connection.abort()
--- a/borageworks/receiving/memory_account.py
+++ b/borageworks/receiving/memory_account.py
@@ -190,15 +190,17 @@
         """Record what connections have buffered."""
         self._buffered_bytes = buffered_bytes
 
-    def observe(self, now: float, interval: float) -> None:
-        """Record whether the process stood still since the last call.
+    def observe(self, now: float, interval: float) -> bool:
+        """Record and return whether the process stood still since the last call.
 
         After a pause of the process all transfers count as having made progress, as
         their bytes may have been waiting.
         """
-        if now - self._observed_at > 2.0 * interval:
+        stood_still = now - self._observed_at > 2.0 * interval
+        if stood_still:
             self._resumed_at = now
         self._observed_at = now
+        return stood_still
 
     def record_unsent(self, now: float, holding: Holding, size: int) -> None:
         """Record how many bytes of a response wait for its caller."""
@@ -230,6 +232,10 @@
             holding.request_bytes += size
             self._held_bytes += size
             return Taken()
+        ending = self._ending(holding)
+        missing -= sum(item.held_bytes for item in ending)
+        if missing <= 0:
+            return Shortage(ending)
         victims = _enough(self._stalled(now, holding), missing)
         if not victims and not announced:
             newer = (
@@ -238,6 +244,7 @@
                 if item.phase is Phase.RECEIVING
                 and item.number > holding.number
                 and item.unknown_length
+                and not item.ended
             )
             victims = _enough(newer, missing)
         return Shortage(victims)
@@ -258,6 +265,10 @@
             holding.response_bytes += size
             self._held_bytes += size
             return Taken()
+        ending = self._ending(holding)
+        missing -= sum(item.held_bytes for item in ending)
+        if missing <= 0:
+            return Shortage(ending)
         victims = _enough(self._stalled(now, holding), missing)
         if not victims:
             largest = max(
@@ -281,6 +292,18 @@
         """Return the same for what may exceed the size of ordinary bodies."""
         return self._buffered_bytes + self._missing_small(size, ratio)
 
+    def _ending(self, asking: Holding) -> tuple[Holding, ...]:
+        """Return the requests that are being ended and have not given back yet.
+
+        If their room is enough, no further ones are ended for it: one shortage would
+        otherwise end a request for each that waits.
+        """
+        return tuple(
+            item
+            for item in self._holdings.values()
+            if item.ended and item is not asking
+        )
+
     def _stalled(self, now: float, asking: Holding) -> list[Holding]:
         """Return the stalled transfers, the longest without progress first."""
         before = now - STALLED_S
@@ -290,6 +313,8 @@
             item
             for item in self._holdings.values()
             if item is not asking
+            and not item.ended
+            and item.held_bytes > 0
             and item.phase is not Phase.RUNNING
             and item.progress_at <= before
         ]
