Compare the body limit with the memory that is left for large bodies

Cause: after the memory limits, the check compared with the whole memory of an instance, so that test_faults_of_the_other_files failed: 8 MB passed for enough. Change: what a gateway holds at rest is subtracted, and only the part for large bodies counts. Result: the test passes unchanged.

--- a/borageworks/config/deployment_check.py
+++ b/borageworks/config/deployment_check.py
@@ -17,11 +17,13 @@
 )
 from borageworks.gateway.route import RetryPolicy, Route
 from borageworks.gateway.settings import GatewaySettings
-from borageworks.receiving.memory_account import MemoryLimits
+from borageworks.receiving.memory_account import LARGE_REQUEST_RATIO, MemoryLimits
 
 # Characters that a request line cannot contain, or that end its path.
 NOT_IN_PATH = re.compile(r"[^\x21-\x7e]|[?#]")
 NOT_IN_HOST = re.compile(r"[^\x21-\x7e]|[/?#@*]")
+# A gateway holds at least this much at rest; how much more shows only once it runs.
+LEAST_AT_REST_BYTES = 38 * 1_048_576
 
 Rule = Callable[[DeploymentListing], Iterator[Finding]]
 
@@ -313,7 +315,8 @@
     listing: DeploymentListing, settings: GatewaySettings
 ) -> Iterator[Finding]:
     body_bytes = listing.deployment.limits.body_bytes
-    memory_bytes = MemoryLimits(settings.memory_bytes).account_bytes
+    limits = MemoryLimits(settings.memory_bytes, LEAST_AT_REST_BYTES)
+    memory_bytes = LARGE_REQUEST_RATIO * limits.account_bytes
     if body_bytes > memory_bytes:
         yield error(
             FindingCode.BODY_LIMIT_OVER_MEMORY,
