Limit the prefill of cached parts where engines come back cold

Change: for services with a cold limit, such requests spend at most a fifth of the recent prefill on cached parts and wait for their engine beyond that.

--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -26,6 +26,7 @@
 from borageworks.placement.prefill_speed import PrefillSpeed
 from borageworks.placement.prompt_cache import PromptCache
 from borageworks.placement.rate_limit import MIN_PER_S, RateLimit
+from borageworks.placement.recompute_budget import RecomputeBudget
 from borageworks.placement.selection import EndpointSelector
 from borageworks.placement.settings import PlacementSettings
 from borageworks.placement.share_tally import ShareReport
@@ -130,6 +131,9 @@
         # Time of the last sample of the service's prefill speed.
         self._sampled_at = -math.inf
         self._entitlements = Entitlements(settings.share_window_s)
+        self._recompute_budget = RecomputeBudget(
+            settings.share_window_s, settings.recompute_ratio
+        )
         self._prefill_speed = PrefillSpeed(DEFAULT_TOKENS_PER_S)
         self._capacity_ratio = 1.0
         self._limit_ratio = 1.0
@@ -588,7 +592,7 @@
         work = waiting.work
         if not self._is_worth_waiting(now, waiting):
             state = self._cheapest_with_room(now, work)
-            if state is not None:
+            if state is not None and self._may_recompute(now, state, work):
                 return [self._place(now, state, work)]
         self._waiting.add(now, waiting)
         self._give_priority(now, waiting)
@@ -601,7 +605,10 @@
         """
         work = waiting.work
         patience_s = _patience_s(work)
-        if waiting.has_priority or not self._is_worth_waiting(now, waiting):
+        if not self._may_recompute_any(now) and self._is_cached(now, work):
+            if waiting.preferred is None:
+                self._reselect_endpoint(now, waiting)
+        elif waiting.has_priority or not self._is_worth_waiting(now, waiting):
             self._waiting.prefer(waiting, None)
         else:
             patience_s *= self._preferred_wait_ratio
@@ -623,6 +630,48 @@
         wait_s = now - waiting.arrived_at + self._backlog_wait_s(now, state)
         return wait_s <= self._preferred_wait_ratio * _patience_s(work)
 
+    def _is_cached(self, now: float, work: Work) -> bool:
+        """Return whether a usable engine has the parts that a request shares."""
+        return any(
+            self._uncached_tokens(state, work) <= own_prompt_tokens(work)
+            for state in self._holders(now, work)
+        )
+
+    def _holders(self, now: float, work: Work) -> list[EndpointState]:
+        """Return the usable engines that have cached the last shared part."""
+        if work.prompt is None or len(work.prompt.parts) < 2:
+            return []
+        key = work.prompt.model, work.prompt.parts[-2].id
+        return [
+            state
+            for name in self._part_index.holders(key)
+            if (state := self._endpoints[name]).usable(now)
+            and work.may_run_at(state.endpoint)
+        ]
+
+    def _recomputed_tokens(self, now: float, state: EndpointState, work: Work) -> int:
+        """Return the tokens that an engine prefills although another has them."""
+        uncached = self._uncached_tokens(state, work)
+        if uncached <= own_prompt_tokens(work):
+            return 0
+        least = min(
+            (self._uncached_tokens(item, work) for item in self._holders(now, work)),
+            default=uncached,
+        )
+        return max(uncached - least, 0)
+
+    def _may_recompute(self, now: float, state: EndpointState, work: Work) -> bool:
+        return self._may_recompute_any(now) or not self._recomputed_tokens(
+            now, state, work
+        )
+
+    def _may_recompute_any(self, now: float) -> bool:
+        """Return whether requests below their share may leave the engine with a part.
+
+        Services whose engines come back cold have a limit on it.
+        """
+        return self._cold_rule is None or self._recompute_budget.allows(now)
+
     def _backlog_wait_s(self, now: float, state: EndpointState) -> float:
         """Return the seconds until the backlog of an engine admits a request."""
         seconds_per_token = self._seconds_per_token(now, state)
@@ -906,9 +955,13 @@
             work = waiting.work
             if waiting.uses_any_endpoint and work.prompt is not None:
                 state = freed or self._cheapest_with_room(now, work)
-                if state is not None and self._may_place(now, state, work):
+                if state is None or not self._may_place(now, state, work):
+                    continue
+                if self._may_recompute(now, state, work):
                     self._waiting.remove(now, work.key)
                     decisions.append(self._place(now, state, work))
+                else:
+                    self._reselect_endpoint(now, waiting)
                 continue
             if waiting.preferred is None or work.prompt is None:
                 self._reselect_endpoint(now, waiting)
@@ -1078,6 +1131,12 @@
     def _place(self, now: float, state: EndpointState, work: Work) -> Placed:
         self._waiting.charge(work.organisation, work.units)
         self._entitlements.record_placed(now, work.organisation, work.units)
+        if work.prompt is not None and self._cold_rule is not None:
+            self._recompute_budget.record(
+                now,
+                self._uncached_tokens(state, work),
+                self._recomputed_tokens(now, state, work),
+            )
         if state.rate_limit is not None:
             state.rate_limit.take(now)
         running = self._add_running(now, state, work)
--- a/borageworks/placement/settings.py
+++ b/borageworks/placement/settings.py
@@ -34,6 +34,9 @@
     cold_over, cold_slack
         A cold endpoint must not get more requests in any second than the number that it
         takes, multiplied by `cold_over` and extended by `cold_slack`.
+    recompute_ratio
+        Fraction of the prefill that requests below their share may spend on parts that
+        another engine has cached.
     """
 
     prefill_ahead_s: float = 0.08
@@ -48,3 +51,4 @@
     share_window_s: float = 4.0
     cold_over: float = 1.5
     cold_slack: float = 5.0
+    recompute_ratio: float = 0.2
