Tell refusals of admission control from those of placement in event 409

Cause: the line of the part `callers` counted every refused request, while docs/OPERATIONS.md and `borageworks shares` took them for refusals of an overloaded entry instance. Change: `not_admitted` names what admission control refused; `borageworks shares` counts only that as refusals of the entry, and nothing for lines that do not tell. Evidence: test_sums_what_was_owed_and_names_who_refused and test_tells_refusals_of_admission_control_from_others fail without it (2 failed, 3 passed), 5 passed with it.

--- a/borageworks/commands/shares.py
+++ b/borageworks/commands/shares.py
@@ -88,7 +88,10 @@
         case Event.ORGANISATIONS_REFUSED.number if len(amounts) == 2:
             if entry.fields.get("part") != "callers":
                 return []
-            requested, refused = amounts
+            not_admitted = entry.fields.get("not_admitted")
+            if not isinstance(not_admitted, dict):
+                return []
+            requested, refused = amounts[0], not_admitted.get(organisation, 0)
             # An entry instance does not know what an organisation is owed.
             values = (0, requested, requested - refused, refused, 0, 0)
             return [_Row(second, entry.instance, "entry", values)]
--- a/borageworks/commands/tests/test_shares.py
+++ b/borageworks/commands/tests/test_shares.py
@@ -32,7 +32,16 @@
                 13.0,
                 "edge-2",
                 part="callers",
-                organisations={"o": [10, 7], "p": [5, 5]},
+                organisations={"o": [10, 9], "p": [5, 5]},
+                not_admitted={"o": 7},
+            ),
+            # A line without the field does not tell who refused.
+            log_line(
+                Event.ORGANISATIONS_REFUSED,
+                13.5,
+                "edge-2",
+                part="callers",
+                organisations={"o": [10, 9]},
             ),
             log_line(Event.ORGANISATION_SHARES, 13.9, organisations={"o": ["x"]}),
             b"no event",
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -284,7 +284,7 @@
         self._tally.record_requested(organisation)
         if not self._admission.admit(received_at, organisation):
             # Refused before any other work, which would cost as much as the refusal.
-            self._tally.record_refused(organisation)
+            self._tally.record_refused(organisation, admitted=False)
             response = self._refuse_overloaded()
             self._discard_rest(http_request, response)
             return response
--- a/borageworks/gateway/organisation_tally.py
+++ b/borageworks/gateway/organisation_tally.py
@@ -17,6 +17,7 @@
 class _Counts:
     requested: float = 0.0
     refused: float = 0.0
+    not_admitted: float = 0.0
 
 
 class OrganisationTally:
@@ -39,9 +40,22 @@
         """Add an amount that an organisation requested."""
         self._counts_for(organisation).requested += amount
 
-    def record_refused(self, organisation: str, amount: float = 1.0) -> None:
-        """Add an amount that an organisation was refused."""
-        self._counts_for(organisation).refused += amount
+    def record_refused(
+        self, organisation: str, amount: float = 1.0, *, admitted: bool = True
+    ) -> None:
+        """Add an amount that an organisation was refused.
+
+        Parameters
+        ----------
+        organisation, amount
+            Organisation and amount.
+        admitted
+            Whether admission control had admitted it, and something else refused it.
+        """
+        counts = self._counts_for(organisation)
+        counts.refused += amount
+        if not admitted:
+            counts.not_admitted += amount
 
     def report(self, **fields: object) -> bool:
         """Log the amounts since the last report; return whether any was refused."""
@@ -58,6 +72,11 @@
                 name: [round(item.requested), round(item.refused)]
                 for name, item in named
             },
+            not_admitted={
+                name: round(item.not_admitted)
+                for name, item in named
+                if item.not_admitted
+            },
             others=[
                 len(rest),
                 round(sum(item.requested for _, item in rest)),
--- a/borageworks/gateway/tests/test_organisation_tally.py
+++ b/borageworks/gateway/tests/test_organisation_tally.py
@@ -32,6 +32,19 @@
         self.assertEqual(MAX_NAMED_ORGANISATIONS, len(line["organisations"]))
         self.assertEqual([3, 30, 0], line["others"])
 
+    @capture_logging(None)
+    def test_tells_refusals_of_admission_control_from_others(self, logger):
+        """Guards against refusals of placement that look like an overloaded entry."""
+        tally = OrganisationTally("callers", "requests")
+        tally.record_requested("o", 5)
+        tally.record_refused("o", 2)
+        tally.record_refused("o", admitted=False)
+        tally.record_refused("p")
+        tally.report()
+        (line,) = logger.messages
+        self.assertEqual([5, 3], line["organisations"]["o"])
+        self.assertEqual({"o": 1}, line["not_admitted"])
+
     @capture_logging(None)
     def test_logs_nothing_without_refusals(self, logger):
         """Guards against a log line a second from each instance without refusals."""
