--- a/borageworks_emulator/platform/harness.py
+++ b/borageworks_emulator/platform/harness.py
@@ -122,6 +122,8 @@
         Open files that the gateway may have.
     memory_bytes
         Memory that the gateway may use.
+    lag_limit_s
+        Lag above which the gateway counts as overloaded, negative to be always so.
     """
 
     def __init__(
@@ -133,6 +135,7 @@
         grace_s: float = 8,
         max_descriptors: int = 1024,
         memory_bytes: float = math.inf,
+        lag_limit_s: float = math.inf,
     ) -> None:
         self.endpoints = endpoints
         self.store = store or EmulatedPlatformStore()
@@ -141,6 +144,9 @@
         self._grace_s = grace_s
         self._max_descriptors = max_descriptors
         self._memory_bytes = memory_bytes
+        # All components share one event loop, so its lag does not show how loaded the
+        # gateway is.
+        self._lag_limit_s = lag_limit_s
         self.metrics = Metrics()
         self.ports: list[int] = []
         self._request_number = 0
@@ -164,11 +170,9 @@
                 bootstrap=self._owns_store,
             )
         )
-        # All components share one event loop, so its lag does not show how loaded the
-        # gateway is.
         settings = replace(
             settings,
-            lag_limit_s=math.inf,
+            lag_limit_s=self._lag_limit_s,
             max_descriptors=self._max_descriptors,
             memory_bytes=self._memory_bytes,
             memory_at_rest_bytes=0.0,
