Refuse requests of an overloaded instance before their connections are opened

What callers saw: an instance at which callers gather served less the more was offered, and accepted connections too late or never. Cause: receive livelock. Change: while a limit is in force, the first request of a connection is read from the accepted socket and decided on there (ConnectionScreen, EarlyAdmission). A refusal is one write; an admitted request is handed to the connection with what was received. A request that has not arrived whole is decided on as before.

--- a/borageworks/api/connection.py
+++ b/borageworks/api/connection.py
@@ -41,6 +41,7 @@
     """
 
     __slots__ = (
+        "_admitted",
         "_count_refusal",
         "_discarding",
         "_head_bytes",
@@ -49,6 +50,7 @@
         "_on_made",
         "_peer",
         "_piece_bytes",
+        "_received",
         "_received_at",
         "_receiving",
         "_request_in_progress",
@@ -72,6 +74,8 @@
         discard_timeout_s: float = LINGERING_TIMEOUT_S,
         on_made: ConnectionCallback | None = None,
         on_lost: ConnectionCallback | None = None,
+        received: bytes = b"",
+        admitted: bool = False,
     ) -> None:
         super().__init__(
             server,
@@ -90,6 +94,10 @@
         self._count_refusal = count_refusal
         self._on_made = on_made
         self._on_lost = on_lost
+        # What was received before the connection was opened.
+        self._received = received
+        # Whether the request in it has been admitted.
+        self._admitted = admitted
         self._peer = ""
         self._received_at = loop.time()
         # Whether the bytes on their way belong to a body whose length was accepted.
@@ -175,6 +183,14 @@
         self._turns.record_heads(size - self._head_bytes)
         self._head_bytes = size
 
+    def take_admitted(self) -> bool:
+        """Return whether the request being handled was admitted before it was parsed.
+
+        Only the first one of a connection may have been.
+        """
+        admitted, self._admitted = self._admitted, False
+        return admitted
+
     def discard_rest(self) -> None:
         """Read and drop what still arrives until the connection is closed."""
         self._discarding = True
@@ -188,6 +204,9 @@
         self._peer = address[0] if address else ""
         if self._on_made is not None:
             self._on_made(self)
+        if self._received:
+            received, self._received = self._received, b""
+            self.data_received(received)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Handle the end of the connection.
--- a/borageworks/gateway/acceptor.py
+++ b/borageworks/gateway/acceptor.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from borageworks.events import Event, emit
+from borageworks.gateway.connection_screen import ConnectionScreen, RequestAdmission
 from borageworks.gateway.settings import HostPort
 from borageworks.metrics import Metrics
 from borageworks.timers import Timers, TimerSubscription
@@ -37,13 +38,16 @@
     address
         Address to listen on.
     protocol_factory
-        Creates the protocol of a new connection.
+        Creates the protocol of a new connection, given what has been received and
+        whether the request in that has been admitted.
     metrics
         Counts connections that could not be accepted, by reason.
     may_accept
         Returns whether there is room for another connection beside a number of those
         that are being opened. Without room, callers wait in the queue of the system.
         It is called only while a connection waits to be accepted.
+    admission
+        Decides on requests before their connections are opened.
     limits_memory
         Whether to limit what the system keeps for each connection.
     """
@@ -51,9 +55,10 @@
     def __init__(
         self,
         address: HostPort,
-        protocol_factory: Callable[[], asyncio.BaseProtocol],
+        protocol_factory: Callable[[bytes, bool], asyncio.BaseProtocol],
         metrics: Metrics,
         may_accept: Callable[[int], bool] = lambda _opening: True,
+        admission: RequestAdmission | None = None,
         *,
         limits_memory: bool = False,
     ) -> None:
@@ -62,6 +67,11 @@
         self._may_accept = may_accept
         self._address = address
         self._protocol_factory = protocol_factory
+        self._screen = (
+            None
+            if admission is None
+            else ConnectionScreen(admission, self._open, metrics)
+        )
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
         self._socket: socket.socket | None = None
@@ -91,6 +101,8 @@
             return
         for _ in range(-(-LISTEN_BACKLOG // MAX_ACCEPTS_PER_POLL)):
             self._accept()
+        if self._screen is not None:
+            self._screen.release()
         if self._poll_timer is not None:
             self._poll_timer.cancel()
         self._loop.remove_reader(self._socket)
@@ -104,7 +116,8 @@
         for _ in range(MAX_ACCEPTS_PER_POLL):
             if not self._pending.poll(0):
                 return
-            if not self._may_accept(len(self._tasks)):
+            waiting = self._screen.waiting if self._screen is not None else 0
+            if not self._may_accept(len(self._tasks) + waiting):
                 self._pause("no_room")
                 return
             try:
@@ -117,9 +130,17 @@
                 self._back_off(error)
                 return
             connection.setblocking(False)
-            task = self._loop.create_task(self._open_connection(connection))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            if self._screen is None:
+                self._open(connection, b"", False)
+            else:
+                self._screen.take(connection)
+
+    def _open(self, connection: socket.socket, received: bytes, admitted: bool) -> None:
+        task = self._loop.create_task(
+            self._open_connection(connection, received, admitted)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def _back_off(self, error: OSError) -> None:
         """Stop accepting for a while, until file descriptors may be free."""
@@ -142,9 +163,13 @@
         if self._socket is not None:
             self._loop.add_reader(self._socket, self._accept)
 
-    async def _open_connection(self, connection: socket.socket) -> None:
+    async def _open_connection(
+        self, connection: socket.socket, received: bytes, admitted: bool
+    ) -> None:
         try:
-            await self._loop.connect_accepted_socket(self._protocol_factory, connection)
+            await self._loop.connect_accepted_socket(
+                lambda: self._protocol_factory(received, admitted), connection
+            )
         except OSError as error:
             # The caller has closed the connection meanwhile.
             self._metrics.count("connections_not_accepted", type(error).__name__)
--- a/borageworks/gateway/admission.py
+++ b/borageworks/gateway/admission.py
@@ -92,6 +92,11 @@
         """Requests a second allowed to each organisation, infinite without a limit."""
         return self._limit_per_s
 
+    @property
+    def limited(self) -> bool:
+        """Whether requests may be refused."""
+        return math.isfinite(self._limit_per_s)
+
     @property
     def overloaded(self) -> bool:
         """Whether overload is sustained: callers should use other instances."""
--- a/borageworks/gateway/codec.py
+++ b/borageworks/gateway/codec.py
@@ -48,6 +48,10 @@
         """Return the API key of a caller's request, or None."""
         ...
 
+    def find_api_key(self, request: bytes) -> str | None:
+        """Return the API key of a caller's request that has not been parsed."""
+        ...
+
     def forwarded_headers(
         self,
         request: CallerRequest,
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -37,6 +37,11 @@
 from borageworks.gateway.connection_limit import MIN_IDLE_S, ConnectionLimit
 from borageworks.gateway.deployment import Deployment
 from borageworks.gateway.directory import Directory
+from borageworks.gateway.early_admission import (
+    OVERLOADED_RETRY_AFTER_S,
+    EarlyAdmission,
+    overload_refusal,
+)
 from borageworks.gateway.endpoint_notices import EndpointNotices
 from borageworks.gateway.exchange import Exchange, ExchangeRunner
 from borageworks.gateway.organisation_tally import NO_ORGANISATION, OrganisationTally
@@ -62,7 +67,6 @@
 NOT_READY_RETRY_AFTER_S = 0.5
 # Short, since the caller's next connection reaches another instance.
 LEAVING_RETRY_AFTER_S = 0.02
-OVERLOADED_RETRY_AFTER_S = 0.02
 # Memory for a body of unknown length is taken in steps of this size, each with an
 # eighth more, which a growing `bytearray` allocates ahead.
 BODY_STEP_BYTES = 16_384
@@ -150,6 +154,9 @@
         self._running = 0
         self._runners: set[ExchangeRunner] = set()
         self._tally = OrganisationTally("callers", "requests")
+        self._early_admission = EarlyAdmission(
+            codec, directory, admission, self._tally, metrics
+        )
 
     @property
     def running(self) -> int:
@@ -164,6 +171,7 @@
             self._new_protocol,
             self._metrics,
             self._may_accept,
+            self._early_admission,
             limits_memory=self._settings.limits_memory,
         )
         self._acceptor.start()
@@ -198,7 +206,7 @@
         if self._server is not None:
             await self._server.shutdown(CLOSE_TIMEOUT_S)
 
-    def _new_protocol(self) -> CallerConnection:
+    def _new_protocol(self, received: bytes, admitted: bool) -> CallerConnection:
         assert self._server is not None
         deployment = self._directory.deployment
         limits = deployment.limits if deployment is not None else None
@@ -216,6 +224,8 @@
             else LINGERING_TIMEOUT_S,
             on_made=self._connection_made,
             on_lost=self._connection_lost,
+            received=received,
+            admitted=admitted,
         )
         now = asyncio.get_running_loop().time()
         self._close_idle(now, self._connection_limit.open(now, connection))
@@ -282,7 +292,10 @@
         organisation = self._key_organisation(http_request)
         allowance.organisation = organisation
         self._tally.record_requested(organisation)
-        if not self._admission.admit(received_at, organisation):
+        protocol = http_request.protocol
+        assert isinstance(protocol, CallerConnection)
+        admitted = protocol.take_admitted()
+        if not admitted and not self._admission.admit(received_at, organisation):
             # Refused before any other work, which would cost as much as the refusal.
             self._tally.record_refused(organisation, admitted=False)
             response = self._refuse_overloaded()
@@ -568,11 +581,7 @@
             protocol.discard_rest()
 
     def _refuse_overloaded(self) -> web.Response:
-        refusal = InstanceOverloadedError(
-            f"the instance admits {self._admission.limit_per_s:.1f} requests a second "
-            "for each organisation",
-            retry_after=OVERLOADED_RETRY_AFTER_S,
-        )
+        refusal = overload_refusal(self._admission)
         self._count_refusal(refusal)
         response = web.Response(
             status=refusal.status,
--- a/borageworks/gateway/tests/test_acceptor.py
+++ b/borageworks/gateway/tests/test_acceptor.py
@@ -14,6 +14,10 @@
 
 
 class GreetingProtocol(asyncio.Protocol):
+    def __init__(self, received=b"", admitted=False):
+        self.received = received
+        self.admitted = admitted
+
     def connection_made(self, transport):
         transport.write(b"hello")
         transport.close()
--- a/borageworks/platform/codec.py
+++ b/borageworks/platform/codec.py
@@ -15,6 +15,7 @@
 from borageworks.platform.requests import (
     caller_api_key,
     decode_request,
+    find_api_key,
     forwarded_headers,
 )
 from borageworks.platform.responses import decode_response_head
@@ -33,6 +34,7 @@
     decode_endpoint = staticmethod(decode_entry)
     decode_request = staticmethod(decode_request)
     caller_api_key = staticmethod(caller_api_key)
+    find_api_key = staticmethod(find_api_key)
     forwarded_headers = staticmethod(forwarded_headers)
     decode_response_head = staticmethod(decode_response_head)
     cache_events_target = staticmethod(events_target)
--- a/borageworks/platform/requests.py
+++ b/borageworks/platform/requests.py
@@ -16,6 +16,9 @@
 MILLISECONDS_PER_SECOND = 1000.0
 # Larger numbers of tokens or events do not fit into the messages between instances.
 _COUNT = re.compile(r"[0-9]{1,9}", re.ASCII)
+_AUTHORIZATION = re.compile(
+    rb"\r\nauthorization:[ \t]*token ([^\r\n]*)\r\n", re.IGNORECASE
+)
 # Only the router may set these: a caller could otherwise choose the endpoint or act as
 # another organisation.
 _RESERVED_HEADERS = frozenset(
@@ -120,6 +123,18 @@
     return authorization[len(AUTHORIZATION_SCHEME) :].strip()
 
 
+def find_api_key(request: bytes) -> str | None:
+    """Return the API key of a request that has not been parsed, or None.
+
+    Parameters
+    ----------
+    request
+        Bytes that begin with the request's head.
+    """
+    found = _AUTHORIZATION.search(request)
+    return None if found is None else found[1].decode("utf-8", "replace").strip()
+
+
 def _decode_resumed_attempt(headers: CIMultiDictProxy[str]) -> str | None:
     attempts = {text.strip() for text in headers.getall(protocol_names.RESUMES, ())}
     return (attempts.pop() or None) if len(attempts) == 1 else None
