Limit requests where admitted connections wait, and refusals to half of the processor

What callers saw: connections that an instance at its limit never accepted. Cause: a loop that opens 64 connections in each of its iterations of 30 ms lags by less than the limit of 30 ms, so that no request was refused, or the limit was lifted, while the queue of 128 connections overflowed. Once refusals were cheap, they could take all of the processor. Change: connections that wait beyond what a poll opens, for 0.1 s, count as overload. A poll of the listening socket takes as much time as everything else since the last one, and the queue holds 1,024 connections. Measured: in the simulation of test_full_queue_of_connections_beside_short_ iterations 2,997 of 4,500 connections are dropped without the change (the test fails), with it the bound holds.

--- a/borageworks/gateway/acceptor.py
+++ b/borageworks/gateway/acceptor.py
@@ -5,6 +5,7 @@
 import asyncio
 import select
 import socket
+import time
 from collections.abc import Callable
 
 from borageworks.events import Event, emit
@@ -13,14 +14,18 @@
 from borageworks.metrics import Metrics
 from borageworks.timers import Timers, TimerSubscription
 
-# About one second of connections to a busy instance. With a longer queue, connections
-# that callers have already abandoned would be accepted before newer ones.
-LISTEN_BACKLOG = 128
+# The system drops the opening packet of a connection that finds the queue full, and the
+# caller's system repeats it only after a second.
+LISTEN_BACKLOG = 1_024
 # Readiness events alone left new connections waiting for seconds on a busy instance
 # without loop lag, so the listening socket is also polled.
 POLL_INTERVAL_S = 0.05
-# Keeps one call from blocking the event loop.
-MAX_ACCEPTS_PER_POLL = 64
+# Connections opened before the event loop goes on.
+MAX_OPENED_PER_POLL = 64
+# Time of a poll: as much as everything else took since the last one, so that refusals
+# leave half of the processor to the requests that are served.
+MIN_POLL_S = 0.001
+MAX_POLL_S = 0.01
 # Backoff after a failed accept, such as when no file descriptors are left.
 ACCEPT_BACKOFF_S = 0.1
 # The system doubles these values. They are less than those for endpoints, as there may
@@ -48,6 +53,8 @@
         It is called only while a connection waits to be accepted.
     admission
         Decides on requests before their connections are opened.
+    on_polled
+        Told after each poll whether no more admitted connections wait than it opened.
     limits_memory
         Whether to limit what the system keeps for each connection.
     """
@@ -59,12 +66,14 @@
         metrics: Metrics,
         may_accept: Callable[[int], bool] = lambda _opening: True,
         admission: RequestAdmission | None = None,
+        on_polled: Callable[[bool], None] = lambda _kept_up: None,
         *,
         limits_memory: bool = False,
     ) -> None:
         self._limits_memory = limits_memory
         self._pending = select.poll()
         self._may_accept = may_accept
+        self._on_polled = on_polled
         self._address = address
         self._protocol_factory = protocol_factory
         self._screen = (
@@ -77,6 +86,8 @@
         self._socket: socket.socket | None = None
         self._poll_timer: TimerSubscription | None = None
         self._backoff_until = 0.0
+        self._opened = 0
+        self._polled_at = 0.0
         self._tasks: set[asyncio.Task[object]] = set()
 
     def start(self) -> None:
@@ -99,7 +110,7 @@
         """Close the listening socket; open and queued connections stay open."""
         if self._socket is None:
             return
-        for _ in range(-(-LISTEN_BACKLOG // MAX_ACCEPTS_PER_POLL)):
+        for _ in range(-(-LISTEN_BACKLOG // MAX_OPENED_PER_POLL)):
             self._accept()
         if self._screen is not None:
             self._screen.release()
@@ -113,9 +124,20 @@
     def _accept(self) -> None:
         if self._socket is None or self._loop.time() < self._backoff_until:
             return
-        for _ in range(MAX_ACCEPTS_PER_POLL):
+        began = time.perf_counter()
+        elapsed_s = began - self._polled_at
+        deadline = began + min(max(elapsed_s, MIN_POLL_S), MAX_POLL_S)
+        try:
+            self._poll(deadline)
+        finally:
+            self._polled_at = time.perf_counter()
+
+    def _poll(self, deadline: float) -> None:
+        assert self._socket is not None
+        self._opened = 0
+        while self._opened < MAX_OPENED_PER_POLL and time.perf_counter() < deadline:
             if not self._pending.poll(0):
-                return
+                break
             waiting = self._screen.waiting if self._screen is not None else 0
             if not self._may_accept(len(self._tasks) + waiting):
                 self._pause("no_room")
@@ -134,8 +156,10 @@
                 self._open(connection, b"", False)
             else:
                 self._screen.take(connection)
+        self._on_polled(self._opened < MAX_OPENED_PER_POLL)
 
     def _open(self, connection: socket.socket, received: bytes, admitted: bool) -> None:
+        self._opened += 1
         task = self._loop.create_task(
             self._open_connection(connection, received, admitted)
         )
--- a/borageworks/gateway/admission.py
+++ b/borageworks/gateway/admission.py
@@ -31,6 +31,9 @@
 SUSTAINED_OVERLOAD_S = 1.0
 # Gaps up to this length do not end an overload: refusals relieve the loop for a moment.
 MAX_OVERLOAD_GAP_S = 1.0
+# More connections are admitted than are opened if some have been waiting for this long,
+# also where the loop is not held up for long at any time.
+MAX_QUEUED_S = 0.1
 # Below this ratio of refused requests, callers need not connect to other instances.
 MIN_REFUSAL_RATIO = 0.05
 # Organisations with a lower request rate are no longer tracked.
@@ -63,10 +66,10 @@
 class Admission:
     """Decides which requests an overloaded instance admits.
 
-    While the event loop lags, the same rate limit applies to each organisation, and it
-    decreases until the loop keeps up. Organisations below the limit are not refused
-    and the others get equal rates, so that the capacity of the instance is divided by
-    max-min fairness.
+    While the event loop lags, or opens connections too slowly, the same rate limit
+    applies to each organisation, and it decreases until the loop keeps up.
+    Organisations below the limit are not refused and the others get equal rates, so
+    that the capacity of the instance is divided by max-min fairness.
 
     Parameters
     ----------
@@ -80,6 +83,7 @@
         self._states: dict[str, _OrganisationState] = {}
         self._measured_at = -math.inf
         self._decreased_at = -math.inf
+        self._queued_since: float | None = None
         # Since the last measurement.
         self._refusals = 0
         self._overload_since: float | None = None
@@ -127,11 +131,18 @@
         state.admitted += 1.0
         return True
 
+    def record_poll(self, now: float, *, kept_up: bool) -> None:
+        """Record whether all admitted connections that waited have been opened."""
+        if kept_up:
+            self._queued_since = None
+        elif self._queued_since is None:
+            self._queued_since = now
+
     def measure(self, now: float) -> None:
-        """Adapt the limit to the current loop lag."""
+        """Adapt the limit to the current loop lag and connections that wait."""
         elapsed_s = now - self._measured_at
         self._measured_at = now
-        if self._lag.lagging:
+        if self._is_behind(now):
             if now - self._decreased_at >= DECREASE_INTERVAL_S:
                 self._decreased_at = now
                 self._decrease()
@@ -146,6 +157,11 @@
             if state.requested > MIN_TRACKED_PER_S * RATE_TIME_CONSTANT_S
         }
 
+    def _is_behind(self, now: float) -> bool:
+        """Return whether the loop lags or opens connections too slowly."""
+        since = self._queued_since
+        return self._lag.lagging or (since is not None and now - since > MAX_QUEUED_S)
+
     def _decrease(self) -> None:
         if not self._states:
             return
@@ -179,7 +195,7 @@
         refused = sum(state.refused for state in self._states.values())
         refusing = self._refusals > 0 and refused > MIN_REFUSAL_RATIO * requested
         self._refusals = 0
-        if self._lag.lagging or refusing:
+        if self._is_behind(now) or refusing:
             self._overload_seen_at = now
             if self._overload_since is None:
                 self._overload_since = now
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -172,6 +172,7 @@
             self._metrics,
             self._may_accept,
             self._early_admission,
+            self._record_poll,
             limits_memory=self._settings.limits_memory,
         )
         self._acceptor.start()
@@ -240,6 +241,10 @@
             else:
                 self._connection_limit.keep(now, idle)
 
+    def _record_poll(self, kept_up: bool) -> None:
+        now = asyncio.get_running_loop().time()
+        self._admission.record_poll(now, kept_up=kept_up)
+
     def _may_accept(self, opening: int) -> bool:
         """Close connections of no use if needed; return whether another one fits."""
         now = asyncio.get_running_loop().time()
--- a/borageworks/gateway/tests/test_acceptor.py
+++ b/borageworks/gateway/tests/test_acceptor.py
@@ -7,7 +7,7 @@
 
 from testtools import TestCase
 
-from borageworks.gateway.acceptor import LISTEN_BACKLOG, Acceptor
+from borageworks.gateway.acceptor import LISTEN_BACKLOG, MAX_OPENED_PER_POLL, Acceptor
 from borageworks.gateway.settings import HostPort
 from borageworks.metrics import Metrics
 from borageworks_emulator.ports import HOST, free_ports
@@ -56,6 +56,32 @@
             [b"hello"] * (LISTEN_BACKLOG // 2), self.run_scenario(scenario)
         )
 
+    def test_tells_when_a_poll_leaves_connections_waiting(self):
+        """Guards against a queue that grows while nobody limits requests."""
+        polled: list[bool] = []
+
+        async def main():
+            address = HostPort(HOST, free_ports(1)[0])
+            acceptor = Acceptor(
+                address, GreetingProtocol, Metrics(), on_polled=polled.append
+            )
+            acceptor.start()
+            callers = []
+            try:
+                for _ in range(MAX_OPENED_PER_POLL + 1):
+                    caller = socket.create_connection(address)
+                    callers.append(caller)
+                acceptor._accept()
+                acceptor._accept()
+                await asyncio.sleep(0)
+            finally:
+                acceptor.stop()
+                for caller in callers:
+                    caller.close()
+
+        asyncio.run(main())
+        self.assertEqual([False, True], polled[:2])
+
     def test_asks_for_room_only_for_waiting_connections(self):
         """Guards against closing callers for connections that nobody opens."""
         asked = []
--- a/borageworks/gateway/tests/test_admission.py
+++ b/borageworks/gateway/tests/test_admission.py
@@ -20,6 +20,10 @@
 CAPACITY_PER_S = 150.0
 REFUSAL_COST_RATIO = 0.05
 SETTLING_S = 5.0
+# Connections that the simulated instance opens in an iteration of its loop, and those
+# that the system keeps for it.
+MAX_OPENED = 3
+QUEUE_LENGTH = 100
 MEASUREMENT_S = 10.0
 
 
@@ -32,6 +36,8 @@
         self.admitted: Counter[str] = Counter()
         self.requested: Counter[str] = Counter()
         self.rates = rates
+        self.queued = 0
+        self.dropped = 0
         self._rng = random.Random(seed)
         self._now = 0.0
         self._timer_at = MEASURE_INTERVAL_S
@@ -42,6 +48,32 @@
         """Whether a rate limit is in force."""
         return math.isfinite(self.admission.limit_per_s)
 
+    def simulate_queue(self, rate_per_s, seconds):
+        """Run with connections that wait in a queue until they are opened.
+
+        An iteration opens few of them, so that it is never long.
+        """
+        end = self._now + seconds
+        arrived = self._now
+        while self._now < end:
+            while arrived <= self._now:
+                arrived += 1.0 / rate_per_s
+                self.dropped += self.queued >= QUEUE_LENGTH
+                self.queued = min(self.queued + 1, QUEUE_LENGTH)
+            began, opened = self._now, 0
+            if self._timer_at <= began:
+                self.lag.measure(began)
+                self.admission.measure(began)
+                self._timer_at = began + MEASURE_INTERVAL_S
+            while self.queued and opened < MAX_OPENED:
+                self.queued -= 1
+                admitted = self.admission.admit(self._now, "o")
+                opened += admitted
+                self._now += (1.0 if admitted else REFUSAL_COST_RATIO) / CAPACITY_PER_S
+            self.admission.record_poll(self._now, kept_up=opened < MAX_OPENED)
+            if self._now == began:
+                self._now = min(arrived, self._timer_at)
+
     def pause(self, seconds):
         """Simulate a stopped process."""
         self._now += seconds
@@ -126,6 +158,15 @@
         refused_count = instance.requested["small"] - instance.admitted["small"]
         self.assertTrue(refused_count <= 1, (instance.requested, instance.admitted))
 
+    def test_full_queue_of_connections_beside_short_iterations(self):
+        """Guards against connections that are dropped by a loop that does not lag."""
+        instance = SimulatedInstance({})
+        instance.simulate_queue(3 * CAPACITY_PER_S, SETTLING_S)
+        instance.dropped = 0
+        instance.simulate_queue(3 * CAPACITY_PER_S, MEASUREMENT_S)
+        offered = 3 * CAPACITY_PER_S * MEASUREMENT_S
+        self.assertTrue(instance.dropped <= 0.1 * offered, instance.dropped)
+
     def test_limit_does_not_leave_instance_idle(self):
         """Guards against a limit that stays low after the loop has recovered."""
         instance = SimulatedInstance({"flood": 600})
