Admit organisations at an overloaded entry by their share of the fleet

What callers saw: an organisation whose callers gather at one overloaded instance was refused there beside floods that are served through all instances. Cause: the entry divides its room evenly among the organisations that it sees. What an organisation gets of the fleet is known to the owner of placement only. Change: the owner tells with each decision whether the organisation has got what it is owed (PlaceReply.share_reached). For the time over which shares are measured such an organisation has a tenth of the limit at an overloaded instance. Old news, no news and the news of an instance that stands in for the owner change nothing.

--- a/borageworks/gateway/admission.py
+++ b/borageworks/gateway/admission.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from borageworks.events import Event, emit
+from borageworks.gateway.fleet_shares import FleetShares
 from borageworks.gateway.loop_lag import MEASURE_INTERVAL_S, LoopLag
 from borageworks.timers import Timers, TimerSubscription
 
@@ -36,6 +37,8 @@
 MAX_QUEUED_S = 0.1
 # Below this ratio of refused requests, callers need not connect to other instances.
 MIN_REFUSAL_RATIO = 0.05
+# Part of the limit for an organisation that has got its share of the fleet.
+SHARE_REACHED_RATIO = 0.1
 # Organisations with a lower request rate are no longer tracked.
 MIN_TRACKED_PER_S = 0.001
 
@@ -69,16 +72,21 @@
     While the event loop lags, or opens connections too slowly, the same rate limit
     applies to each organisation, and it decreases until the loop keeps up.
     Organisations below the limit are not refused and the others get equal rates, so
-    that the capacity of the instance is divided by max-min fairness.
+    that the capacity of the instance is divided by max-min fairness. One
+    that has got its share of the fleet has a tenth of the limit, as it is served by
+    other instances, and others may have callers at this one only.
 
     Parameters
     ----------
     lag
         Measures event loop lag.
+    shares
+        Knows which organisations have got their share of the fleet.
     """
 
-    def __init__(self, lag: LoopLag) -> None:
+    def __init__(self, lag: LoopLag, shares: FleetShares) -> None:
         self._lag = lag
+        self._shares = shares
         self._limit_per_s = math.inf
         self._states: dict[str, _OrganisationState] = {}
         self._measured_at = -math.inf
@@ -106,6 +114,11 @@
         """Whether overload is sustained: callers should use other instances."""
         return self._overloaded
 
+    def share_reached(self, now: float) -> list[str]:
+        """Return organisations with callers here that have got their fleet's share."""
+        reached = (name for name in self._states if self._ratio(now, name) < 1.0)
+        return sorted(reached)
+
     def start(self, timers: Timers) -> None:
         """Start adapting the limit to loop lag."""
         self._subscription = timers.every(MEASURE_INTERVAL_S, self.measure)
@@ -120,7 +133,7 @@
         state = self._states.get(organisation)
         if state is None:
             state = self._states[organisation] = _OrganisationState()
-        state.advance(now, self._limit_per_s)
+        state.advance(now, self._limit_per_s * self._ratio(now, organisation))
         state.requested += 1.0
         if math.isfinite(self._limit_per_s):
             if state.tokens < 1.0:
@@ -147,9 +160,9 @@
                 self._decreased_at = now
                 self._decrease()
         elif math.isfinite(self._limit_per_s):
-            self._increase(min(elapsed_s, DOUBLING_TIME_S))
-        for state in self._states.values():
-            state.advance(now, self._limit_per_s)
+            self._increase(now, min(elapsed_s, DOUBLING_TIME_S))
+        for name, state in self._states.items():
+            state.advance(now, self._limit_per_s * self._ratio(now, name))
         self._update_overload(now)
         self._states = {
             name: state
@@ -178,10 +191,19 @@
             )
         self._limit_per_s = max(self._limit_per_s * DECREASE_RATIO, MIN_LIMIT_PER_S)
 
-    def _increase(self, elapsed_s: float) -> None:
+    def _ratio(self, now: float, organisation: str) -> float:
+        """Return the part of the limit that holds for an organisation."""
+        reached = self._shares.has_reached(now, organisation)
+        return SHARE_REACHED_RATIO if reached else 1.0
+
+    def _increase(self, now: float, elapsed_s: float) -> None:
         self._limit_per_s *= 2.0 ** (elapsed_s / DOUBLING_TIME_S)
         requested = max(
-            (state.requested for state in self._states.values()), default=0.0
+            (
+                state.requested / self._ratio(now, name)
+                for name, state in self._states.items()
+            ),
+            default=0.0,
         )
         if (
             self._limit_per_s
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -44,7 +44,11 @@
 )
 from borageworks.gateway.endpoint_notices import EndpointNotices
 from borageworks.gateway.exchange import Exchange, ExchangeRunner
-from borageworks.gateway.organisation_tally import NO_ORGANISATION, OrganisationTally
+from borageworks.gateway.organisation_tally import (
+    MAX_NAMED_ORGANISATIONS,
+    NO_ORGANISATION,
+    OrganisationTally,
+)
 from borageworks.gateway.placer import Placer
 from borageworks.gateway.retry_budgets import RetryBudgets
 from borageworks.gateway.route import RetryPolicy, Route
@@ -179,8 +183,11 @@
 
     def report(self) -> None:
         """Log the refusals by organisation since the last report."""
+        now = asyncio.get_running_loop().time()
         self._tally.report(
-            level=round(self._admission.limit_per_s, 2), running=self._running
+            level=round(self._admission.limit_per_s, 2),
+            running=self._running,
+            share_reached=self._admission.share_reached(now)[:MAX_NAMED_ORGANISATIONS],
         )
 
     async def stop_accepting(self) -> None:
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -21,6 +21,7 @@
 from borageworks.gateway.evacuations import Evacuations
 from borageworks.gateway.feed import Feed
 from borageworks.gateway.fleet import LINK_KEY, Fleet
+from borageworks.gateway.fleet_shares import FleetShares
 from borageworks.gateway.follower import Follower
 from borageworks.gateway.frontend import Frontend
 from borageworks.gateway.instances import Instances
@@ -151,6 +152,7 @@
             self._spawn,
         )
         self._evacuations = Evacuations(self._codec.evacuation_prefix)
+        shares = FleetShares(settings.share_window_s)
         self._placer = Placer(
             self._fleet,
             self._directory,
@@ -166,6 +168,7 @@
             self._streams,
             self._confirm_replica,
             self._evacuations,
+            shares,
         )
         self._crash_store = CrashStore(
             self._codec.own_prefix,
@@ -195,7 +198,7 @@
         )
         self._pause_detector = PauseDetector(self._follower.require_confirmation)
         self._loop_lag = LoopLag(settings, self._metrics)
-        self._admission = Admission(self._loop_lag)
+        self._admission = Admission(self._loop_lag, shares)
         self._connection_limit = ConnectionLimit[CallerConnection](
             self._max_caller_connections()
         )
--- a/borageworks/gateway/placement_messages.py
+++ b/borageworks/gateway/placement_messages.py
@@ -100,6 +100,7 @@
                 incarnation=decision.incarnation,
                 speed=decision.speed,
                 cold=decision.cold,
+                share_reached=decision.share_reached,
             )
         case Refused():
             return PlaceReply(
@@ -107,6 +108,7 @@
                 PlacementState.REFUSED,
                 reason=int(decision.reason),
                 retry_after_s=decision.retry_after_s,
+                share_reached=decision.share_reached,
             )
 
 
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -25,6 +25,7 @@
 )
 from borageworks.gateway.evacuations import Evacuations
 from borageworks.gateway.fleet import Fleet
+from borageworks.gateway.fleet_shares import FleetShares
 from borageworks.gateway.load_reports import LoadReports, decode_load, encode_load
 from borageworks.gateway.organisation_tally import OrganisationTally
 from borageworks.gateway.pending_placement import PendingPlacement
@@ -120,6 +121,8 @@
         listed at the time of the call.
     evacuations
         Failure domains that the operator has evacuated.
+    shares
+        Receives what owners tell about the shares of organisations.
     """
 
     def __init__(
@@ -134,6 +137,7 @@
         streams: StreamVersions | None = None,
         confirm_replica: Callable[[], Awaitable[bool]] | None = None,
         evacuations: Evacuations | None = None,
+        shares: FleetShares | None = None,
     ) -> None:
         self._fleet = fleet
         self._instance = fleet.instance
@@ -147,6 +151,9 @@
         self._streams = StreamVersions() if streams is None else streams
         self._confirm_replica = confirm_replica
         self._evacuations = Evacuations("") if evacuations is None else evacuations
+        self._shares = (
+            FleetShares(settings.share_window_s) if shares is None else shares
+        )
         self._dispatchers: dict[Shard, Dispatcher] = {}
         self._service_shards: dict[str, ServiceShards] = {}
         self._most_endpoints: dict[str, int] = {}
@@ -177,6 +184,11 @@
         """Dispatcher by shard."""
         return self._dispatchers
 
+    @property
+    def shares(self) -> FleetShares:
+        """What owners have told about the shares of organisations."""
+        return self._shares
+
     def owns(self, shard: Shard) -> bool:
         """Return whether this instance places the requests of a shard."""
         return self._owner(shard) == self._instance
@@ -1011,11 +1023,19 @@
                         instance,
                         reply.software_version,
                         cold=reply.cold,
+                        share_reached=reply.share_reached,
                     )
                 )
             case PlacementState.REFUSED:
                 reason = RefusalReason(reply.reason)
-                self._resolve(Refused(key, reason, reply.retry_after_s))
+                self._resolve(
+                    Refused(
+                        key,
+                        reason,
+                        reply.retry_after_s,
+                        share_reached=reply.share_reached,
+                    )
+                )
             case PlacementState.WAITING:
                 return
 
@@ -1108,6 +1128,14 @@
         pending = self._requests.get(decision.key[1])
         if pending is None or pending.future.done():
             return
+        if pending.owner == self._owners.get(pending.shard):
+            # An instance that stands in for the owner knows its own callers only.
+            self._shares.record(
+                self._timers.now(),
+                pending.work.organisation,
+                pending.shard,
+                share_reached=decision.share_reached,
+            )
         match decision:
             case Placed():
                 pending.endpoint = decision.endpoint
--- a/borageworks/gateway/tests/test_admission.py
+++ b/borageworks/gateway/tests/test_admission.py
@@ -3,12 +3,14 @@
 import math
 import random
 from collections import Counter
+from collections.abc import Callable, Mapping
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
 
 from borageworks.gateway.admission import Admission
+from borageworks.gateway.fleet_shares import FleetShares
 from borageworks.gateway.loop_lag import MEASURE_INTERVAL_S, LoopLag
 from borageworks.gateway.tests.test_components import GATEWAY
 from borageworks.metrics import Metrics
@@ -30,9 +32,18 @@
 class SimulatedInstance:
     """Event loop that processes all requests due in each iteration."""
 
-    def __init__(self, rates: dict[str, float], seed: int = 1) -> None:
+    def __init__(
+        self,
+        rates: Mapping[str, float],
+        seed: int = 1,
+        shares: FleetShares | None = None,
+        on_admitted: Callable[[float, str], None] = lambda _now, _name: None,
+        on_iteration: Callable[[float], None] = lambda _now: None,
+    ) -> None:
         self.lag = LoopLag(GATEWAY, Metrics())
-        self.admission = Admission(self.lag)
+        self.admission = Admission(self.lag, shares or FleetShares(4.0))
+        self._on_admitted = on_admitted
+        self._on_iteration = on_iteration
         self.admitted: Counter[str] = Counter()
         self.requested: Counter[str] = Counter()
         self.rates = rates
@@ -43,6 +54,11 @@
         self._timer_at = MEASURE_INTERVAL_S
         self.lag.measure(0.0)
 
+    @property
+    def now(self):
+        """Simulated time in seconds."""
+        return self._now
+
     @property
     def limited(self):
         """Whether a rate limit is in force."""
@@ -95,6 +111,7 @@
 
     def _run_iteration(self, arrivals):
         now = self._now
+        self._on_iteration(now)
         if self._timer_at <= now:
             self.lag.measure(now)
             self.admission.measure(now)
@@ -104,6 +121,8 @@
             self.requested[name] += 1
             admitted = self.admission.admit(now, name)
             self.admitted[name] += admitted
+            if admitted:
+                self._on_admitted(now, name)
             self._now += (1.0 if admitted else REFUSAL_COST_RATIO) / CAPACITY_PER_S
 
 
--- a/borageworks/gateway/tests/test_placer.py
+++ b/borageworks/gateway/tests/test_placer.py
@@ -20,6 +20,7 @@
 from borageworks.placement.settings import PlacementSettings
 from borageworks.placement.tests.builders import engines, prompt, work
 from borageworks.timers import Timers
+from borageworks.wire import codec
 from borageworks.wire.messages import PlacementState, PlaceReply, ShardOwner
 
 TOKENS_PER_S = 200_000.0
@@ -34,6 +35,17 @@
     return Placer(fleet, directory, notices, Timers(), Metrics(), PlacementSettings())
 
 
+def directory_of(listed):
+    """Return a directory with one service of engines."""
+    service = ServiceProfile("engines", EngineProfile(8, 400_000))
+    return SimpleNamespace(
+        deployment=SimpleNamespace(
+            services={"engines": service}, tokens_per_s=TOKENS_PER_S
+        ),
+        endpoints_of=lambda _service: listed,
+    )
+
+
 class ThroughputTest(TestCase):
     def test_engines_that_become_known_one_after_the_other(self):
         """Guards against taking the first engine known for the fastest possible.
@@ -144,6 +156,36 @@
             self.assertEqual(last, [kind for to, kind in sent if to == name][-1], sent)
 
 
+class SharesTest(TestCase):
+    def test_entry_learns_from_owners_which_organisations_have_their_share(self):
+        """Guards against an entry that divides itself evenly among its callers."""
+
+        async def main():
+            placer = owner_of_all(directory_of(engines(2)))
+            fleet = placer._fleet
+            placer.update()
+            fleet.owner.return_value = "x"
+            told = []
+            for share_reached in (True, False):
+                key = placer.new_key()
+                request = replace(work(prompt(), instance="i"), key=key)
+                call = asyncio.ensure_future(placer.place("engines", "r", request))
+                await asyncio.sleep(0)
+                reply = PlaceReply(
+                    key[1],
+                    PlacementState.PLACED,
+                    "e0",
+                    share_reached=share_reached,
+                )
+                placer.receive("x", codec.decode(codec.encode([reply]))[0])
+                await call
+                now = placer._timers.now()
+                told.append(placer.shares.has_reached(now, request.organisation))
+            return told
+
+        self.assertEqual([True, False], asyncio.run(main()))
+
+
 class AnnouncementTest(TestCase):
     def test_owner_whose_links_open_after_its_start(self):
         """Guards against a restarted owner of which its stand-in is never told.
--- a/borageworks/placement/decisions.py
+++ b/borageworks/placement/decisions.py
@@ -27,7 +27,8 @@
     prefill; `placed_by` is the instance that decided, if it was another one, and
     `software_version` the version of the endpoint as known to it. `speed` is the
     prefill time of the endpoint's `incarnation` relative to the others, 0 if unknown.
-    `cold` tells that the placement is within the limit of a cold endpoint.
+    `cold` tells that the placement is within the limit of a cold endpoint, and
+    `share_reached` that the organisation has got what it is owed of the shard.
     """
 
     key: WorkKey
@@ -38,19 +39,22 @@
     incarnation: str = field(default="", compare=False)
     speed: float = field(default=0.0, compare=False)
     cold: bool = False
+    share_reached: bool = field(default=False, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
 class Refused:
     """Refuses the request; the caller may retry after `retry_after_s` seconds.
 
-    `work` is the request, None if another instance decided.
+    `work` is the request, None if another instance decided. `share_reached` tells that
+    the organisation has got what it is owed of the shard.
     """
 
     key: WorkKey
     reason: RefusalReason
     retry_after_s: float
     work: Work | None = field(default=None, compare=False)
+    share_reached: bool = field(default=False, compare=False)
 
 
 Decision = Placed | Refused
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -517,7 +517,7 @@
         state = self._endpoints.get(self._placed.get(work.key, ""))
         if state is not None:
             running = state.running[work.key]
-            return [self._placed_at(state, work, running)]
+            return [self._placed_at(now, state, work, running)]
         self._entitlements.record_requested(now, work.organisation, work.units)
         if self._evidence.verdict(now, work.traits) is Verdict.REFUSED:
             reason = RefusalReason.SUSPECTED
@@ -1143,10 +1143,10 @@
         if state.cold is not None:
             running.cold = state.cold.is_cold(now)
             state.cold.record(now, work.key)
-        return self._placed_at(state, work, running)
+        return self._placed_at(now, state, work, running)
 
     def _placed_at(
-        self, state: EndpointState, work: Work, running: RunningWork
+        self, now: float, state: EndpointState, work: Work, running: RunningWork
     ) -> Placed:
         return Placed(
             work.key,
@@ -1156,6 +1156,7 @@
             incarnation=state.endpoint.incarnation if self._uses_loads else "",
             speed=state.speed.known_ratio if self._uses_loads else 0.0,
             cold=running.cold,
+            share_reached=self._entitlements.has_reached_share(now, work.organisation),
         )
 
     def _add_running(self, now: float, state: EndpointState, work: Work) -> RunningWork:
@@ -1192,7 +1193,13 @@
         if reason is RefusalReason.NO_ENDPOINT:
             wait_s = max(wait_s, self._pause_s(now, work))
         self._entitlements.record_refused(now, work.organisation, work.units, reason)
-        return Refused(work.key, reason, wait_s, work)
+        return Refused(
+            work.key,
+            reason,
+            wait_s,
+            work,
+            share_reached=self._entitlements.has_reached_share(now, work.organisation),
+        )
 
     def _pause_s(self, now: float, work: Work) -> float:
         """Return the seconds until an endpoint takes requests of the instance again."""
--- a/borageworks/placement/entitlements.py
+++ b/borageworks/placement/entitlements.py
@@ -95,6 +95,18 @@
         """
         if now - self._updated_at >= UPDATE_INTERVAL_S:
             self._update(now)
+        return self._is_below(organisation, waiting)
+
+    def has_reached_share(self, now: float, organisation: str) -> bool:
+        """Return whether an organisation has got what it is owed, as last divided.
+
+        The amounts are divided only when a request is about to be refused. Where that
+        has not happened within the window, there is enough for everybody.
+        """
+        divided_lately = now - self._updated_at < self._window_s
+        return divided_lately and not self._is_below(organisation, 0.0)
+
+    def _is_below(self, organisation: str, waiting: float) -> bool:
         account = self._accounts.get(organisation)
         if account is None or account.requested <= self._even_share:
             return True
--- a/borageworks/placement/tests/test_entitlements.py
+++ b/borageworks/placement/tests/test_entitlements.py
@@ -78,6 +78,20 @@
         self.assertFalse(entitlements.is_below_share(0.0, "flood"))
         self.assertTrue(entitlements.is_below_share(0.0, "small"))
 
+    def test_share_is_reached_only_while_requests_are_refused(self):
+        """Guards against organisations that give way where there is enough for all."""
+        entitlements = Entitlements(WINDOW_S)
+        for name in ("flood", "small"):
+            entitlements.record_requested(0.0, name, 100.0)
+        entitlements.record_requested(0.0, "flood", 900.0)
+        entitlements.record_placed(0.0, "flood", 200.0)
+        entitlements.record_placed(0.0, "small", 10.0)
+        self.assertFalse(entitlements.has_reached_share(0.0, "flood"))
+        entitlements.is_below_share(0.1, "flood")
+        self.assertTrue(entitlements.has_reached_share(0.1, "flood"))
+        self.assertFalse(entitlements.has_reached_share(0.1, "small"))
+        self.assertFalse(entitlements.has_reached_share(0.1 + WINDOW_S, "flood"))
+
     def test_excess_is_forgotten(self):
         """Guards against an organisation that pays for a flood of long ago."""
         entitlements = Entitlements(WINDOW_S)
--- a/borageworks/wire/fleet.capnp
+++ b/borageworks/wire/fleet.capnp
@@ -26,7 +26,7 @@
 struct Suspect { fingerprint @0 :Data; endpoint @1 :Text; incarnation @2 :Text; alone @3 :Bool; }
 struct PromptPiece { id @0 :Text; tokens @1 :UInt32; }
 struct PlaceRequest { number @0 :UInt64; service @1 :Text; shard @2 :UInt16; organisation @3 :Text; aimS @4 :Float32; patienceS @5 :Float32; excluded @6 :List(Text); prompt @7 :Bool; model @8 :Text; promptTokens @9 :UInt32; generatedTokens @10 :UInt32; pieces @11 :List(PromptPiece); fingerprint @12 :Data; versionBound @13 :Bool; softwareVersion @14 :Text; stream @15 :Data; streamLifetimeS @16 :Float64; resumed @17 :Bool; soleS @18 :Float64; }
-struct PlaceReply { number @0 :UInt64; state @1 :UInt8; endpoint @2 :Text; unreadTokens @3 :UInt32; reason @4 :UInt8; retryAfterS @5 :Float32; secondsPerToken @6 :Float32; startS @7 :Float32; softwareVersion @8 :Text; incarnation @9 :Text; speed @10 :Float32; cold @11 :Bool; }
+struct PlaceReply { number @0 :UInt64; state @1 :UInt8; endpoint @2 :Text; unreadTokens @3 :UInt32; reason @4 :UInt8; retryAfterS @5 :Float32; secondsPerToken @6 :Float32; startS @7 :Float32; softwareVersion @8 :Text; incarnation @9 :Text; speed @10 :Float32; cold @11 :Bool; shareReached @12 :Bool; }
 struct PlaceWithdraw { number @0 :UInt64; }
 struct EndpointLoad { incarnation @0 :Text; running @1 :UInt32; waiting @2 :UInt32; slots @3 :UInt32; pace @4 :Float32; ageS @5 :Float32; speed @6 :Float32; }
 struct EndpointLoads { loads @0 :List(EndpointLoad); }
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -349,7 +349,8 @@
     shard; 0 if it has not been measured. `software_version` is that of the endpoint.
     `speed` is the prefill time of the endpoint's `incarnation` relative to the others,
     as learned by the owner; 0 if unknown. `cold` tells whether the request was placed
-    within the limit of a cold endpoint.
+    within the limit of a cold endpoint, `share_reached` whether its organisation has
+    got what it is owed of the shard.
     """
 
     number: int
@@ -364,6 +365,7 @@
     incarnation: str = ""
     speed: float = 0.0
     cold: bool = False
+    share_reached: bool = False
 
 
 @dataclass(frozen=True, slots=True)
