Failing tests: crowds that take the memory of a process

Crowds and bounds are fixed here, before the product is changed. Each test starts the programs on loopback and checks that the process lives, that its memory and sockets stay under the limits of its settings, and that ordinary requests are answered beside the crowd and after it.

--- a/borageworks_emulator/platform/tests/test_hostile_callers.py
+++ b/borageworks_emulator/platform/tests/test_hostile_callers.py
@@ -50,11 +50,20 @@
 
 
 class BodyServer(EmulatedEndpoint):
-    """Endpoint that responds with a body of a given size, or without end."""
+    """Endpoint that responds with a body of a given size, or without end.
+
+    It does not read bodies of requests whose path says so.
+    """
 
     body_bytes = 0
     endless = False
 
+    async def _handle(self, request):
+        if "unread" in request.path:
+            # Until the caller has left.
+            await asyncio.sleep(HANG_S)
+        return await super()._handle(request)
+
     async def _run(self, request, behaviour, headers):
         if self.endless and "endless" in request.path:
             response = web.StreamResponse(headers=headers)
@@ -134,6 +143,11 @@
             # Closed or no longer read by the process, both of which are allowed.
             return
 
+    @property
+    def readers(self):
+        """Streams from which responses are read."""
+        return self._readers
+
     async def read_all(self, seconds):
         """Read and discard what arrives."""
 
