Count connections and the growth of the process in the memory account

What operators saw: clients that hold many bodies of legal size end a process. With bodies of ordinary size the memory of the machine was exceeded by up to 117 MB. Cause: the account knew bodies and what paused connections have buffered; small bodies could fill the limit beside both. The objects of a connection whose request waits (about 20 KB), what it has received and the queue of connections that are not accepted yet were in no account. Change: an open connection counts 28 KiB, connections may take 60 % of the limit, their queue a tenth. Buffers leave small bodies a quarter of what is left. By how much the process has grown since it was at rest is measured: above half of the limit nothing is accepted and stalled transfers end, above three quarters no body is taken. Receive buffers of callers are 16 KiB. Lowering the size from which blocks are mapped by themselves to 32 KiB did not help (167.0, 173.0 MB) and was taken back.

--- a/borageworks/gateway/acceptor.py
+++ b/borageworks/gateway/acceptor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import select
 import socket
 import time
@@ -17,6 +18,9 @@
 # The system drops the opening packet of a connection that finds the queue full, and the
 # caller's system repeats it only after a second.
 LISTEN_BACKLOG = 1_024
+MIN_LISTEN_BACKLOG = 64
+# Part of the memory for what arrives on connections that have not been accepted.
+BACKLOG_RATIO = 0.1
 # Readiness events alone left new connections waiting for seconds on a busy instance
 # without loop lag, so the listening socket is also polled.
 POLL_INTERVAL_S = 0.05
@@ -31,10 +35,23 @@
 # The system doubles these values. They are less than those for endpoints, as there may
 # be a thousand callers: with 64 KiB, 200 callers whose bodies were being discarded took
 # a process of 160 MB to 160.5 MB.
-RECEIVE_BUFFER_BYTES = 32_768
+RECEIVE_BUFFER_BYTES = 16_384
 SEND_BUFFER_BYTES = 65_536
 
 
+def max_waiting_connections(memory_bytes: float) -> int:
+    """Return how many connections may wait to be accepted.
+
+    Parameters
+    ----------
+    memory_bytes
+        Memory for callers, infinite if there is no limit.
+    """
+    # The system doubles the size of buffers.
+    fitting = BACKLOG_RATIO * memory_bytes / (2 * RECEIVE_BUFFER_BYTES)
+    return int(min(max(fitting, MIN_LISTEN_BACKLOG), LISTEN_BACKLOG))
+
+
 class Acceptor:
     """Accepts callers' connections even if the event loop is overloaded.
 
@@ -55,8 +72,9 @@
         Decides on requests before their connections are opened.
     on_polled
         Told after each poll whether no more admitted connections wait than it opened.
-    limits_memory
-        Whether to limit what the system keeps for each connection.
+    memory_bytes
+        Memory for callers, infinite if there is no limit. With a limit, what the system
+        keeps for each connection is limited as well.
     """
 
     def __init__(
@@ -68,9 +86,9 @@
         admission: RequestAdmission | None = None,
         on_polled: Callable[[bool], None] = lambda _kept_up: None,
         *,
-        limits_memory: bool = False,
+        memory_bytes: float = math.inf,
     ) -> None:
-        self._limits_memory = limits_memory
+        self._memory_bytes = memory_bytes
         self._pending = select.poll()
         self._may_accept = may_accept
         self._on_polled = on_polled
@@ -92,9 +110,12 @@
 
     def start(self) -> None:
         """Start listening."""
-        listener = socket.create_server(self._address, backlog=LISTEN_BACKLOG)
+        limits_memory = math.isfinite(self._memory_bytes)
+        listener = socket.create_server(
+            self._address, backlog=max_waiting_connections(self._memory_bytes)
+        )
         listener.setblocking(False)
-        if self._limits_memory:
+        if limits_memory:
             # Accepted connections take it over.
             for option, size in (
                 (socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
--- a/borageworks/gateway/connection_limit.py
+++ b/borageworks/gateway/connection_limit.py
@@ -25,8 +25,10 @@
 Connection = TypeVar("Connection", bound=Hashable)
 
 
-def max_caller_connections(max_descriptors: int, instances: int) -> int:
-    """Return how many connections of callers fit beside all other descriptors.
+def max_caller_connections(
+    max_descriptors: int, instances: int, max_connections: float = math.inf
+) -> int:
+    """Return how many connections of callers fit.
 
     Parameters
     ----------
@@ -34,9 +36,12 @@
         Open files that the process may have.
     instances
         Number of instances, each of which has a link to this one.
+    max_connections
+        Connections for which there is memory.
     """
     free = max_descriptors - RESERVED_DESCRIPTORS - instances
-    return max(free // DESCRIPTORS_PER_REQUEST, 1)
+    limit = min(free // DESCRIPTORS_PER_REQUEST, max_connections / ACCEPT_RATIO)
+    return max(int(limit), 1)
 
 
 class ConnectionLimit(Generic[Connection]):
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -177,7 +177,7 @@
             self._may_accept,
             self._early_admission,
             self._record_poll,
-            limits_memory=self._settings.limits_memory,
+            memory_bytes=self._body_budget.limit_bytes,
         )
         self._acceptor.start()
 
@@ -261,7 +261,9 @@
             stalled.abort()
         if not self._connection_limit.accepts(opening):
             self._close_idle(now, self._connection_limit.take_idle(now))
-        return self._connection_limit.accepts(opening)
+        return self._connection_limit.accepts(
+            opening
+        ) and self._body_budget.has_room_for_connection(now)
 
     def _connection_made(self, connection: CallerConnection) -> None:
         connection.peer_counted = self._peer_connections.take(connection.peer)
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -199,9 +199,7 @@
         self._pause_detector = PauseDetector(self._follower.require_confirmation)
         self._loop_lag = LoopLag(settings, self._metrics)
         self._admission = Admission(self._loop_lag, shares)
-        self._connection_limit = ConnectionLimit[CallerConnection](
-            self._max_caller_connections()
-        )
+        self._connection_limit = ConnectionLimit[CallerConnection](0)
         rejections = Rejections(self._metrics)
         self._body_budget = BodyBudget(
             settings.memory_bytes,
@@ -210,6 +208,7 @@
             rejections,
             self._metrics,
             self._connection_limit.record_pause,
+            lambda: self._connection_limit.count,
         )
         self._frontend = Frontend(
             settings,
@@ -232,6 +231,7 @@
         )
         await self._start_http_servers()
         self._body_budget.start(timers)
+        self._connection_limit.set_limit(self._max_caller_connections())
         await self._frontend.start()
         for coroutine in (
             self._follower.follow_store(),
@@ -382,7 +382,9 @@
 
     def _max_caller_connections(self) -> int:
         return max_caller_connections(
-            self._settings.max_descriptors, self._instances.count
+            self._settings.max_descriptors,
+            self._instances.count,
+            self._body_budget.max_connections,
         )
 
     def _store_outage_s(self) -> float:
--- a/borageworks/gateway/tests/test_acceptor.py
+++ b/borageworks/gateway/tests/test_acceptor.py
@@ -2,12 +2,19 @@
 
 import asyncio
 import errno
+import math
 import socket
 from unittest import mock
 
 from testtools import TestCase
 
-from borageworks.gateway.acceptor import LISTEN_BACKLOG, MAX_OPENED_PER_POLL, Acceptor
+from borageworks.gateway.acceptor import (
+    LISTEN_BACKLOG,
+    MAX_OPENED_PER_POLL,
+    RECEIVE_BUFFER_BYTES,
+    Acceptor,
+    max_waiting_connections,
+)
 from borageworks.gateway.settings import HostPort
 from borageworks.metrics import Metrics
 from borageworks_emulator.ports import HOST, free_ports
@@ -56,6 +63,13 @@
             [b"hello"] * (LISTEN_BACKLOG // 2), self.run_scenario(scenario)
         )
 
+    def test_queue_fits_into_the_memory(self):
+        """Guards against connections that fill the memory before they are accepted."""
+        for memory_bytes in (100e6, 200e6, 400e6, math.inf):
+            length = max_waiting_connections(memory_bytes)
+            self.assertTrue(64 <= length <= LISTEN_BACKLOG, length)
+            self.assertTrue(2 * RECEIVE_BUFFER_BYTES * length <= 0.1 * memory_bytes)
+
     def test_tells_when_a_poll_leaves_connections_waiting(self):
         """Guards against a queue that grows while nobody limits requests."""
         polled: list[bool] = []
--- a/borageworks/gateway/tests/test_connection_limit.py
+++ b/borageworks/gateway/tests/test_connection_limit.py
@@ -26,6 +26,13 @@
         # The connections used last are the ones that callers use again.
         self.assertEqual(set(range(900, 1000)), open_connections)
 
+    def test_connections_fit_into_descriptors_and_memory(self):
+        """Guards against connections that fit into the descriptors only."""
+        self.assertEqual(1_948, max_caller_connections(4_100, 0))
+        self.assertEqual(1_948, max_caller_connections(4_100, 0, 10_000.0))
+        self.assertEqual(100, max_caller_connections(4_100, 0, 180.0))
+        self.assertEqual(1, max_caller_connections(0, 0, 0.0))
+
     def test_connections_with_requests_are_not_closed(self):
         """Guards against cutting accepted requests to make room for new ones."""
         limit = ConnectionLimit[int](10)
--- a/borageworks/receiving/body_budget.py
+++ b/borageworks/receiving/body_budget.py
@@ -67,6 +67,8 @@
         `bodies_denied` by what was denied.
     on_pause
         Called with the time when the process had stood still until then.
+    connections
+        Returns the number of open connections of callers.
     """
 
     def __init__(
@@ -77,14 +79,17 @@
         rejections: Rejections,
         metrics: Metrics,
         on_pause: Callable[[float], None] = lambda _now: None,
+        connections: Callable[[], int] = lambda: 0,
     ) -> None:
         self._on_pause = on_pause
+        self._connections = connections
         self._memory_bytes = memory_bytes
         self._measures = at_rest_bytes is None
         self._review_buffers = review_buffers
         self._rejections = rejections
         self._metrics = metrics
         self._at_rest_bytes = at_rest_bytes or 0.0
+        self._least_at_rest_bytes = 0.0
         self._account = MemoryAccount(MemoryLimits(memory_bytes, at_rest_bytes or 0.0))
         self._allowances: dict[int, BodyAllowance] = {}
         self._loop = asyncio.get_running_loop()
@@ -98,9 +103,20 @@
         """Bytes that are held now, or that callers have announced."""
         return self._account.held_bytes
 
+    @property
+    def max_connections(self) -> float:
+        """Connections of callers that fit, infinite without a limit."""
+        return self._account.max_connections if self._measures else math.inf
+
+    @property
+    def limit_bytes(self) -> float:
+        """Bytes for callers and endpoints, infinite without a limit."""
+        return self._account.limit_bytes
+
     def start(self, timers: Timers) -> None:
         """Measure what the process holds at rest, and begin to observe buffers."""
         self._measure_rest()
+        self._least_at_rest_bytes = self._at_rest_bytes
         emit(
             Event.MEMORY_LIMIT,
             limit_bytes=_finite(self._account.limit_bytes),
@@ -173,6 +189,7 @@
         while True:
             now = self._loop.time()
             self.detect_pause(now)
+            self._count_connections()
             if (
                 self._account.is_half_full
                 and now - self._buffers_observed_at > FULL_OBSERVE_INTERVAL_S
@@ -248,6 +265,25 @@
     def _observe_buffers(self, now: float) -> None:
         self._buffers_observed_at = now
         self._account.set_buffered(self._review_buffers())
+        if self._measures:
+            self._account.set_used(resident_bytes() - self._at_rest_bytes)
+
+    def _count_connections(self) -> None:
+        # Memory at rest that is stated leaves room for bodies only.
+        if self._measures:
+            self._account.set_connections(self._connections())
+
+    def has_room_for_connection(self, now: float) -> bool:
+        """Return whether another connection fits; end stalled transfers if not."""
+        if not self._measures or not math.isfinite(self._memory_bytes):
+            return True
+        if now - self._buffers_observed_at > FULL_OBSERVE_INTERVAL_S:
+            self._observe_buffers(now)
+            if self._account.crowded_bytes > 0.0:
+                return_free_pages()
+                for victim in self._account.stalled(now):
+                    self._end(victim)
+        return self._account.crowded_bytes <= 0.0
 
     @property
     def _can_measure(self) -> bool:
@@ -264,16 +300,18 @@
         if not self._measures:
             return
         resident = resident_bytes()
-        held = self._account.held_bytes
+        self._count_connections()
+        held = self._account.held_bytes + self._account.connection_bytes
         if resident > self._at_rest_bytes + held + GROWTH_BYTES:
             return_free_pages()
             resident = resident_bytes()
-        self._at_rest_bytes = resident - held
+        self._at_rest_bytes = max(resident - held, self._least_at_rest_bytes)
         self._account.set_limits(MemoryLimits(self._memory_bytes, self._at_rest_bytes))
 
     def _set_gauges(self) -> None:
         self._metrics.gauge("body_bytes", self._account.held_bytes)
         self._metrics.gauge("buffered_bytes", self._account.buffered_bytes)
+        self._metrics.gauge("connection_bytes", self._account.connection_bytes)
         if math.isfinite(self._account.limit_bytes):
             self._metrics.gauge("memory_limit_bytes", round(self._account.limit_bytes))
 
--- a/borageworks/receiving/memory_account.py
+++ b/borageworks/receiving/memory_account.py
@@ -12,10 +12,21 @@
 # Part of the memory that is available in any case. A process that fills its memory at
 # rest would otherwise refuse everything.
 MIN_RATIO = 0.1
+# What an open connection takes beside bodies: objects of its handler and parser, and
+# what has arrived and not been read.
+CONNECTION_BYTES = 28_672
+# Part of the account that connections may fill.
+CONNECTION_RATIO = 0.6
+# Above this part of the account in actual use no connection is accepted.
+CROWDED_RATIO = 0.5
+# Above this part no request gets memory, as bytes that have arrived take more of it.
+FULL_RATIO = 0.75
 # Parts of the account that large bodies may fill. The rest is reserved for small ones,
 # so that unfinished large uploads do not keep ordinary requests out.
 LARGE_REQUEST_RATIO = 0.6
 RESPONSE_RATIO = 0.8
+# Part of what connections leave that buffers do not take from ordinary requests.
+SMALL_ROOM_RATIO = 0.25
 # Ordinary bodies have 1 to 100 KB.
 SMALL_BYTES = 131_072
 # Responses up to this size may exceed the limit: the request may have run, and a full
@@ -142,6 +153,8 @@
         self._next_number = 0
         self._held_bytes = 0
         self._buffered_bytes = 0
+        self._connection_bytes = 0
+        self._used_bytes = 0.0
         self._observed_at = 0.0
         self._resumed_at = 0.0
 
@@ -160,10 +173,21 @@
         """Bytes received that no request accounts for, as last observed."""
         return self._buffered_bytes
 
+    @property
+    def connection_bytes(self) -> int:
+        """Bytes that open connections take beside bodies."""
+        return self._connection_bytes
+
+    @property
+    def max_connections(self) -> float:
+        """Connections that may be open, infinite without a limit."""
+        return CONNECTION_RATIO * self.limit_bytes / CONNECTION_BYTES
+
     @property
     def is_half_full(self) -> bool:
         """Whether more than half of the limit is used."""
-        return self._held_bytes + self._buffered_bytes > self.limit_bytes / 2
+        used_bytes = self._held_bytes + self._buffered_bytes + self._connection_bytes
+        return used_bytes > self.limit_bytes / 2
 
     @property
     def is_empty(self) -> bool:
@@ -190,6 +214,28 @@
         """Record what connections have buffered."""
         self._buffered_bytes = buffered_bytes
 
+    @property
+    def crowded_bytes(self) -> float:
+        """Bytes in actual use above what connections may be accepted with."""
+        return self._used_bytes - CROWDED_RATIO * self.limit_bytes
+
+    def set_used(self, used_bytes: float) -> None:
+        """Record by how much the process has grown since it was at rest.
+
+        Freed memory that the allocator keeps is part of it, and so is what no rule
+        counts.
+        """
+        self._used_bytes = used_bytes
+
+    def stalled(self, now: float) -> tuple[Holding, ...]:
+        """Return stalled transfers that hold what is above `crowded_bytes`."""
+        candidates = self._stalled(now, None)
+        return _enough(candidates, self.crowded_bytes) or tuple(candidates)
+
+    def set_connections(self, count: int) -> None:
+        """Record how many connections are open."""
+        self._connection_bytes = count * CONNECTION_BYTES
+
     def observe(self, now: float, interval: float) -> bool:
         """Record and return whether the process stood still since the last call.
 
@@ -227,6 +273,7 @@
             missing = self._missing_small(size, 1.0)
         else:
             missing = self._missing_large(size, LARGE_REQUEST_RATIO)
+        missing = max(missing, self._used_bytes - FULL_RATIO * self.limit_bytes)
         if missing <= 0:
             holding.unknown_length = not announced
             holding.request_bytes += size
@@ -283,14 +330,20 @@
     def _missing_small(self, size: int, ratio: float) -> float:
         """Return how many bytes of room are missing, 0 or less if there is enough.
 
-        Buffers do not count here, so that endpoints and callers that fill them do not
-        keep ordinary requests out.
+        Buffers leave a part of the room to ordinary requests, so that endpoints and
+        callers that fill them do not keep those out.
         """
-        return self._held_bytes + size - ratio * self.limit_bytes
+        room = max(self._room - self._buffered_bytes, SMALL_ROOM_RATIO * self._room)
+        return self._held_bytes + size - ratio * room
 
     def _missing_large(self, size: int, ratio: float) -> float:
         """Return the same for what may exceed the size of ordinary bodies."""
-        return self._buffered_bytes + self._missing_small(size, ratio)
+        return self._held_bytes + self._buffered_bytes + size - ratio * self._room
+
+    @property
+    def _room(self) -> float:
+        """Bytes that are left beside open connections."""
+        return max(self.limit_bytes - self._connection_bytes, 0.0)
 
     def _ending(self, asking: Holding) -> tuple[Holding, ...]:
         """Return the requests that are being ended and have not given back yet.
@@ -304,7 +357,7 @@
             if item.ended and item is not asking
         )
 
-    def _stalled(self, now: float, asking: Holding) -> list[Holding]:
+    def _stalled(self, now: float, asking: Holding | None) -> list[Holding]:
         """Return the stalled transfers, the longest without progress first."""
         before = now - STALLED_S
         if self._resumed_at > before:
--- a/borageworks/receiving/tests/test_memory_account.py
+++ b/borageworks/receiving/tests/test_memory_account.py
@@ -56,6 +56,30 @@
             self.assertTrue(limit * LARGE_REQUEST_RATIO > LARGEST_BYTES, memory)
             self.assertTrue(limit + 62 * MIB <= memory * MIB * (1 - MARGIN_RATIO))
 
+    def test_connections_take_memory_of_bodies(self):
+        """Guards against connections that take memory which bodies fill as well."""
+        small_bytes = SMALL_BYTES // 2
+        alone = len(self.fill(small_bytes))
+        self.account = MemoryAccount(MemoryLimits(100 * MIB, 60 * MIB))
+        self.account.set_connections(int(self.account.max_connections))
+        self.assertEqual(Taken(), self.upload(LARGEST_BYTES)[1])
+        beside = len(self.fill(small_bytes))
+        used = self.account.held_bytes + self.account.connection_bytes
+        self.assertTrue(used <= self.account.limit_bytes, used)
+        self.assertTrue(0 < beside < alone, (beside, alone))
+
+    def test_growth_that_no_rule_counts(self):
+        """Guards against memory that is in use and that the account does not see."""
+        self.assertTrue(self.account.crowded_bytes < 0.0)
+        stalled, _ = self.upload(SMALL_BYTES)
+        self.account.set_used(self.account.limit_bytes)
+        self.assertTrue(self.account.crowded_bytes > 0.0)
+        self.observe_until(LATER)
+        self.assertEqual((stalled,), self.account.stalled(LATER))
+        self.assertEqual(Shortage(), self.upload(1, now=LATER)[1])
+        self.account.set_used(0.0)
+        self.assertEqual(Taken(), self.upload(1, now=LATER)[1])
+
     def test_small_requests_beside_unfinished_large_ones(self):
         """Guards against unfinished uploads that keep ordinary requests out."""
         self.fill()
