Limit the memory of bodies at the product's own interface

What operators saw: the same clients end a router that serves the product's own interface. 48 unfinished bodies of 4 MiB took a process 348.5 MB (with a length) and 343.2 MB (large chunks), where the bound of the test is 100 MB. Cause: only the gateway had a memory account. The router read each body whole, up to 64 MiB, before it compared it with the limit of its service. Change: reading a body within the account moves from the gateway's frontend to api/request_body.py, which both use. The new setting limits.memory_mb is null by default, so that nothing changes without it. A plain service's limit holds while its body arrives.

--- a/borageworks/api/server.py
+++ b/borageworks/api/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import secrets
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -14,8 +15,13 @@
 from borageworks.api.authentication import authenticate
 from borageworks.api.backend import Backend
 from borageworks.api.completion import parse_completion
-from borageworks.api.connection import CallerConnection
+from borageworks.api.connection import (
+    DISCARD_TIMEOUT_S,
+    LINGERING_TIMEOUT_S,
+    CallerConnection,
+)
 from borageworks.api.problem import problem_event, problem_response
+from borageworks.api.request_body import discard_rest, read_body
 from borageworks.api.sink import ResponseSink
 from borageworks.catalog.objects import Organisation, PoolKind, Service
 from borageworks.catalog.replica import Replica
@@ -24,7 +30,6 @@
 from borageworks.endpoints.headers import end_to_end
 from borageworks.events import Event, emit
 from borageworks.exceptions import (
-    BodyMalformedError,
     BodyTooLargeError,
     CallerFailedError,
     InstanceNotReadyError,
@@ -36,13 +41,17 @@
     ServiceUnknownError,
 )
 from borageworks.metrics import Metrics
+from borageworks.receiving.body_budget import BodyAllowance, BodyBudget
+from borageworks.receiving.rejections import Rejections
 from borageworks.receiving.turns import ReceiveTurns
+from borageworks.timers import Timers
 
 COMPLETIONS_PATH = "/v1/chat/completions"
 LISTEN_BACKLOG = 1024
 MAX_BODY_BYTES = 64 * 1_048_576
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 REQUEST_ID = web.RequestKey("request_id", str)
+ALLOWANCE = web.RequestKey("allowance", BodyAllowance)
 
 
 class Server:
@@ -68,6 +77,8 @@
         self._backend = backend
         self._metrics = metrics
         self._turns = ReceiveTurns(metrics)
+        self._memory_bytes = settings.limits.memory_bytes
+        self._body_budget: BodyBudget | None = None
         # A restarted instance must not reuse request IDs that endpoints still remember.
         self._request_id_prefix = f"{settings.instance}-{secrets.token_hex(4)}"
         self._request_numbers = itertools.count(1)
@@ -96,6 +107,15 @@
         app.router.add_get("/status", self._status)
         self._runner = web.AppRunner(app, handler_cancellation=True)
         await self._runner.setup()
+        self._body_budget = BodyBudget(
+            self._memory_bytes,
+            None,
+            self._turns.review_paused,
+            Rejections(self._metrics),
+            self._metrics,
+            connections=self._count_connections,
+        )
+        self._body_budget.start(Timers())
         host, port = self._settings.listen.host_port
         self._listener = await asyncio.get_running_loop().create_server(
             self._connect, host, port, backlog=LISTEN_BACKLOG
@@ -110,6 +130,8 @@
 
     async def stop(self) -> None:
         """Close all connections."""
+        if self._body_budget is not None:
+            self._body_budget.stop()
         if self._runner is not None:
             await self._runner.cleanup()
 
@@ -121,8 +143,15 @@
             asyncio.get_running_loop(),
             self._count_refusal,
             self._turns,
+            discard_timeout_s=DISCARD_TIMEOUT_S
+            if math.isfinite(self._memory_bytes)
+            else LINGERING_TIMEOUT_S,
         )
 
+    def _count_connections(self) -> int:
+        assert self._runner is not None and self._runner.server is not None
+        return len(self._runner.server.connections)
+
     def _count_refusal(self, refusal: RefusalError) -> None:
         self._metrics.count("refusals", refusal.code)
 
@@ -131,12 +160,21 @@
         request_id = f"{self._request_id_prefix}-{next(self._request_numbers)}"
         request[REQUEST_ID] = request_id
         self._metrics.count("requests")
+        connection = request.protocol
+        assert isinstance(connection, CallerConnection)
+        assert self._body_budget is not None
         try:
-            return await handler(request)
+            with self._body_budget.open(connection) as allowance:
+                request[ALLOWANCE] = allowance
+                return await handler(request)
         except RefusalError as refusal:
-            return self._refusal_response(refusal, request_id)
+            response = self._refusal_response(refusal, request_id)
         except web.HTTPException as error:
-            return self._refusal_response(_refusal_from(error, request), request_id)
+            refused = _refusal_from(error, request)
+            response = self._refusal_response(refused, request_id)
+        if math.isfinite(self._memory_bytes):
+            discard_rest(request, response)
+        return response
 
     def _refusal_response(self, refusal: RefusalError, request_id: str) -> web.Response:
         self._count_refusal(refusal)
@@ -151,7 +189,7 @@
 
     async def _completions(self, request: web.Request) -> web.StreamResponse:
         organisation = self._authenticate(request)
-        completion, body = parse_completion(await _read_body(request))
+        completion, body = parse_completion(await _read_body(request, MAX_BODY_BYTES))
         service = self._find_service(completion.model, organisation, PoolKind.ENGINE)
         _check_body_size(body, service)
         call = Call(
@@ -173,8 +211,7 @@
         service = self._find_service(
             request.match_info["service"], organisation, PoolKind.PLAIN
         )
-        body = await _read_body(request)
-        _check_body_size(body, service)
+        body = await _read_body(request, service.max_body_bytes)
         path = "/" + request.raw_path.removeprefix(f"/services/{service.id}").lstrip(
             "/"
         )
@@ -309,15 +346,8 @@
         )
 
 
-async def _read_body(request: web.Request) -> bytes:
-    try:
-        return await request.read()
-    except web.HTTPRequestEntityTooLarge as error:
-        raise BodyTooLargeError(
-            f"request body exceeds the limit of {MAX_BODY_BYTES} bytes"
-        ) from error
-    except web.RequestPayloadError as error:
-        raise BodyMalformedError(f"request body is incomplete: {error}") from error
+async def _read_body(request: web.Request, max_bytes: int) -> bytes:
+    return bytes(await read_body(request, max_bytes, request[ALLOWANCE]) or b"")
 
 
 def _refusal_from(error: web.HTTPException, request: web.Request) -> RefusalError:
--- a/borageworks/commands/run.py
+++ b/borageworks/commands/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import signal
 import sys
 from pathlib import Path
@@ -16,6 +17,7 @@
 from borageworks.config.settings import Settings
 from borageworks.exceptions import SettingsInvalidError
 from borageworks.platform.main import run as run_gateway
+from borageworks.receiving.allocator import return_large_blocks
 from borageworks.router.router import Router
 
 EXIT_SETTINGS_INVALID = 2
@@ -55,4 +57,6 @@
         eliot.to_file(open(settings.log_file, "ab"))  # noqa: SIM115
     else:
         eliot.to_file(sys.stderr)
+    if math.isfinite(settings.limits.memory_bytes):
+        return_large_blocks()
     run_loop(_serve(settings))
--- a/borageworks/config/settings.py
+++ b/borageworks/config/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Annotated
 
 from pydantic import (
@@ -16,6 +17,7 @@
 from borageworks.catalog.objects import ObjectId
 from borageworks.wire.link_settings import LinkSettings
 
+MEBIBYTE = 1_048_576
 SecretHex = Annotated[str, StringConstraints(pattern=r"^[0-9a-f]{32,128}$")]
 
 
@@ -126,6 +128,21 @@
     drain_timeout_s: float = Field(default=3600.0, gt=0)
 
 
+class LimitSettings(_Section):
+    """Limits of the process."""
+
+    memory_mb: int | None = Field(
+        default=None,
+        ge=1,
+        description="memory of the process in MiB",
+    )
+
+    @property
+    def memory_bytes(self) -> float:
+        """Memory in bytes, infinite without a limit."""
+        return math.inf if self.memory_mb is None else self.memory_mb * MEBIBYTE
+
+
 class Settings(_Section):
     """Settings of one instance."""
 
@@ -142,6 +159,7 @@
     retry: RetrySettings = RetrySettings()
     claims: ClaimSettings = ClaimSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
+    limits: LimitSettings = LimitSettings()
     log_file: str | None = Field(
         default=None, description="file for JSON lines; None writes to standard error"
     )
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -15,12 +15,15 @@
     CallerConnection,
 )
 from borageworks.api.problem import problem_response
+from borageworks.api.request_body import (
+    MEMORY_RETRY_AFTER_S,
+    discard_rest,
+    is_small_and_received,
+    read_body,
+)
 from borageworks.api.sink import ResponseSink
 from borageworks.events import Event, emit
 from borageworks.exceptions import (
-    BodyLateError,
-    BodyMalformedError,
-    BodyTooLargeError,
     CallerFailedError,
     EndpointUnavailableError,
     InstanceLeavingError,
@@ -60,8 +63,6 @@
 from borageworks.metrics import Metrics
 from borageworks.placement.stream_origins import stream_id
 from borageworks.receiving.body_budget import BodyAllowance, BodyBudget
-from borageworks.receiving.body_reader import read_available
-from borageworks.receiving.memory_account import SMALL_BYTES
 from borageworks.receiving.rejections import Rejections
 from borageworks.receiving.turns import ReceiveTurns
 
@@ -71,15 +72,8 @@
 NOT_READY_RETRY_AFTER_S = 0.5
 # Short, since the caller's next connection reaches another instance.
 LEAVING_RETRY_AFTER_S = 0.02
-# Memory for a body of unknown length is taken in steps of this size, each with an
-# eighth more, which a growing `bytearray` allocates ahead.
-BODY_STEP_BYTES = 16_384
-BODY_STEP_COST_BYTES = BODY_STEP_BYTES * 9 // 8
-# Bodies that fill the memory take about a second to arrive.
-MEMORY_RETRY_AFTER_S = 0.5
 # Time for handlers to end when their connections are closed.
 CLOSE_TIMEOUT_S = 0.1
-CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class Frontend:
@@ -430,99 +424,39 @@
         allowance: BodyAllowance,
         deadline: float,
     ) -> bytes | bytearray | None:
-        """Return the body of a request, None if it has none.
+        """Return the body of a request, None if it has none; see `read_body`.
 
         Raises
         ------
-        BodyTooLargeError
-            If it has more than `max_bytes`.
-        BodyMalformedError
-            If it is incomplete.
-        BodyLateError
-            If it is incomplete at the deadline.
         InstanceOverloadedError
-            If there is no memory for it; with a stated length, this shows before the
-            body is read. Also if too many bodies of the organisation are arriving.
+            Also if too many bodies of the organisation are arriving.
         """
-        if not http_request.can_read_body:
-            allowance.begin_running()
-            return None
-        announced = http_request.content_length
-        if (announced or 0) > max_bytes:
-            raise BodyTooLargeError(f"the body is over {max_bytes} bytes")
-        # The rest of a body of unknown length is taken as it arrives.
-        first_bytes = BODY_STEP_COST_BYTES if announced is None else announced
-        if not await allowance.take_request(
-            first_bytes, announced=announced is not None
-        ):
-            raise _no_memory()
-        content = http_request.content
-        if content.is_eof() and announced is not None and announced <= SMALL_BYTES:
-            body: bytes | bytearray = await _read_arrived(http_request)
-            allowance.begin_running()
-            return body
-        protocol = http_request.protocol
-        assert isinstance(protocol, CallerConnection)
+        if not http_request.can_read_body or is_small_and_received(http_request):
+            return await read_body(http_request, max_bytes, allowance)
+        connection = http_request.protocol
+        assert isinstance(connection, CallerConnection)
         if not self._organisation_bodies.take(organisation):
-            self._rejections.record("organisation_bodies", protocol.peer, organisation)
+            self._rejections.record(
+                "organisation_bodies", connection.peer, organisation
+            )
             raise InstanceOverloadedError(
                 "too many bodies of the organisation are arriving at the same time",
                 retry_after=MEMORY_RETRY_AFTER_S,
             )
-        protocol.body_accounted = announced is not None
-        protocol.receiving_body = True
         loop = asyncio.get_running_loop()
-        self._connection_limit.begin_body(loop.time(), protocol)
+        limit = self._connection_limit
+        limit.begin_body(loop.time(), connection)
         try:
-            async with asyncio.timeout_at(deadline) as timeout:
-                allowance.begin_receiving(timeout)
-                body = await self._receive_body(http_request, max_bytes, allowance)
-        except TimeoutError as error:
-            if allowance.ended:
-                raise _no_memory() from error
-            raise BodyLateError(
-                "the body did not arrive before the deadline of the request"
-            ) from error
+            return await read_body(
+                http_request,
+                max_bytes,
+                allowance,
+                deadline,
+                lambda: limit.record_progress(loop.time(), connection),
+            )
         finally:
-            self._connection_limit.end_body(protocol)
+            limit.end_body(connection)
             self._organisation_bodies.release(organisation)
-            protocol.body_accounted = protocol.receiving_body = False
-            allowance.begin_running()
-        if allowance.ended:
-            # The body was completed in the iteration of the loop in which it was
-            # chosen, before the timeout took effect.
-            raise _no_memory()
-        return body
-
-    async def _receive_body(
-        self, http_request: web.BaseRequest, max_bytes: int, allowance: BodyAllowance
-    ) -> bytearray:
-        """Return a body that has not arrived yet; see `_read_body`."""
-        if http_request.headers.get("Expect", "").lower() == "100-continue":
-            transport = http_request.transport
-            if transport is not None:
-                transport.write(CONTINUE_RESPONSE)
-        protocol = http_request.protocol
-        assert isinstance(protocol, CallerConnection)
-        loop = asyncio.get_running_loop()
-        announced = http_request.content_length
-        counted = BODY_STEP_BYTES
-        body = bytearray()
-        try:
-            while data := await read_available(http_request.content, protocol):
-                while announced is None and len(body) + len(data) > counted:
-                    # Taken before the bytes are kept; nothing more is read meanwhile.
-                    if not await allowance.take_request(BODY_STEP_COST_BYTES):
-                        raise _no_memory()
-                    counted += BODY_STEP_BYTES
-                body += data
-                if len(body) > max_bytes:
-                    raise BodyTooLargeError(f"the body is over {max_bytes} bytes")
-                allowance.record_received(len(data))
-                self._connection_limit.record_progress(loop.time(), protocol)
-        except web.RequestPayloadError as error:
-            raise BodyMalformedError(f"the body is incomplete: {error}") from error
-        return body
 
     def _key_organisation(self, http_request: web.BaseRequest) -> str:
         """Return the organisation of a request's API key, or NO_ORGANISATION."""
@@ -575,24 +509,8 @@
     def _discard_rest(
         self, http_request: web.BaseRequest, response: web.Response
     ) -> None:
-        """Close the connection after a refusal if a large body is still arriving.
-
-        Until its caller has read the refusal, the rest is dropped without being parsed.
-        A body of unknown length is large once as much of it has arrived.
-        """
-        if not self._settings.limits_memory:
-            return
-        length = http_request.content_length
-        content = http_request.content
-        size = content.total_bytes if length is None else length
-        protocol = http_request.protocol
-        if (
-            size > SMALL_BYTES
-            and not content.is_eof()
-            and isinstance(protocol, CallerConnection)
-        ):
-            response.force_close()
-            protocol.discard_rest()
+        if self._settings.limits_memory:
+            discard_rest(http_request, response)
 
     def _refuse_overloaded(self) -> web.Response:
         refusal = overload_refusal(self._admission)
@@ -655,18 +573,3 @@
     if route.public:
         return None
     raise KeyUnknownError("the API key is missing or unknown")
-
-
-async def _read_arrived(http_request: web.BaseRequest) -> bytes:
-    """Return a body that has arrived completely."""
-    try:
-        return await http_request.content.readany()
-    except web.RequestPayloadError as error:
-        raise BodyMalformedError(f"the body is incomplete: {error}") from error
-
-
-def _no_memory() -> InstanceOverloadedError:
-    return InstanceOverloadedError(
-        "the bodies of requests take all the memory that the instance has for them",
-        retry_after=MEMORY_RETRY_AFTER_S,
-    )
--- a/borageworks_emulator/platform/tests/test_ended_requests.py
+++ b/borageworks_emulator/platform/tests/test_ended_requests.py
@@ -5,18 +5,18 @@
 
 from testtools import TestCase
 
-from borageworks.gateway.frontend import Frontend
+from borageworks.api import request_body
 from borageworks.receiving.body_budget import BodyAllowance
 from borageworks_emulator.platform.endpoint import Behaviour, EmulatedEndpoint
 from borageworks_emulator.platform.harness import PLAIN_SERVICE, Harness
 
 BODY_BYTES = 300_000
-receive_body = Frontend._receive_body
+receive_body = request_body._receive
 
 
-async def receive_and_end(self, http_request, max_bytes, allowance):
+async def receive_and_end(http_request, max_bytes, allowance, on_progress):
     """Receive a body that is chosen to be ended when it has just become complete."""
-    body = await receive_body(self, http_request, max_bytes, allowance)
+    body = await receive_body(http_request, max_bytes, allowance, on_progress)
     allowance._budget._end(allowance._holding)
     return body
 
@@ -46,7 +46,7 @@
 
     def test_body_that_is_complete_when_it_is_chosen(self):
         """Guards against a request that runs and whose response is thrown away."""
-        with mock.patch.object(Frontend, "_receive_body", receive_and_end):
+        with mock.patch.object(request_body, "_receive", receive_and_end):
             self.assertEqual((503, 0, []), self.send("/book/1", BODY_BYTES))
 
     def test_response_that_gives_way(self):
--- a/borageworks_emulator/tests/test_hostile_api.py
+++ b/borageworks_emulator/tests/test_hostile_api.py
@@ -138,7 +138,7 @@
         """Check a process while many bodies stop short of their end, and after."""
 
         async def main():
-            async with scene() as current:
+            async with scene(limits={"memory_mb": MEMORY_MB}) as current:
                 at_rest = await current.ask()
                 await current.crowd.send(CALLERS, pieces_of)
                 beside = await current.ask()
