Accept all waiting connections in a planned stop, however slow the machine

Cause: since a poll of the listening socket has a time limit, the polls of a planned stop could end before the queue was empty, and closing the socket resets what is left. Found by reading the change against the list of faults of similar systems (requests just accepted that a planned stop cuts off). Change: the polls of a stop have no time limit. Measured: test_stop_accepts_all_connections_that_wait, 512 callers and a poll with time for one connection: ConnectionResetError before, all answered with the change.

--- a/borageworks/gateway/acceptor.py
+++ b/borageworks/gateway/acceptor.py
@@ -132,7 +132,7 @@
         if self._socket is None:
             return
         for _ in range(-(-LISTEN_BACKLOG // MAX_OPENED_PER_POLL)):
-            self._accept()
+            self._poll(math.inf)
         if self._screen is not None:
             self._screen.release()
         if self._poll_timer is not None:
--- a/borageworks/gateway/tests/test_acceptor.py
+++ b/borageworks/gateway/tests/test_acceptor.py
@@ -8,6 +8,7 @@
 
 from testtools import TestCase
 
+from borageworks.gateway import acceptor as acceptor_module
 from borageworks.gateway.acceptor import (
     LISTEN_BACKLOG,
     MAX_OPENED_PER_POLL,
@@ -63,6 +64,31 @@
             [b"hello"] * (LISTEN_BACKLOG // 2), self.run_scenario(scenario)
         )
 
+    def test_stop_accepts_all_connections_that_wait(self):
+        """Guards against a planned stop that resets connections in a long queue."""
+
+        async def main():
+            address = HostPort(HOST, free_ports(1)[0])
+            acceptor = Acceptor(address, GreetingProtocol, Metrics())
+            acceptor.start()
+            callers = [
+                socket.create_connection(address, 3.0)
+                for _ in range(LISTEN_BACKLOG // 2)
+            ]
+            # A machine so slow that a poll has time for one connection only.
+            with mock.patch.object(acceptor_module, "MAX_POLL_S", 1e-6):
+                acceptor.stop()
+            try:
+                return await asyncio.to_thread(
+                    lambda: [caller.recv(16) for caller in callers]
+                )
+            finally:
+                for caller in callers:
+                    caller.close()
+
+        greetings = asyncio.run(main())
+        self.assertEqual([b"hello"] * (LISTEN_BACKLOG // 2), greetings)
+
     def test_queue_fits_into_the_memory(self):
         """Guards against connections that fill the memory before they are accepted."""
         for memory_bytes in (100e6, 200e6, 400e6, math.inf):
