Name the largest organisations and the best served one in event 415

Six of the 16 names are now those that requested most, best_served is what the organisation got that got most, and borageworks shares adds it up. This tells a floor that is too low (a flood that stays at one part of the even share while best_served is above it) from debt (its lead in event 410) and from refusals at the entry (event 409).

Tests: test_the_largest_organisations_are_named_with_the_best_served and test_sums_what_was_owed_and_names_who_refused, which failed before. No change of a decision.

--- a/borageworks/commands/shares.py
+++ b/borageworks/commands/shares.py
@@ -34,12 +34,16 @@
 
 @dataclass(frozen=True, slots=True)
 class _Row:
-    """Amounts of one organisation in one second at one component."""
+    """Amounts of one organisation in one second at one component.
+
+    `best_served` is what the organisation got that got most, 0 if it is not known.
+    """
 
     second: int
     instance: str
     subject: str
     amounts: tuple[float, ...]
+    best_served: float = 0.0
 
 
 @click.command()
@@ -84,7 +88,10 @@
     match entry.event:
         case Event.ORGANISATION_SHARES.number if len(amounts) == AMOUNTS:
             subject = f"{entry.fields.get('service')}/{entry.fields.get('shard')}"
-            return [_Row(second, entry.instance, subject, tuple(amounts))]
+            best_served = entry.fields.get("best_served")
+            if not isinstance(best_served, int | float):
+                best_served = 0.0
+            return [_Row(second, entry.instance, subject, tuple(amounts), best_served)]
         case Event.ORGANISATIONS_REFUSED.number if len(amounts) == 2:
             if entry.fields.get("part") != "callers":
                 return []
@@ -112,8 +119,10 @@
 
 def _totals(rows: list[_Row]) -> list[str]:
     totals: dict[str, list[float]] = defaultdict(lambda: [0.0] * AMOUNTS)
+    best_served: dict[str, float] = defaultdict(float)
     for row in rows:
         total = totals[row.subject]
+        best_served[row.subject] += row.best_served
         for index, amount in enumerate(row.amounts):
             total[index] += amount
     lines = []
@@ -128,4 +137,6 @@
             f"{requested:.0f} requested; refused {on_arrival:.0f} on arrival and "
             f"{after_wait:.0f} after a wait, {below:.0f} of it below its share"
         )
+        if best_served[subject]:
+            lines.append(f"{subject}: the best served got {best_served[subject]:.0f}")
     return lines
--- a/borageworks/commands/tests/test_shares.py
+++ b/borageworks/commands/tests/test_shares.py
@@ -16,6 +16,7 @@
         service="llm",
         shard=0,
         even_share=100,
+        best_served=130,
         organisations={"o": amounts},
     )
 
@@ -52,6 +53,7 @@
         self.assertEqual(0, result.exit_code, result.output)
         self.assertIn("llm/0: got 100 of 200 owed (0.50)", result.stdout)
         self.assertIn("refused 100 on arrival and 50 after a wait", result.stdout)
+        self.assertIn("llm/0: the best served got 260", result.stdout)
         self.assertIn("entry: refused 7 of 10 requests", result.stdout)
         self.assertIn("edge-2", result.stdout)
 
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -1166,6 +1166,7 @@
     unlimited = math.isinf(report.even_share)
     return {
         "even_share": None if unlimited else round(report.even_share),
+        "best_served": round(report.best_served),
         "organisations": {
             name: _amount_fields(report.owed(item), item)
             for name, item in report.organisations.items()
--- a/borageworks/placement/share_tally.py
+++ b/borageworks/placement/share_tally.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import heapq
+import itertools
 from dataclasses import dataclass, field
 
 from borageworks.fair.max_min import max_min_level
@@ -10,6 +12,9 @@
 # Further organisations are summed up, so that the size of a report does not grow with
 # the deployment.
 MAX_NAMED_ORGANISATIONS = 16
+# Those of them that are named as they request most. Of these most is refused although
+# they miss little of what they are owed.
+MAX_NAMED_FLOODS = 6
 
 
 @dataclass(slots=True)
@@ -53,14 +58,18 @@
         requested over what was placed. Infinite if all was placed.
     organisations
         Amounts by organisation, those that missed most of what they were owed first.
+        Among them are those that requested most.
     others, others_count
         Amounts of further organisations, and their number.
+    best_served
+        Amount of the organisation that got most.
     """
 
     even_share: float
     organisations: dict[str, OrganisationAmounts]
     others: OrganisationAmounts
     others_count: int
+    best_served: float = 0.0
 
     def owed(self, amounts: OrganisationAmounts) -> float:
         """Return what an organisation was owed: its request up to the even share."""
@@ -121,15 +130,21 @@
             owed = min(item.requested, even_share)
             return max(owed - item.placed, 0.0) / owed if owed else 0.0
 
+        largest = heapq.nlargest(
+            MAX_NAMED_FLOODS, amounts, key=lambda name: amounts[name].requested
+        )
         ranked = sorted(amounts, key=lambda name: (-missed(name), name))
+        candidates = dict.fromkeys((*largest, *ranked))
+        named = set(itertools.islice(candidates, MAX_NAMED_ORGANISATIONS))
         others = OrganisationAmounts()
-        for name in ranked[MAX_NAMED_ORGANISATIONS:]:
+        for name in amounts.keys() - named:
             others.add(amounts[name])
         return ShareReport(
             even_share,
-            {name: amounts[name] for name in ranked[:MAX_NAMED_ORGANISATIONS]},
+            {name: amounts[name] for name in ranked if name in named},
             others,
-            max(len(ranked) - MAX_NAMED_ORGANISATIONS, 0),
+            len(amounts) - len(named),
+            max((item.placed for item in amounts.values()), default=0.0),
         )
 
     def _of(self, organisation: str) -> OrganisationAmounts:
--- a/borageworks/placement/tests/test_share_tally.py
+++ b/borageworks/placement/tests/test_share_tally.py
@@ -40,3 +40,18 @@
         self.assertEqual(5, report.others_count)
         self.assertEqual(5000.0, report.others.requested)
         self.assertEqual({}, tally.report().organisations)
+
+    def test_the_largest_organisations_are_named_with_the_best_served(self):
+        """Guards against reports without whom an organisation is compared with."""
+        tally = ShareTally()
+        for number in range(2 * MAX_NAMED_ORGANISATIONS):
+            name = f"small-{number:02}"
+            tally.record_requested(name, 100.0)
+            tally.record_placed(name, 40.0)
+        for name, placed in (("flood", 200.0), ("best", 500.0)):
+            tally.record_requested(name, 10_000.0)
+            tally.record_placed(name, placed)
+        report = tally.report()
+        self.assertEqual(MAX_NAMED_ORGANISATIONS, len(report.organisations))
+        self.assertTrue({"flood", "best"} <= report.organisations.keys())
+        self.assertEqual(500.0, report.best_served)
