Failing tests: floods that keep less than half of what the best served one gets

The operators' measure (share_rule.py): in any six seconds an organisation gets half of what it asks for or of what the best served one gets, whichever is less in each second, less three of the largest requests; a request is asked for once, however often its caller comes back.

The simulation no longer counts requests as begun whose engine crashed before.

--- a/borageworks/placement/tests/builders.py
+++ b/borageworks/placement/tests/builders.py
@@ -4,13 +4,14 @@
 
 import heapq
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from borageworks.fair.max_min import max_min_level
 from borageworks.gateway.caller_request import Prompt, PromptPart
 from borageworks.gateway.deployment import EngineProfile, ServiceProfile
 from borageworks.gateway.endpoint import Endpoint
-from borageworks.placement.decisions import Placed, Refused
+from borageworks.placement.decisions import Decision, Placed, Refused
 from borageworks.placement.dispatcher import Dispatcher
 from borageworks.placement.outcome import WorkOutcome
 from borageworks.placement.settings import PlacementSettings
@@ -91,6 +92,8 @@
     Counts results by organisation. `slowdowns` maps engines to factors by which their
     prefill is slower, `lost_every` engines to the interval of requests whose responses
     they lose: these take no time to prefill and end when their callers give up.
+    `on_decision` is called with each decision, `on_start` with each request that an
+    engine begins to answer.
     """
 
     dispatcher: Dispatcher
@@ -106,6 +109,9 @@
     slowdowns: dict[str, float] = field(default_factory=dict)
     prefill_tokens_per_s: float = PREFILL_TOKENS_PER_S
     lost_every: dict[str, int] = field(default_factory=dict)
+    on_decision: Callable[[Decision], None] = lambda _decision: None
+    on_start: Callable[[Work], None] = lambda _work: None
+    _cut: set[WorkKey] = field(default_factory=set)
     _placed_count: dict[str, int] = field(default_factory=dict)
     _submitted: dict[WorkKey, tuple[Work, float]] = field(default_factory=dict)
     _events: list[tuple[float, int, str, WorkKey]] = field(default_factory=list)
@@ -135,7 +141,8 @@
         }
 
     def end(self, key, outcome):
-        """End a request before its response is complete."""
+        """End a request; one that has not started never will."""
+        self._cut.add(key)
         self._apply(self.dispatcher.end(self.now, key, outcome))
 
     def set_endpoints(self, endpoints):
@@ -167,6 +174,8 @@
             while self._events and self._events[0][0] <= self.now:
                 _, _, kind, key = heapq.heappop(self._events)
                 match kind:
+                    case "start" if key in self._cut:
+                        pass
                     case "start":
                         self._count_start(key)
                         self._apply(self.dispatcher.start(self.now, key))
@@ -179,6 +188,7 @@
     def _apply(self, decisions):
         for decision in decisions:
             request, _ = self._submitted[decision.key]
+            self.on_decision(decision)
             if isinstance(decision, Placed):
                 self._increment(self.placed_tokens, request, request.units)
             match decision:
@@ -214,6 +224,7 @@
         )
         self._increment(kind, request, 1)
         self._increment(self.served_tokens, request, request.units)
+        self.on_start(request)
 
     @staticmethod
     def _increment(counts, request, amount):
--- a/borageworks/placement/tests/flood_load.py
+++ b/borageworks/placement/tests/flood_load.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import heapq
 import random
-from dataclasses import dataclass, replace
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
 
+from borageworks.placement.decisions import Refused
 from borageworks.placement.outcome import WorkOutcome
 from borageworks.placement.tests.builders import (
     EngineSimulation,
@@ -13,12 +16,16 @@
     prompt,
     work,
 )
+from borageworks.placement.tests.share_rule import ShareRule
+from borageworks.placement.work import Work, WorkKey
 
 STEP_S = 0.05
 SLOTS = 24
 SMALL_PER_S = 2.0
 SMALL_PARTS = 40
 FLOOD_PARTS = 80
+# Time after which callers come back that were refused.
+RETURN_S = 0.2
 
 
 @dataclass(frozen=True)
@@ -36,12 +43,48 @@
     small_count: int = 10
     target_s: float = 0.6
 
-    def rates(self):
+    def rates(self, _now):
         """Return the requests a second of each organisation."""
         small = {f"small-{n}": SMALL_PER_S for n in range(self.small_count)}
         floods = {"hot": self.flood_per_s, "own": self.flood_per_s}
         return {**floods, "middling": self.middling_per_s, **small}
 
+    def part(self, name, rng):
+        """Return the id of the shared part of a request."""
+        match name:
+            case "hot":
+                return "hot" if rng.random() < 0.8 else f"hot-{rng.randrange(40)}"
+            case "own":
+                return f"own-{rng.randrange(FLOOD_PARTS)}"
+            case _:
+                return f"{name}-{rng.randrange(SMALL_PARTS)}"
+
+
+@dataclass(frozen=True)
+class DemandLoad(FloodLoad):
+    """Organisations of all sizes; some request a tenth before `grown_at_s`.
+
+    Parameters
+    ----------
+    requests_per_s
+        Requests a second by organisation.
+    growing
+        Organisations that request a tenth of it at first.
+    grown_at_s
+        Time at which they begin to request all of it.
+    """
+
+    requests_per_s: Mapping[str, float] = field(default_factory=dict)
+    growing: frozenset[str] = frozenset()
+    grown_at_s: float = 0.0
+
+    def rates(self, now):
+        """Return the requests a second of each organisation."""
+        return {
+            name: rate / 10 if name in self.growing and now < self.grown_at_s else rate
+            for name, rate in self.requests_per_s.items()
+        }
+
 
 class LoadedEngines:
     """Runs a load on simulated engines, and measures what organisations get.
@@ -69,9 +112,9 @@
         """Submit the requests of some seconds."""
         simulation = self.simulation
         for _ in range(round(seconds / STEP_S)):
-            for name, rate in self.load.rates().items():
+            for name, rate in self.load.rates(simulation.now).items():
                 for _ in range(self._arrivals(rate * STEP_S)):
-                    simulation.submit(self._request(name))
+                    self._submit(self._request(name))
             simulation.advance(STEP_S)
 
     def crash(self, count):
@@ -105,6 +148,9 @@
         )
         self.simulation.change_dispatcher(successor)
 
+    def _submit(self, request):
+        self.simulation.submit(request)
+
     def _engines(self):
         return engines(self.load.engine_count, slots=SLOTS)
 
@@ -116,13 +162,59 @@
         return whole + (self._rng.random() < mean - whole)
 
     def _request(self, name):
-        rng = self._rng
-        match name:
-            case "hot":
-                part = "hot" if rng.random() < 0.8 else f"hot-{rng.randrange(40)}"
-            case "own":
-                part = f"own-{rng.randrange(FLOOD_PARTS)}"
-            case _:
-                part = f"{name}-{rng.randrange(SMALL_PARTS)}"
+        part = self.load.part(name, self._rng)
         request = prompt(own=3700, shared=13_300, shared_id=part)
-        return work(request, name, remaining_target_s=self.load.target_s)
+        return work(
+            request,
+            name,
+            remaining_target_s=self.load.target_s,
+            fingerprint=request.parts[-1].id.encode(),
+        )
+
+
+class ReturningCallers(LoadedEngines):
+    """Callers that come back once after a refusal, and what organisations get.
+
+    Parameters
+    ----------
+    load
+        The load.
+    seed
+        Seed of the arrivals.
+    """
+
+    def __init__(self, load, seed):
+        super().__init__(load, seed)
+        self.rule = ShareRule()
+        self._requests: dict[WorkKey, Work] = {}
+        self._returns: list[tuple[float, WorkKey, Work]] = []
+        self.simulation.on_decision = self._note_decision
+        self.simulation.on_start = self._note_start
+
+    def run(self, seconds):
+        """Submit the requests of some seconds, and those that come back."""
+        for _ in range(round(seconds / STEP_S)):
+            while self._returns and self._returns[0][0] <= self.simulation.now:
+                self.simulation.submit(heapq.heappop(self._returns)[2])
+            super().run(STEP_S)
+
+    def _submit(self, request):
+        self._requests[request.key] = request
+        now = self.simulation.now
+        self.rule.record_asked(now, request.organisation, request.units)
+        super()._submit(request)
+
+    def _note_decision(self, decision):
+        request = self._requests.pop(decision.key, None)
+        if request is not None and isinstance(decision, Refused):
+            again = work(
+                request.prompt,
+                request.organisation,
+                remaining_target_s=request.remaining_target_s - RETURN_S,
+                fingerprint=request.fingerprint,
+            )
+            return_at = self.simulation.now + RETURN_S
+            heapq.heappush(self._returns, (return_at, again.key, again))
+
+    def _note_start(self, request):
+        self.rule.record_got(self.simulation.now, request.organisation, request.units)
