Order waiting organisations by what they got lately, instead of by debt without a limit

Cause: start-time fair queueing with requests that cannot be served in order. One request that waits for a certain engine holds up the pool's virtual time, so that all who are served meanwhile get into debt, without a limit and for up to a minute. The class: a penalty for having used what was free.

Change: WaitingQueue orders organisations by RecentService, what each got weighted by its age with the time constant fair_window_s of one second. There is no pool time that could be held up.

--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -79,8 +79,9 @@
     """Places the requests of one service onto its endpoints.
 
     A state machine without I/O: events and times go in, decisions come out. Requests
-    wait here and not at the endpoints, which admit in order of arrival. Organisations
-    are served by start-time fair queueing, each one's requests in order of arrival.
+    wait here and not at the endpoints, which admit in order of arrival. The
+    organisation that got least lately is served first, each one's requests in order of
+    arrival.
 
     Parameters
     ----------
@@ -114,7 +115,7 @@
         self._settings = settings
         self._endpoints: dict[str, EndpointState] = {}
         self._placed: dict[WorkKey, str] = {}
-        self._waiting = WaitingQueue()
+        self._waiting = WaitingQueue(settings.fair_window_s)
         self._part_index = PartIndex()
         self._selector = EndpointSelector(
             self._endpoints,
@@ -310,7 +311,7 @@
             backlog_s=sum(backlogs_s) / max(len(usable), 1),
             seconds_per_token=speed.seconds_per_token,
             start_s=speed.start_s,
-            leads=self._waiting.leads(MAX_NAMED_LEADS),
+            leads=self._waiting.leads(now, MAX_NAMED_LEADS),
         )
 
     def report_shares(self) -> ShareReport:
@@ -526,7 +527,7 @@
         if preferred is None:
             return self._wait_for_cold(now, work)
         state = self._endpoints[preferred]
-        if not self._waiting.is_behind_others(work) and self._has_room(
+        if not self._waiting.is_behind_others(now, work) and self._has_room(
             now, state, work
         ):
             return [self._place(now, state, work)]
@@ -539,11 +540,11 @@
                 return self._serve_first(now, waiting)
             decision = self._place_elsewhere(now, waiting)
             if isinstance(decision, Placed) or not self._is_next_at_limit(
-                state, work, expected_wait_s
+                now, state, work, expected_wait_s
             ):
                 return [decision]
             waiting.expires_at = now + expected_wait_s + LIMIT_WAIT_MARGIN_S
-        self._waiting.add(now, waiting)
+        self._waiting.add(waiting)
         return []
 
     def _wait_for_cold(self, now: float, work: Work) -> list[Decision]:
@@ -561,7 +562,7 @@
             return [self._refuse(now, work, RefusalReason.NO_CAPACITY)]
         tokens = own_prompt_tokens(work)
         waiting = WaitingWork(work, now, now + patience_s, None, now, tokens)
-        self._waiting.add(now, waiting)
+        self._waiting.add(waiting)
         return []
 
     def _waiting_cold(self, now: float, work: Work) -> list[EndpointState]:
@@ -594,7 +595,7 @@
             state = self._cheapest_with_room(now, work)
             if state is not None and self._may_recompute(now, state, work):
                 return [self._place(now, state, work)]
-        self._waiting.add(now, waiting)
+        self._waiting.add(waiting)
         self._give_priority(now, waiting)
         return []
 
@@ -718,7 +719,7 @@
             )
         ahead = [
             item.work
-            for item in self._waiting.ahead_of(work)
+            for item in self._waiting.ahead_of(now, work)
             if item.uses_any_endpoint or work.prompt is None
         ]
         if not ahead:
@@ -733,7 +734,7 @@
 
     def withdraw(self, now: float, key: WorkKey) -> list[Decision]:
         """Remove a waiting or placed request whose caller has disconnected."""
-        if self._waiting.remove(now, key) is not None:
+        if self._waiting.remove(key) is not None:
             return []
         return self.end(now, key, WorkOutcome.CALLER_DISCONNECTED)
 
@@ -881,7 +882,7 @@
     def _drop(self, now: float, keys: Iterable[WorkKey]) -> list[Decision]:
         for key in keys:
             self._unconfirmed.discard(key)
-            self._waiting.remove(now, key)
+            self._waiting.remove(key)
             state = self._endpoints.get(self._placed.pop(key, ""))
             if state is not None:
                 state.remove(key)
@@ -915,7 +916,7 @@
             ):
                 self._give_priority(now, waiting)
             if now >= waiting.expires_at or not self.may_run(work):
-                self._waiting.remove(now, work.key)
+                self._waiting.remove(work.key)
                 decisions.append(
                     self._refuse(now, waiting.work, RefusalReason.WAIT_TIMEOUT)
                 )
@@ -951,14 +952,14 @@
             name = freed.endpoint.id
             items = [item for item in self._waiting if item.preferred in (name, None)]
         full: set[str] = set()
-        for waiting in self._waiting.in_order(items):
+        for waiting in self._waiting.in_order(now, items):
             work = waiting.work
             if waiting.uses_any_endpoint and work.prompt is not None:
                 state = freed or self._cheapest_with_room(now, work)
                 if state is None or not self._may_place(now, state, work):
                     continue
                 if self._may_recompute(now, state, work):
-                    self._waiting.remove(now, work.key)
+                    self._waiting.remove(work.key)
                     decisions.append(self._place(now, state, work))
                 else:
                     self._reselect_endpoint(now, waiting)
@@ -971,7 +972,7 @@
             if not state.usable(now) or not self._has_room(now, state, work):
                 full.add(waiting.preferred)
                 continue
-            self._waiting.remove(now, work.key)
+            self._waiting.remove(work.key)
             decisions.append(self._place(now, state, work))
         return decisions
 
@@ -1050,7 +1051,7 @@
         return max(1, int(total * self._capacity_ratio))
 
     def _is_next_at_limit(
-        self, state: EndpointState, work: Work, wait_s: float
+        self, now: float, state: EndpointState, work: Work, wait_s: float
     ) -> bool:
         """Return whether a request waits for a rate limit although it becomes late.
 
@@ -1060,7 +1061,7 @@
         return (
             state.rate_limit is not None
             and wait_s <= MAX_LIMIT_WAIT_S
-            and not self._waiting.is_behind_others(work)
+            and not self._waiting.is_behind_others(now, work)
         )
 
     def _max_wait_s(self, now: float, state: EndpointState, work: Work) -> float:
@@ -1082,7 +1083,7 @@
         state = self._endpoints[waiting.preferred]
         ahead = [
             item.work
-            for item in self._waiting.ahead_of(work)
+            for item in self._waiting.ahead_of(now, work)
             if work.prompt is None or item.preferred == waiting.preferred
         ]
         # Requests to plain services may use any endpoint.
@@ -1129,7 +1130,7 @@
         return max(missing_slots, 0.0) / freed_per_s if freed_per_s else 0.0
 
     def _place(self, now: float, state: EndpointState, work: Work) -> Placed:
-        self._waiting.charge(work.organisation, work.units)
+        self._waiting.charge(now, work.organisation, work.units)
         self._entitlements.record_placed(now, work.organisation, work.units)
         if work.prompt is not None and self._cold_rule is not None:
             self._recompute_budget.record(
--- a/borageworks/placement/settings.py
+++ b/borageworks/placement/settings.py
@@ -31,6 +31,9 @@
         Bounds of the Retry-After of refused requests.
     share_window_s
         Time constant over which organisations are owed an even share.
+    fair_window_s
+        Time constant over which organisations are compared with each other. What one
+        got before, while others wanted less, does not count against it.
     cold_over, cold_slack
         A cold endpoint must not get more requests in any second than the number that it
         takes, multiplied by `cold_over` and extended by `cold_slack`.
@@ -49,6 +52,7 @@
     min_retry_after_s: float = 0.2
     max_retry_after_s: float = 3.0
     share_window_s: float = 4.0
+    fair_window_s: float = 1.0
     cold_over: float = 1.5
     cold_slack: float = 5.0
     recompute_ratio: float = 0.2
--- a/borageworks/placement/waiting.py
+++ b/borageworks/placement/waiting.py
@@ -5,12 +5,9 @@
 from collections.abc import Iterable, Iterator, Mapping, Set
 from dataclasses import dataclass, field
 
-from borageworks.fair.queue import FairQueue
+from borageworks.placement.recent_service import RecentService
 from borageworks.placement.work import Work, WorkKey
 
-# The single entry under which the fair queue counts all demand.
-_FAIR_QUEUE_ENTRY = ""
-
 
 @dataclass(slots=True)
 class WaitingWork:
@@ -57,15 +54,24 @@
 class WaitingQueue:
     """Requests that wait for an endpoint, in fair order of their organisations.
 
-    Organisations are served by start-time fair queueing, each one's requests in order
+    The organisation that got least lately is served first, each one's requests in order
     of arrival. Not every request fits the endpoint that is free, so the caller chooses
     among them and charges what it has placed.
+
+    A virtual time would be no measure of this: one request that waits for a certain
+    endpoint holds up that of the pool, so that all who are served meanwhile get into
+    debt.
+
+    Parameters
+    ----------
+    window_s
+        Time constant in seconds over which service counts.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, window_s: float) -> None:
         self._items: dict[WorkKey, WaitingWork] = {}
         self._queues: dict[str, dict[WorkKey, WaitingWork]] = {}
-        self._fair_queue = FairQueue()
+        self._recent = RecentService(window_s)
         self._counts: dict[str, int] = {}
         # Those of them that go on with a stream, so that few endpoints may run them.
         self._bound_counts: dict[str, int] = {}
@@ -110,13 +116,13 @@
         """Yield the requests in order of arrival."""
         return iter(self._items.values())
 
-    def add(self, now: float, item: WaitingWork) -> None:
+    def add(self, item: WaitingWork) -> None:
         """Add a request."""
         self._items[item.work.key] = item
         self._queues.setdefault(item.work.organisation, {})[item.work.key] = item
-        self._count(now, item, 1)
+        self._count(item, 1)
 
-    def remove(self, now: float, key: WorkKey) -> WaitingWork | None:
+    def remove(self, key: WorkKey) -> WaitingWork | None:
         """Remove and return a request, None if it does not wait."""
         item = self._items.pop(key, None)
         if item is not None:
@@ -124,7 +130,7 @@
             del queue[key]
             if not queue:
                 del self._queues[item.work.organisation]
-            self._count(now, item, -1)
+            self._count(item, -1)
         return item
 
     def prefer(self, item: WaitingWork, endpoint: str | None) -> None:
@@ -141,48 +147,40 @@
             if item.preferred == endpoint:
                 item.preferred = None
 
-    def charge(self, organisation: str, units: float) -> None:
+    def charge(self, now: float, organisation: str, units: float) -> None:
         """Charge an organisation for a request that is placed."""
-        self._fair_queue.record_service(organisation)
-        self._fair_queue.charge(organisation, units)
+        self._recent.add(now, organisation, units)
 
-    def leads(self, count: int) -> dict[str, float]:
-        """Return the organisations whose virtual time is furthest beyond the pool's."""
-        return self._fair_queue.leads(count)
+    def leads(self, now: float, count: int) -> dict[str, float]:
+        """Return the organisations that got most lately, which are served last."""
+        return self._recent.largest(now, count)
 
-    def is_behind_others(self, work: Work) -> bool:
+    def is_behind_others(self, now: float, work: Work) -> bool:
         """Return whether waiting requests come before a new one in fair order."""
         if not self._items:
             return False
-        virtual_time = self._fair_queue.virtual_time(work.organisation)
+        got = self._recent.amount(now, work.organisation)
         if work.software_version is not None:
             # Such requests compete for the endpoints of their version only.
             return any(
                 item.work.software_version == work.software_version
-                and self._fair_queue.virtual_time(item.work.organisation)
-                <= virtual_time
+                and self._recent.amount(now, item.work.organisation) <= got
                 for item in self._items.values()
             )
         return any(
-            self._fair_queue.virtual_time(name) <= virtual_time
+            self._recent.amount(now, name) <= got
             for name, count in self._counts.items()
             if count > self._bound_counts.get(name, 0)
         )
 
-    def next_tag(self, organisation: str) -> float:
-        """Return the virtual time at which a new request would be served.
-
-        It follows those of the organisation that wait already.
-        """
-        virtual_time = self._fair_queue.virtual_time(organisation)
-        return virtual_time + self._units.get(organisation, 0.0)
-
-    def ahead_of(self, work: Work) -> list[WaitingWork]:
+    def ahead_of(self, now: float, work: Work) -> list[WaitingWork]:
         """Return the requests that come before a new one in fair order."""
-        own_tag = self.next_tag(work.organisation)
+        # It follows those of its organisation that wait already.
+        own_tag = self._recent.amount(now, work.organisation)
+        own_tag += self._units.get(work.organisation, 0.0)
         ahead: list[WaitingWork] = []
         for organisation, queue in self._queues.items():
-            tag = self._fair_queue.virtual_time(organisation)
+            tag = self._recent.amount(now, organisation)
             for item in queue.values():
                 if tag > own_tag:
                     break
@@ -190,7 +188,7 @@
                 tag += item.units
         return ahead
 
-    def in_order(self, items: Iterable[WaitingWork]) -> list[WaitingWork]:
+    def in_order(self, now: float, items: Iterable[WaitingWork]) -> list[WaitingWork]:
         """Return some requests in the order in which they are served.
 
         Those with priority come first; the requests of an organisation follow each
@@ -203,12 +201,12 @@
             organisation = item.work.organisation
             tag = next_tags.get(organisation)
             if tag is None:
-                tag = self._fair_queue.virtual_time(organisation)
+                tag = self._recent.amount(now, organisation)
             next_tags[organisation] = tag + item.units
             keys.append((not item.has_priority, tag, item.arrived_at, index))
         return [listed[key[-1]] for key in sorted(keys)]
 
-    def _count(self, now: float, item: WaitingWork, change: int) -> None:
+    def _count(self, item: WaitingWork, change: int) -> None:
         organisation = item.work.organisation
         count = self._counts.get(organisation, 0) + change
         units = self._units.get(organisation, 0.0) + change * item.units
@@ -223,7 +221,6 @@
             self._bound_counts[organisation] = bound
             if not bound:
                 del self._bound_counts[organisation]
-        self._fair_queue.set_demand(now, _FAIR_QUEUE_ENTRY, organisation, count)
         self._count_at_endpoint(item, change)
 
     def _count_at_endpoint(self, item: WaitingWork, change: int) -> None:
