Suspend an endpoint that closes the connection of each request in a row

One of three endpoints of order-desk, i-89f55fd45d, closed the connection of all that it got (43 to 83 requests a second, none served), and went on to be used; order-book is tried once.

Cause: closed connections only raised the cost of an endpoint, by up to one second, as much as a full endpoint costs by its occupancy. An endpoint that fails at once is never busy, so it was the cheapest one whenever both others had no free slot. The class: a black hole that draws load by failing fast.

Change: after eight closed connections in a row without a served request, an endpoint is suspended like one that cannot be reached, and then tried one request at a time. An endpoint that loses 0.4 of its responses reaches eight in a row once in 1,500 requests.

Evidence: test_endpoint_that_closes_every_connection_gets_few_requests failed before (80 of 1,108 requests sent to it, limit 3 in 100) and passes; test_endpoints_that_lose_many_responses_stay_in_use passes before and after. Dispatcher, components, crash evidence, test_crashing_part and test_faults pass.

--- a/borageworks/placement/endpoint_state.py
+++ b/borageworks/placement/endpoint_state.py
@@ -40,6 +40,9 @@
 RECENT_START_S = 0.25
 # An engine that loses single responses is not suspended, one that is silent is.
 MAX_OVERDUE = 2
+# Connections closed in a row after which an endpoint fails all that it gets. One that
+# loses half of its responses reaches it once in hundreds of requests.
+MAX_DISCONNECTIONS = 8
 # Cool-down of an endpoint that refused a request for lack of capacity: about the time
 # in which it completes a few requests.
 SHED_COOL_DOWN_S = 0.05
@@ -115,6 +118,8 @@
         Whether it gets one request at a time until one succeeds.
     overdue
         Number of requests that did not start in time since the last one that started.
+    disconnections
+        Number of requests whose connections it closed since the last one it served.
     rate_limit
         Limit on the requests a second that it takes, None if it states none.
     leaving
@@ -145,6 +150,7 @@
     suspension_s: float = 0.0
     half_open: bool = False
     overdue: int = 0
+    disconnections: int = 0
     rate_limit: RateLimit | None = None
     leaving: bool = False
     paused_until: dict[str, float] = field(default_factory=dict)
@@ -309,10 +315,20 @@
                 self.failure_rate -= FAILURE_RATE_GAIN * self.failure_rate
                 self.half_open = False
                 self.suspension_s = 0.0
+                self.disconnections = 0
             case WorkOutcome.REFUSED | WorkOutcome.MISDIRECTED:
                 self.suspended_until = max(self.suspended_until, now + SHED_COOL_DOWN_S)
-            case WorkOutcome.FAILED | WorkOutcome.DISCONNECTED:
+            case WorkOutcome.FAILED:
                 self.failure_rate += FAILURE_RATE_GAIN * (1.0 - self.failure_rate)
+                self.disconnections = 0
+            case WorkOutcome.DISCONNECTED:
+                self.failure_rate += FAILURE_RATE_GAIN * (1.0 - self.failure_rate)
+                self.disconnections += 1
+                failing = self.disconnections >= MAX_DISCONNECTIONS
+                if failing and now >= self.suspended_until:
+                    # Those sent before the suspension do not extend it.
+                    self.half_open = True
+                    self._suspend(now)
             case WorkOutcome.UNREACHABLE:
                 self.failure_rate += FAILURE_RATE_GAIN * (1.0 - self.failure_rate)
                 self.half_open = True
