Callers without an organisation reach no share

Callers of open routes (order-desk, the most urgent classes) counted as one organisation with the empty name. Alone in its shard it had got its share as soon as one of its requests was refused, so that an overloaded entry instance held all of them together to a tenth of its limit.

Change: has_reached_share says no without an organisation. The class: a default value that is taken for an identity.

Evidence: test_callers_without_an_organisation_reach_no_share failed before and passes.

--- a/borageworks/placement/entitlements.py
+++ b/borageworks/placement/entitlements.py
@@ -127,8 +127,11 @@
         """Return whether an organisation has got what it is owed, as last divided.
 
         The amounts are divided only when a request is about to be refused. Where that
-        has not happened within the window, there is enough for everybody.
+        has not happened within the window, there is enough for everybody. Callers
+        without an organisation have nothing in common, so they reach no share.
         """
+        if not organisation:
+            return False
         divided_lately = now - self._updated_at < self._settings.share_window_s
         return divided_lately and not self._is_below(organisation, 0.0)
 
--- a/borageworks/placement/tests/test_entitlements.py
+++ b/borageworks/placement/tests/test_entitlements.py
@@ -7,8 +7,10 @@
 from testtools import TestCase
 
 from borageworks.fair.max_min import max_min_level
+from borageworks.placement.decisions import Refused
 from borageworks.placement.entitlements import MIN_FLOOD_RATIO, Entitlements
 from borageworks.placement.settings import PlacementSettings
+from borageworks.placement.tests.builders import plain_dispatcher, work
 
 STEP_S = 0.05
 WINDOW_S = 1.0
@@ -140,6 +142,18 @@
         self.assertFalse(entitlements.has_reached_share(0.1, "small"))
         self.assertFalse(entitlements.has_reached_share(0.1 + WINDOW_S, "flood"))
 
+    def test_callers_without_an_organisation_reach_no_share(self):
+        """Guards against holding back callers of open routes as if they were one."""
+        dispatcher = plain_dispatcher(count=1, slots=1)
+        decisions = []
+        for number in range(40):
+            decisions += dispatcher.submit(number / 100, work(None, ""))
+            decisions += dispatcher.tick(number / 100)
+        decisions += dispatcher.tick(1.0)
+        refused = [item for item in decisions if isinstance(item, Refused)]
+        self.assertTrue(len(refused) > 10, refused)
+        self.assertEqual(set(), {item.key for item in decisions if item.share_reached})
+
     def test_excess_is_forgotten(self):
         """Guards against an organisation that pays for a flood of long ago."""
         entitlements = Entitlements(SETTINGS)
