Count a request that comes back after a refusal once in what its organisation requests

Each retry of a caller counted again in what its organisation requests at placement, while the operators count a request once. An organisation that was refused looked larger the more it was refused, up to twice with one retry; one a little below the even share, which is owed all, went above it by its own refusals and was refused more.

Evidence: test_a_request_that_comes_back_is_requested_once failed before (3.0 instead of 1.0) and passes. The patterns of test_share_rule, test_fair_admission and test_load_patterns pass before and after.

--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -27,6 +27,7 @@
 from borageworks.placement.prompt_cache import PromptCache
 from borageworks.placement.rate_limit import MIN_PER_S, RateLimit
 from borageworks.placement.recompute_budget import RecomputeBudget
+from borageworks.placement.refused_requests import RefusedRequests
 from borageworks.placement.selection import EndpointSelector
 from borageworks.placement.settings import PlacementSettings
 from borageworks.placement.share_tally import ShareReport
@@ -132,6 +133,7 @@
         # Time of the last sample of the service's prefill speed.
         self._sampled_at = -math.inf
         self._entitlements = Entitlements(settings)
+        self._refused = RefusedRequests(settings.share_window_s)
         self._recompute_budget = RecomputeBudget(
             settings.share_window_s, settings.recompute_ratio
         )
@@ -519,7 +521,9 @@
         if state is not None:
             running = state.running[work.key]
             return [self._placed_at(now, state, work, running)]
-        self._entitlements.record_requested(now, work.organisation, work.units)
+        if not self._refused.take(now, work.fingerprint):
+            # Whoever comes back after a refusal asks for the same once more.
+            self._entitlements.record_requested(now, work.organisation, work.units)
         if self._evidence.verdict(now, work.traits) is Verdict.REFUSED:
             reason = RefusalReason.SUSPECTED
             return [Refused(work.key, reason, SUSPECT_RETRY_AFTER_S, work)]
@@ -1200,6 +1204,7 @@
         if reason is RefusalReason.NO_ENDPOINT:
             wait_s = max(wait_s, self._pause_s(now, work))
         self._entitlements.record_refused(now, work.organisation, work.units, reason)
+        self._refused.record(now, work.fingerprint)
         return Refused(
             work.key,
             reason,
