--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -522,7 +522,7 @@
             running = state.running[work.key]
             return [self._placed_at(now, state, work, running)]
         if not self._refused.take(now, work.fingerprint):
-            # Whoever comes back after a refusal asks for the same once more.
+            # A caller that comes back after a refusal asks for the same again.
             self._entitlements.record_requested(now, work.organisation, work.units)
         if self._evidence.verdict(now, work.traits) is Verdict.REFUSED:
             reason = RefusalReason.SUSPECTED
@@ -712,8 +712,8 @@
     def _any_endpoint_wait_s(self, now: float, work: Work) -> float:
         """Return the seconds until any endpoint has room for a request.
 
-        Only requests that use any endpoint as well are served before it, and before one
-        that its organisation is owed only others of that kind.
+        Only requests that use any endpoint as well are served before it. If it is owed,
+        only those of them are that are owed, too.
         """
         if now - self._free_computed_at > WAITS_MAX_AGE_S:
             self._free_computed_at = now
@@ -728,8 +728,8 @@
         ahead = [
             item.work
             for item in self._waiting.ahead_of(now, work)
-            if (item.uses_any_endpoint and (item.is_owed or not is_owed))
-            or work.prompt is None
+            if work.prompt is None
+            or (item.uses_any_endpoint and (item.is_owed or not is_owed))
         ]
         if not ahead:
             return self._free_wait_s
--- a/borageworks/placement/endpoint_state.py
+++ b/borageworks/placement/endpoint_state.py
@@ -40,8 +40,8 @@
 RECENT_START_S = 0.25
 # An engine that loses single responses is not suspended, one that is silent is.
 MAX_OVERDUE = 2
-# Connections closed in a row after which an endpoint fails all that it gets. One that
-# loses half of its responses reaches it once in hundreds of requests.
+# Closed connections in a row after which an endpoint is taken to fail all that it gets.
+# One that loses half of its responses reaches this once in some hundred requests.
 MAX_DISCONNECTIONS = 8
 # Cool-down of an endpoint that refused a request for lack of capacity: about the time
 # in which it completes a few requests.
--- a/borageworks/placement/entitlements.py
+++ b/borageworks/placement/entitlements.py
@@ -13,8 +13,8 @@
 # The even share changes with the load of whole seconds.
 UPDATE_INTERVAL_S = 0.05
 # Organisations that request far more than the even share are below their share if they
-# got less than this part of what the best served one got. They differ by whose parts
-# are cached. Operators allow one half; requests start later than they are placed.
+# got less than this part of what the best served one got. The operators' limit is one
+# half; the margin is for requests that start later than they are placed.
 MIN_FLOOD_RATIO = 0.55
 # Amounts below this are left out of the division.
 MIN_TRACKED_AMOUNT = 1e-3
