--- a/borageworks/placement/tests/flood_load.py
+++ b/borageworks/placement/tests/flood_load.py
@@ -62,7 +62,7 @@
 
 @dataclass(frozen=True)
 class DemandLoad(FloodLoad):
-    """Organisations of all sizes; some request a tenth before `grown_at_s`.
+    """Organisations of all sizes, some of which change at `changed_at_s`.
 
     Parameters
     ----------
@@ -70,18 +70,22 @@
         Requests a second by organisation.
     growing
         Organisations that request a tenth of it at first.
-    grown_at_s
-        Time at which they begin to request all of it.
+    shrinking
+        Organisations that request a tenth of it in the end.
+    changed_at_s
+        Time at which they change.
     """
 
     requests_per_s: Mapping[str, float] = field(default_factory=dict)
     growing: frozenset[str] = frozenset()
-    grown_at_s: float = 0.0
+    shrinking: frozenset[str] = frozenset()
+    changed_at_s: float = 0.0
 
     def rates(self, now):
         """Return the requests a second of each organisation."""
+        small = self.growing if now < self.changed_at_s else self.shrinking
         return {
-            name: rate / 10 if name in self.growing and now < self.grown_at_s else rate
+            name: rate / 10 if name in small else rate
             for name, rate in self.requests_per_s.items()
         }
 
--- a/borageworks/placement/tests/test_share_rule.py
+++ b/borageworks/placement/tests/test_share_rule.py
@@ -26,7 +26,20 @@
         **SMALL,
     },
     growing=frozenset(("second", "third", "fourth")),
-    grown_at_s=10.0,
+    changed_at_s=10.0,
+)
+# A flood that goes on with less than the even share while another one begins.
+FORMER = DemandLoad(
+    requests_per_s={
+        "former": 400.0,
+        "next": 300.0,
+        "third": 60.0,
+        "fourth": 60.0,
+        **SMALL,
+    },
+    growing=frozenset(("next",)),
+    shrinking=frozenset(("former",)),
+    changed_at_s=8.0,
 )
 
 
@@ -91,3 +104,16 @@
             callers.run(8)
             missed[seed] = callers.rule.violations(8, 22)
         self.assertEqual({seed: {} for seed in SEEDS}, missed)
+
+    def test_a_former_flood_that_requests_little_while_engines_crash(self):
+        """Guards against a past flood that counts against what is requested now."""
+        missed = {}
+        for seed in SEEDS:
+            callers = ReturningCallers(FORMER, seed)
+            callers.run(8)
+            callers.crash(FORMER.engine_count * 3 // 10)
+            callers.run(2)
+            callers.restart_crashed()
+            callers.run(6)
+            missed[seed] = callers.rule.violations(7, 16)
+        self.assertEqual({seed: {} for seed in SEEDS}, missed)
