Logs that tell a slow owner from a lost one, and event 415 that adds up

No line told how late an acknowledgement was, whether sender or owner was late, what part of a second was placed beside the owner, and what became of amounts that were neither placed nor refused.

Event 419 has, for each second in which an acknowledgement was late, the slowest one, the sender's loop lag, the replies of owners that had been passed over, and what was placed alone; 410 has the owner's lag and who asks it, 705 the time waited and the time since the owner was last heard. Event 415 has what was withdrawn, what waits, what was submitted again and what ended before it began, so that its columns add up; refusals as suspected count as refused on arrival. No decision changes. test_amounts_of_a_report_add_up checks the sum each second under floods, a crash and withdrawals; before, withdrawn and waiting requests had no column.

--- a/borageworks/commands/shares.py
+++ b/borageworks/commands/shares.py
@@ -27,9 +27,15 @@
     "refused on arrival",
     "after a wait",
     "below its share",
+    "withdrawn",
+    "waiting",
+    "returned",
+    "not begun",
 )
 # Number of amounts of an organisation in event 415: owed, requested and placed first.
-AMOUNTS = 6
+AMOUNTS = 10
+# The same in lines of former versions, which lack the last ones.
+MIN_AMOUNTS = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,7 +92,9 @@
         return []
     second = int(entry.timestamp)
     match entry.event:
-        case Event.ORGANISATION_SHARES.number if len(amounts) == AMOUNTS:
+        case Event.ORGANISATION_SHARES.number if len(amounts) >= MIN_AMOUNTS:
+            absent = [0.0] * (AMOUNTS - len(amounts))
+            amounts = [*amounts, *absent][:AMOUNTS]
             subject = f"{entry.fields.get('service')}/{entry.fields.get('shard')}"
             best_served = entry.fields.get("best_served")
             if not isinstance(best_served, int | float):
@@ -100,8 +108,9 @@
                 return []
             requested, refused = amounts[0], not_admitted.get(organisation, 0)
             # An entry instance does not know what an organisation is owed.
-            values = (0, requested, requested - refused, refused, 0, 0)
-            return [_Row(second, entry.instance, "entry", values)]
+            values = (0, requested, requested - refused, refused)
+            absent = [0.0] * (AMOUNTS - len(values))
+            return [_Row(second, entry.instance, "entry", (*values, *absent))]
     return []
 
 
@@ -127,7 +136,8 @@
             total[index] += amount
     lines = []
     for subject, total in sorted(totals.items()):
-        owed, requested, placed, on_arrival, after_wait, below = total
+        owed, requested, placed, on_arrival, after_wait, below, *rest = total
+        withdrawn, _, _, not_begun = rest
         if subject == "entry":
             lines.append(f"entry: refused {on_arrival:.0f} of {requested:.0f} requests")
             continue
@@ -135,7 +145,8 @@
         lines.append(
             f"{subject}: got {placed:.0f} of {owed:.0f} owed ({ratio:.2f}), of "
             f"{requested:.0f} requested; refused {on_arrival:.0f} on arrival and "
-            f"{after_wait:.0f} after a wait, {below:.0f} of it below its share"
+            f"{after_wait:.0f} after a wait, {below:.0f} of it below its share; "
+            f"{withdrawn:.0f} withdrawn, {not_begun:.0f} placed and not begun"
         )
         if best_served[subject]:
             lines.append(f"{subject}: the best served got {best_served[subject]:.0f}")
--- a/borageworks/events.py
+++ b/borageworks/events.py
@@ -60,6 +60,7 @@
     ENDPOINT_LOAD_MALFORMED = (416, "endpoint_load_malformed")
     ENDPOINT_LOADS_USED = (417, "endpoint_loads_used")
     COLD_LIMIT = (418, "cold_limit")
+    PLACEMENT_PATHS = (419, "placement_paths")
     ENDPOINT_DOWN = (501, "endpoint_down")
     ENDPOINT_UP = (502, "endpoint_up")
     ENDPOINT_OWNED = (503, "endpoint_owned")
--- a/borageworks/gateway/fleet.py
+++ b/borageworks/gateway/fleet.py
@@ -372,6 +372,10 @@
         self._last_message_at[instance] = self._timers.now()
         self._clear(instance)
 
+    def silent_s(self, instance: str) -> float:
+        """Return the seconds since the last message from an instance."""
+        return self._timers.now() - self._last_message_at.get(instance, -math.inf)
+
     def record_timeout(self, instance: str) -> None:
         """Record a missing reply; suspect an instance that sends no messages."""
         now = self._timers.now()
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -169,6 +169,7 @@
             self._confirm_replica,
             self._evacuations,
             shares,
+            lambda: self._loop_lag.mean_s,
         )
         self._crash_store = CrashStore(
             self._codec.own_prefix,
--- a/borageworks/gateway/pending_placement.py
+++ b/borageworks/gateway/pending_placement.py
@@ -26,6 +26,8 @@
         Resolves to the placement decision.
     acknowledged
         Set when the owner has acknowledged the request.
+    asked_at
+        Time at which the owner was asked.
     endpoint
         Endpoint that runs the request, None until it is placed.
     started
@@ -37,5 +39,6 @@
     owner: str
     future: asyncio.Future[Placed]
     acknowledged: asyncio.Event
+    asked_at: float = 0.0
     endpoint: str | None = None
     started: bool = False
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -35,6 +35,7 @@
     encode_work,
     refusal_error,
 )
+from borageworks.gateway.placement_paths import PlacementPaths
 from borageworks.gateway.stream_versions import StreamVersions
 from borageworks.metrics import Metrics
 from borageworks.placement.cache_update import CacheUpdate
@@ -123,6 +124,8 @@
         Failure domains that the operator has evacuated.
     shares
         Receives what owners tell about the shares of organisations.
+    lag_s
+        Returns the mean lag of the event loop in seconds, for the log.
     """
 
     def __init__(
@@ -138,6 +141,7 @@
         confirm_replica: Callable[[], Awaitable[bool]] | None = None,
         evacuations: Evacuations | None = None,
         shares: FleetShares | None = None,
+        lag_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._fleet = fleet
         self._instance = fleet.instance
@@ -148,6 +152,8 @@
         self._metrics = metrics
         self._settings = settings
         self._is_overloaded = is_overloaded
+        self._lag_s = lag_s
+        self._paths = PlacementPaths(metrics)
         self._streams = StreamVersions() if streams is None else streams
         self._confirm_replica = confirm_replica
         self._evacuations = Evacuations("") if evacuations is None else evacuations
@@ -597,6 +603,7 @@
 
     def report(self) -> None:
         """Log the work refused by organisation since the last report, and why."""
+        self._paths.report(self._owners, self._lag_s())
         for shard, tally in self._tallies.items():
             service, number = shard
             refused = tally.report(service=service, shard=number)
@@ -620,6 +627,8 @@
                     service=service,
                     shard=number,
                     owned=self.owns(shard),
+                    askers=self._count_askers(shard),
+                    lag_s=round(self._lag_s(), 3),
                     reasons={reason.name.lower(): n for reason, n in reasons.items()},
                     **_rounded(state),
                 )
@@ -764,15 +773,13 @@
         if dispatcher is not None:
             dispatcher.note_traffic()
         sole_s = self._delegate(pending.shard, pending.owner)
+        pending.asked_at = self._timers.now()
+        self._paths.record_sent(pending.shard)
         request = replace(encode_work(pending.shard, work), sole_s=sole_s)
         if not self._fleet.send(pending.owner, request):
             raise PlacementSilentError(f"no link to {pending.owner}")
-        ack_timeout_s = min(
-            max(ACK_TIMEOUT_RATIO * work.remaining_target_s, MIN_ACK_TIMEOUT_S),
-            MAX_ACK_TIMEOUT_S,
-        )
         try:
-            async with asyncio.timeout(ack_timeout_s):
+            async with asyncio.timeout(_ack_timeout_s(work)):
                 await pending.acknowledged.wait()
         except TimeoutError as error:
             # If this loop was delayed, the reply may have arrived but not been read.
@@ -795,11 +802,15 @@
         self, pending: PendingPlacement, error: PlacementSilentError
     ) -> None:
         self._metrics.count("placements_alone")
+        self._paths.record_alone(pending.shard)
         emit(
             Event.PLACED_ALONE,
             owner=pending.owner,
             service=pending.shard[0],
             reason=str(error),
+            waited_s=round(self._timers.now() - pending.asked_at, 3),
+            silent_s=_rounded_silence(self._fleet.silent_s(pending.owner)),
+            lag_s=round(self._lag_s(), 3),
         )
         self._fleet.send(pending.owner, PlaceWithdraw(pending.work.key[1]))
         self._fleet.record_timeout(pending.owner)
@@ -902,10 +913,12 @@
         """
         if owns:
             return self._fleet.reachable_ratio
+        return min((1 + self._count_askers(shard)) / self._fleet.count, 1.0)
+
+    def _count_askers(self, shard: Shard) -> int:
+        """Return the number of other instances that ask this one at present."""
         oldest = self._timers.now() - ALONE_TIMEOUT_S
-        asked_at = self._asked_at.get(shard, {})
-        askers = sum(at > oldest for at in asked_at.values())
-        return min((1 + askers) / self._fleet.count, 1.0)
+        return sum(at > oldest for at in self._asked_at.get(shard, {}).values())
 
     def _owner_of_endpoint(self, incarnation: str) -> str | None:
         shard = next(
@@ -999,12 +1012,18 @@
     def _handle_reply(self, instance: str, reply: PlaceReply) -> None:
         pending = self._requests.get(reply.number)
         if pending is None or pending.owner != instance or pending.future.done():
+            if pending is not None and pending.owner != instance:
+                self._paths.record_late_reply(pending.shard)
             if reply.state is PlacementState.PLACED and (
                 pending is None or pending.owner != instance
             ):
                 self._fleet.send(instance, PlaceWithdraw(reply.number))
             return
-        pending.acknowledged.set()
+        if not pending.acknowledged.is_set():
+            pending.acknowledged.set()
+            waited_s = self._timers.now() - pending.asked_at
+            late = waited_s > _ack_timeout_s(pending.work)
+            self._paths.record_acknowledged(pending.shard, waited_s, late=late)
         key = pending.work.key
         match reply.state:
             case PlacementState.PLACED:
@@ -1161,6 +1180,19 @@
             self._tick_timer = None
 
 
+def _ack_timeout_s(work: Work) -> float:
+    """Return the time within which an owner has to acknowledge a request."""
+    return min(
+        max(ACK_TIMEOUT_RATIO * work.remaining_target_s, MIN_ACK_TIMEOUT_S),
+        MAX_ACK_TIMEOUT_S,
+    )
+
+
+def _rounded_silence(seconds: float) -> float | None:
+    """Return the time since a message for the log, null without any message."""
+    return round(seconds, 3) if math.isfinite(seconds) else None
+
+
 def _share_fields(report: ShareReport) -> dict[str, Any]:
     """Return the fields of a report on shares, null for an unlimited share."""
     unlimited = math.isinf(report.even_share)
@@ -1184,6 +1216,10 @@
         round(amounts.refused_on_arrival),
         round(amounts.refused_after_wait),
         round(amounts.refused_below_share),
+        round(amounts.withdrawn),
+        round(amounts.waiting),
+        round(amounts.returned),
+        round(amounts.not_begun),
     ]
 
 
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -521,11 +521,16 @@
         if state is not None:
             running = state.running[work.key]
             return [self._placed_at(now, state, work, running)]
-        if not self._refused.take(now, work.fingerprint):
+        if self._refused.take(now, work.fingerprint):
             # A caller that comes back after a refusal asks for the same again.
+            self._entitlements.record_returned(work.organisation, work.units)
+        else:
             self._entitlements.record_requested(now, work.organisation, work.units)
         if self._evidence.verdict(now, work.traits) is Verdict.REFUSED:
             reason = RefusalReason.SUSPECTED
+            self._entitlements.record_refused(
+                now, work.organisation, work.units, reason
+            )
             return [Refused(work.key, reason, SUSPECT_RETRY_AFTER_S, work)]
         preferred = self._select_endpoint(now, work)
         if preferred is None:
@@ -549,7 +554,7 @@
             ):
                 return [decision]
             waiting.expires_at = now + expected_wait_s + LIMIT_WAIT_MARGIN_S
-        self._waiting.add(waiting)
+        self._enqueue(waiting)
         return []
 
     def _wait_for_cold(self, now: float, work: Work) -> list[Decision]:
@@ -567,7 +572,7 @@
             return [self._refuse(now, work, RefusalReason.NO_CAPACITY)]
         tokens = own_prompt_tokens(work)
         waiting = WaitingWork(work, now, now + patience_s, None, now, tokens)
-        self._waiting.add(waiting)
+        self._enqueue(waiting)
         return []
 
     def _waiting_cold(self, now: float, work: Work) -> list[EndpointState]:
@@ -600,7 +605,7 @@
             state = self._cheapest_with_room(now, work)
             if state is not None and self._may_recompute(now, state, work):
                 return [self._place(now, state, work)]
-        self._waiting.add(waiting)
+        self._enqueue(waiting)
         self._give_priority(now, waiting)
         return []
 
@@ -743,10 +748,35 @@
 
     def withdraw(self, now: float, key: WorkKey) -> list[Decision]:
         """Remove a waiting or placed request whose caller has disconnected."""
-        if self._waiting.remove(key) is not None:
+        if self._withdraw_waiting(key):
             return []
         return self.end(now, key, WorkOutcome.CALLER_DISCONNECTED)
 
+    def _enqueue(self, waiting: WaitingWork) -> None:
+        self._waiting.add(waiting)
+        organisation = waiting.work.organisation
+        self._entitlements.record_waiting(organisation, waiting.units)
+
+    def _dequeue(self, key: WorkKey) -> WaitingWork | None:
+        waiting = self._waiting.remove(key)
+        if waiting is not None:
+            organisation = waiting.work.organisation
+            self._entitlements.record_waiting(organisation, -waiting.units)
+        return waiting
+
+    def _withdraw_waiting(self, key: WorkKey) -> bool:
+        """Remove a request that waits in vain; return whether it waited."""
+        waiting = self._dequeue(key)
+        if waiting is not None:
+            organisation = waiting.work.organisation
+            self._entitlements.record_withdrawn(organisation, waiting.units)
+        return waiting is not None
+
+    def _record_not_begun(self, ended: RunningWork | None) -> None:
+        """Record a placed request that ended before its endpoint began to respond."""
+        if ended is not None and ended.started_at is None:
+            self._entitlements.record_not_begun(ended.organisation, ended.units)
+
     def adopt(self, now: float, work: Work, endpoint: str, started: bool) -> None:
         """Take over a running request that another instance placed.
 
@@ -858,6 +888,8 @@
                 state.load.record_end(now)
             if ended is not None:
                 self._record_end(now, state, ended, outcome)
+                if outcome is not WorkOutcome.SERVED:
+                    self._record_not_begun(ended)
             state.record(now, outcome)
             if state.cold is not None:
                 state.cold.note_outcome(now, state.endpoint, outcome)
@@ -892,10 +924,10 @@
     def _drop(self, now: float, keys: Iterable[WorkKey]) -> list[Decision]:
         for key in keys:
             self._unconfirmed.discard(key)
-            self._waiting.remove(key)
+            self._withdraw_waiting(key)
             state = self._endpoints.get(self._placed.pop(key, ""))
             if state is not None:
-                state.remove(key)
+                self._record_not_begun(state.remove(key))
                 if self._uses_loads:
                     state.load.record_end(now)
         return self._place_waiting(now)
@@ -926,7 +958,7 @@
             ):
                 self._give_priority(now, waiting)
             if now >= waiting.expires_at or not self.may_run(work):
-                self._waiting.remove(work.key)
+                self._dequeue(work.key)
                 decisions.append(
                     self._refuse(now, waiting.work, RefusalReason.WAIT_TIMEOUT)
                 )
@@ -969,7 +1001,7 @@
                 if state is None or not self._may_place(now, state, work):
                     continue
                 if self._may_recompute(now, state, work):
-                    self._waiting.remove(work.key)
+                    self._dequeue(work.key)
                     decisions.append(self._place(now, state, work))
                 else:
                     self._reselect_endpoint(now, waiting)
@@ -982,7 +1014,7 @@
             if not state.usable(now) or not self._has_room(now, state, work):
                 full.add(waiting.preferred)
                 continue
-            self._waiting.remove(work.key)
+            self._dequeue(work.key)
             decisions.append(self._place(now, state, work))
         return decisions
 
@@ -1181,6 +1213,9 @@
             traits=work.traits,
             stream=work.stream,
             stream_lifetime_s=work.stream_lifetime_s,
+            organisation=work.organisation,
+            units=work.units,
+            fingerprint=work.fingerprint,
         )
         self._evidence.begin(now, running.traits)
         state.add(now, work.key, running)
@@ -1285,8 +1320,9 @@
         state = self._endpoints.pop(name)
         state.cache.clear()
         self._waiting.forget_endpoint(name)
-        for key in state.running:
+        for key, running in state.running.items():
             self._placed.pop(key, None)
+            self._record_not_begun(running)
 
 
 def _memory_tokens(work: Work) -> int:
--- a/borageworks/placement/endpoint_state.py
+++ b/borageworks/placement/endpoint_state.py
@@ -72,6 +72,8 @@
         Whether it was placed within the limit of a cold endpoint.
     stream, stream_lifetime_s
         Id of its event stream, and seconds for which the caller may resume it.
+    organisation, units, fingerprint
+        What it was charged to, its charge, and its hash.
     """
 
     uncached_tokens: int
@@ -85,6 +87,9 @@
     cold: bool = False
     stream: bytes = b""
     stream_lifetime_s: float = 0.0
+    organisation: str = ""
+    units: float = 0.0
+    fingerprint: bytes = b""
 
     def started_recently(self, now: float) -> bool:
         """Return whether it has not started yet, or only just.
--- a/borageworks/placement/entitlements.py
+++ b/borageworks/placement/entitlements.py
@@ -91,11 +91,30 @@
         account.add_requested(amount)
         account.add_placed(amount)
 
+    def record_returned(self, organisation: str, amount: float) -> None:
+        """Add an amount that is submitted again, for the report."""
+        self._tally.record_returned(organisation, amount)
+
+    def record_withdrawn(self, organisation: str, amount: float) -> None:
+        """Add an amount that no longer waits, for the report."""
+        self._tally.record_withdrawn(organisation, amount)
+
+    def record_waiting(self, organisation: str, change: float) -> None:
+        """Add a change of the amount that waits, for the report."""
+        self._tally.record_waiting(organisation, change)
+
+    def record_not_begun(self, organisation: str, amount: float) -> None:
+        """Add a placed amount that ended before it began, for the report."""
+        self._tally.record_not_begun(organisation, amount)
+
     def record_refused(
         self, now: float, organisation: str, amount: float, reason: RefusalReason
     ) -> None:
         """Add an amount that was refused, for the report."""
-        below_share = self.is_below_share(now, organisation)
+        # A request that crashes endpoints is refused whatever the share.
+        below_share = reason is not RefusalReason.SUSPECTED and self.is_below_share(
+            now, organisation
+        )
         self._tally.record_refused(
             organisation, amount, reason, below_share=below_share
         )
--- a/borageworks/placement/share_tally.py
+++ b/borageworks/placement/share_tally.py
@@ -4,7 +4,7 @@
 
 import heapq
 import itertools
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 
 from borageworks.fair.max_min import max_min_level
 from borageworks.placement.decisions import RefusalReason
@@ -21,6 +21,10 @@
 class OrganisationAmounts:
     """Amounts of one organisation, in tokens of its requests or in plain requests.
 
+    What is requested or comes back is placed, refused, withdrawn, or waits: `requested`
+    and `returned` add up to `placed`, `refused_on_arrival`, `refused_after_wait`,
+    `withdrawn` and `waiting`.
+
     Parameters
     ----------
     requested, placed
@@ -30,6 +34,15 @@
     refused_below_share
         Part of the refused amount that was refused while the organisation was not
         ahead of its share.
+    withdrawn
+        Withdrawn by callers or lost with their instance while it waited.
+    waiting
+        Change of what waits for an endpoint.
+    returned
+        Submitted again after a refusal or an attempt that did not begin, and not
+        counted as requested once more.
+    not_begun
+        Ended before the endpoint began to respond, and so placed in vain.
     """
 
     requested: float = 0.0
@@ -37,14 +50,16 @@
     refused_on_arrival: float = 0.0
     refused_after_wait: float = 0.0
     refused_below_share: float = 0.0
+    withdrawn: float = 0.0
+    waiting: float = 0.0
+    returned: float = 0.0
+    not_begun: float = 0.0
 
     def add(self, other: OrganisationAmounts) -> None:
         """Add the amounts of another organisation."""
-        self.requested += other.requested
-        self.placed += other.placed
-        self.refused_on_arrival += other.refused_on_arrival
-        self.refused_after_wait += other.refused_after_wait
-        self.refused_below_share += other.refused_below_share
+        for item in fields(self):
+            total = getattr(self, item.name) + getattr(other, item.name)
+            setattr(self, item.name, total)
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +105,22 @@
         """Add an amount that was placed on an endpoint."""
         self._of(organisation).placed += amount
 
+    def record_returned(self, organisation: str, amount: float) -> None:
+        """Add an amount that is submitted again."""
+        self._of(organisation).returned += amount
+
+    def record_withdrawn(self, organisation: str, amount: float) -> None:
+        """Add an amount that no longer waits, as its caller or instance is gone."""
+        self._of(organisation).withdrawn += amount
+
+    def record_waiting(self, organisation: str, change: float) -> None:
+        """Add a change of the amount that waits."""
+        self._of(organisation).waiting += change
+
+    def record_not_begun(self, organisation: str, amount: float) -> None:
+        """Add a placed amount that ended before its endpoint began to respond."""
+        self._of(organisation).not_begun += amount
+
     def record_refused(
         self,
         organisation: str,
--- a/borageworks/placement/tests/test_share_tally.py
+++ b/borageworks/placement/tests/test_share_tally.py
@@ -9,6 +9,8 @@
 from borageworks.fair.max_min import max_min_level
 from borageworks.placement.decisions import RefusalReason
 from borageworks.placement.share_tally import MAX_NAMED_ORGANISATIONS, ShareTally
+from borageworks.placement.tests.flood_load import ReturningCallers
+from borageworks.placement.tests.test_share_rule import SPREAD
 
 
 class ShareTallyTest(TestCase):
@@ -55,3 +57,23 @@
         self.assertEqual(MAX_NAMED_ORGANISATIONS, len(report.organisations))
         self.assertTrue({"flood", "best"} <= report.organisations.keys())
         self.assertEqual(500.0, report.best_served)
+
+    def test_amounts_of_a_report_add_up(self):
+        """Guards against requests that no column of a report explains."""
+        callers = ReturningCallers(SPREAD, seed=1)
+        dispatcher = callers.simulation.dispatcher
+        names = set()
+        for second in range(8):
+            callers.run(1)
+            if second == 3:
+                callers.crash(SPREAD.engine_count // 4)
+            for key in list(dispatcher.waiting_keys)[::3]:
+                dispatcher.withdraw(callers.simulation.now, key)
+            report = dispatcher.report_shares()
+            for name, item in (*report.organisations.items(), ("", report.others)):
+                names.add(name)
+                got = item.placed + item.refused_on_arrival + item.refused_after_wait
+                got += item.withdrawn + item.waiting
+                asked = item.requested + item.returned
+                self.assertAlmostEqual(asked, got, delta=1.0, msg=(second, name))
+        self.assertTrue(names > {"hot", "own"}, names)
