Tests of a slow owner, of placing alone, and of what never began, which fail

An owner that is late by 0.2 s while 60 requests a second are sent: 2 changes of ownership and 299 of 300 requests placed alone (hypothesis 1). A burst of five times what one owner can process: 3,041 requests placed alone, also after the burst. Instances that place alone: 1,837 of 1,943 requests wait over 0.5 s at an engine (hypothesis 2). In the burst an organisation that asked for 180 requests had 62 begun; requests that an engine rejected, or whose callers left its queue, count as service of their organisation (hypothesis 3).

--- /dev/null
+++ b/borageworks/gateway/tests/test_slow_owner.py
@@ -0,0 +1,117 @@
+"""Tests of owners that are slow, or that instances cannot reach."""
+
+import asyncio
+
+from testtools import TestCase
+
+from borageworks.catalog.tests.fleet import SimulatedLoop
+from borageworks.gateway.tests.busy_fleet import BusyFleet
+
+INSTANCES = 16
+ENGINES = 6
+# What the engines prefill in a second, and what is sent in calm and in a burst.
+CAPACITY_PER_S = 150.0
+CALM = {"small": 15.0, "large": 45.0}
+BURST = {"small": 30.0, "large": 240.0, "flood": 480.0}
+
+
+def run(main):
+    """Run a coroutine function on an event loop with simulated time."""
+    with asyncio.Runner(loop_factory=SimulatedLoop) as runner:
+        return runner.run(main())
+
+
+class SlowOwnerTest(TestCase):
+    def test_owner_that_is_late_stays_the_owner(self):
+        """Guards against an owner that works on a backlog and is taken for lost."""
+
+        async def main():
+            fleet = BusyFleet(INSTANCES, ENGINES)
+            fleet.delays_s[fleet.owner] = 0.2
+            await fleet.run(5.0, CALM)
+            await fleet.drain()
+            return fleet
+
+        fleet = run(main)
+        self.assertEqual((0, 0), (fleet.owner_changes, fleet.placed_alone))
+        self.assertEqual({"in_time"}, set(fleet.results))
+
+    def test_burst_beyond_what_the_owner_can_place(self):
+        """Guards against a burst that overloads one owner after the other."""
+
+        async def main():
+            fleet = BusyFleet(INSTANCES, ENGINES)
+            # Each instance can place a little more than the engines can do.
+            fleet.request_costs_s = dict.fromkeys(fleet.names, 0.005)
+            await fleet.run(2.0, CALM)
+            fleet.results.clear()
+            await fleet.run(4.0, BURST)
+            burst = dict(fleet.results)
+            await fleet.run(1.0, CALM)
+            await fleet.drain()
+            changes = fleet.owner_changes, fleet.placed_alone
+            fleet.results.clear()
+            await fleet.run(4.0, CALM)
+            await fleet.drain()
+            return fleet, burst, changes
+
+        fleet, burst, changes = run(main)
+        self.assertEqual((0, 0), changes)
+        self.assertTrue(burst["in_time"] > 0.7 * 4 * CAPACITY_PER_S, burst)
+        self.assertEqual(0, fleet.late_refusals)
+        self.assertEqual({"in_time"}, set(fleet.results))
+
+    def test_organisations_beside_a_flood_at_an_overloaded_owner(self):
+        """Guards against an owner's backlog that only the flood gets through."""
+
+        async def main():
+            fleet = BusyFleet(INSTANCES, ENGINES)
+            fleet.request_costs_s = dict.fromkeys(fleet.names, 0.005)
+            await fleet.run(2.0, CALM)
+            fleet.got.clear()
+            await fleet.run(6.0, BURST)
+            return fleet.got
+
+        got = run(main)
+        asked = 6 * BURST["small"]
+        self.assertTrue(got["small"] > 0.5 * asked, (got, asked))
+        self.assertTrue(got["large"] > 0.5 * got["flood"], got)
+
+
+class UnreachableOwnerTest(TestCase):
+    def test_instances_that_place_alone_leave_room_at_the_engines(self):
+        """Guards against instances that together place more than engines can do."""
+
+        async def main():
+            fleet = BusyFleet(INSTANCES, ENGINES)
+            await fleet.run(2.0, CALM)
+            fleet.engine_waits_s.clear()
+            # No instance reaches another one.
+            fleet.cut.update(fleet.names)
+            await fleet.run(4.0, BURST)
+            waits_s, fleet.engine_waits_s = fleet.engine_waits_s, []
+            await fleet.drain()
+            return waits_s
+
+        waits_s = run(main)
+        self.assertTrue(len(waits_s) > 0.5 * 4 * CAPACITY_PER_S, len(waits_s))
+        late = sum(wait_s > 0.5 for wait_s in waits_s)
+        self.assertTrue(late < 0.1 * len(waits_s), (late, len(waits_s)))
+
+    def test_owner_that_is_cut_off_is_replaced(self):
+        """Guards against requests that wait for an owner that cannot answer."""
+
+        async def main():
+            fleet = BusyFleet(INSTANCES, ENGINES)
+            await fleet.run(1.0, CALM)
+            fleet.cut.add(fleet.owner)
+            await fleet.run(2.0, CALM)
+            fleet.results.clear()
+            await fleet.run(4.0, CALM)
+            await fleet.drain()
+            return fleet
+
+        fleet = run(main)
+        self.assertEqual(0, fleet.results["refused"] + fleet.results["left"])
+        in_time, late = fleet.results["in_time"], fleet.results["late"]
+        self.assertTrue(in_time > 9 * late, fleet.results)
--- a/borageworks/placement/tests/test_entitlements.py
+++ b/borageworks/placement/tests/test_entitlements.py
@@ -9,6 +9,7 @@
 from borageworks.fair.max_min import max_min_level
 from borageworks.placement.decisions import Refused
 from borageworks.placement.entitlements import MIN_FLOOD_RATIO, Entitlements
+from borageworks.placement.outcome import WorkOutcome
 from borageworks.placement.settings import PlacementSettings
 from borageworks.placement.tests.builders import plain_dispatcher, work
 
@@ -22,6 +23,8 @@
 BEST_SERVED = 1.5
 REST_SERVED = 0.75
 SERVICE_STEP = 0.05
+# Longer than an endpoint that rejected a request gets no other one.
+RETRY_STEP_S = 0.06
 
 
 def allocate(rates, capacity, seed, seconds):
@@ -154,6 +157,28 @@
         self.assertTrue(len(refused) > 10, refused)
         self.assertEqual(set(), {item.key for item in decisions if item.share_reached})
 
+    def test_requests_that_end_before_they_begin_are_no_service(self):
+        """Guards against shares of what engines lost or callers left in a queue."""
+        for outcome in (WorkOutcome.CALLER_DISCONNECTED, WorkOutcome.REFUSED):
+            dispatcher = plain_dispatcher(count=1, slots=1)
+            rejected = [("lost", outcome)] * 8
+            served = [("served", WorkOutcome.SERVED)] * 4
+            now = 0.0
+            for organisation, end in rejected + served:
+                now += RETRY_STEP_S
+                request = work(None, organisation)
+                dispatcher.submit(now, request)
+                if end is WorkOutcome.SERVED:
+                    dispatcher.start(now, request.key)
+                dispatcher.end(now, request.key, end)
+            now += RETRY_STEP_S
+            requests = [work(None, name) for name in ("other", "served", "lost")]
+            for request in requests:
+                dispatcher.submit(now, request)
+            decisions = dispatcher.end(now, requests[0].key, WorkOutcome.SERVED)
+            first = [item.key for item in decisions]
+            self.assertEqual([requests[2].key], first, outcome.name)
+
     def test_excess_is_forgotten(self):
         """Guards against an organisation that pays for a flood of long ago."""
         entitlements = Entitlements(SETTINGS)
