An owner that is late stays the owner, and requests wait for it

Cause (hypothesis 1): 30 to 100 ms without an acknowledgement made an instance place the request alone, and 250 ms without a message made it ask another owner. An owner with a backlog is late by as much in each iteration of its loop. The load moved to owners as small, which were late in turn.

Change: a request waits for an owner that sends messages, until it has to be decided; then it is withdrawn and refused. An owner that owes a reply and sends nothing for 0.5 s is lost, for the request as for ownership; a request that waited for it is passed on with the time that is left.

--- a/borageworks/gateway/fleet.py
+++ b/borageworks/gateway/fleet.py
@@ -30,9 +30,13 @@
 INITIAL_SUSPICION_S = 1.0
 # Longest exclusion, after which an instance that stays unreachable is tried again.
 MAX_SUSPICION_S = 8.0
-# A single late reply within this time does not move ownership: a new owner knows less
-# about the load of the endpoints.
+# Time for an instance to open a new link.
 PEER_TIMEOUT_S = 0.25
+# An instance that owes a reply and sends nothing for this time is taken for lost. One
+# that works on a backlog sends something in each iteration of its loop. Ownership does
+# not move for less: a new owner knows less about the load of the endpoints, and has no
+# more room than the former one.
+SILENCE_S = 0.5
 # Instances below this fraction of the largest capacity own no keys: placement adds to
 # the load of the callers that connect to them.
 MIN_OWNER_CAPACITY_RATIO = 0.5
@@ -376,10 +380,22 @@
         """Return the seconds since the last message from an instance."""
         return self._timers.now() - self._last_message_at.get(instance, -math.inf)
 
+    def silence_left_s(self, instance: str, asked_at: float) -> float:
+        """Return the seconds until an instance counts as silent, 0 or less if it does.
+
+        Parameters
+        ----------
+        instance
+            Instance that owes a reply.
+        asked_at
+            Time at which it was asked. It need not have sent anything before.
+        """
+        silent_s = min(self.silent_s(instance), self._timers.now() - asked_at)
+        return SILENCE_S - silent_s
+
     def record_timeout(self, instance: str) -> None:
         """Record a missing reply; suspect an instance that sends no messages."""
-        now = self._timers.now()
-        if now - self._last_message_at.get(instance, -PEER_TIMEOUT_S) >= PEER_TIMEOUT_S:
+        if self.silent_s(instance) >= SILENCE_S:
             self.suspect(instance)
 
     def leave(self) -> None:
--- a/borageworks/gateway/placement_paths.py
+++ b/borageworks/gateway/placement_paths.py
@@ -17,6 +17,7 @@
     slowest_s: float = 0.0
     late_replies: int = 0
     alone: int = 0
+    undecided: int = 0
 
 
 class PlacementPaths:
@@ -63,6 +64,10 @@
         """Count a request that this instance places beside the owner."""
         self._of(shard).alone += 1
 
+    def record_undecided(self, shard: Shard) -> None:
+        """Count a request that is refused, as the owner does not decide in time."""
+        self._of(shard).undecided += 1
+
     def report(self, owners: dict[Shard, str], lag_s: float) -> None:
         """Log the shards whose owners were late or passed over since the last report.
 
@@ -75,7 +80,7 @@
         """
         counts, self._counts = self._counts, {}
         for shard, item in counts.items():
-            if not (item.late or item.late_replies or item.alone):
+            if not (item.late or item.late_replies or item.alone or item.undecided):
                 continue
             emit(
                 Event.PLACEMENT_PATHS,
@@ -88,6 +93,7 @@
                 slowest_s=round(item.slowest_s, 3),
                 late_replies=item.late_replies,
                 alone=item.alone,
+                undecided=item.undecided,
                 lag_s=round(lag_s, 3),
             )
 
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -12,6 +12,7 @@
 
 from borageworks.events import Event, emit
 from borageworks.exceptions import (
+    CapacityExceededError,
     EndpointUnavailableError,
     PlacementSilentError,
     StreamUnknownError,
@@ -24,7 +25,7 @@
     EndpointNotices,
 )
 from borageworks.gateway.evacuations import Evacuations
-from borageworks.gateway.fleet import Fleet
+from borageworks.gateway.fleet import SILENCE_S, Fleet
 from borageworks.gateway.fleet_shares import FleetShares
 from borageworks.gateway.load_reports import LoadReports, decode_load, encode_load
 from borageworks.gateway.organisation_tally import OrganisationTally
@@ -74,11 +75,12 @@
 )
 
 TICK_INTERVAL_S = 0.02
-# Fraction of a request's target latency within which the owner must acknowledge it. The
-# bounds allow for a round trip between failure domains and one delayed loop iteration.
-ACK_TIMEOUT_RATIO = 0.1
-MIN_ACK_TIMEOUT_S = 0.03
-MAX_ACK_TIMEOUT_S = 0.1
+# An owner that keeps up acknowledges a request within this fraction of its target
+# latency. The bounds allow for a round trip between failure domains and one delayed
+# iteration of its loop.
+ACK_LATE_RATIO = 0.1
+MIN_ACK_LATE_S = 0.03
+MAX_ACK_LATE_S = 0.1
 # Loop iterations after which data that has already arrived has been processed.
 READ_LOOP_ITERATIONS = 3
 # Time for an instance to open a new link and to confirm its requests.
@@ -243,6 +245,7 @@
                     return await self._request_from_owner(pending)
                 except PlacementSilentError as error:
                     self._handle_unresponsive_owner(pending, error)
+                    work = pending.work
                 successor = self._owner(shard)
                 if successor == owner:
                     break
@@ -778,25 +781,59 @@
         request = replace(encode_work(pending.shard, work), sole_s=sole_s)
         if not self._fleet.send(pending.owner, request):
             raise PlacementSilentError(f"no link to {pending.owner}")
+        decide_at = pending.asked_at + DECISION_MARGIN_S
+        decide_at += max(work.max_wait_s, work.remaining_target_s, SILENCE_S)
+        await self._wait_for_acknowledgement(pending, decide_at)
         try:
-            async with asyncio.timeout(_ack_timeout_s(work)):
-                await pending.acknowledged.wait()
-        except TimeoutError as error:
-            # If this loop was delayed, the reply may have arrived but not been read.
-            for _ in range(READ_LOOP_ITERATIONS):
-                await asyncio.sleep(0)
-            if not pending.acknowledged.is_set():
-                raise PlacementSilentError(
-                    f"no acknowledgement from {pending.owner}"
-                ) from error
-        decision_timeout_s = (
-            max(work.max_wait_s, work.remaining_target_s, 0.0) + DECISION_MARGIN_S
-        )
-        try:
-            async with asyncio.timeout(decision_timeout_s):
+            async with asyncio.timeout_at(decide_at):
                 return await pending.future
         except TimeoutError as error:
-            raise PlacementSilentError(f"no decision from {pending.owner}") from error
+            raise self._undecided_error(pending) from error
+
+    async def _wait_for_acknowledgement(
+        self, pending: PendingPlacement, decide_at: float
+    ) -> None:
+        """Wait until the owner has acknowledged a request.
+
+        An owner that is late but sends messages works on a backlog. It stays the owner,
+        and the request waits for it: other instances have no more room, and know
+        less of the endpoints.
+
+        Raises
+        ------
+        PlacementSilentError
+            If the owner sends nothing.
+        CapacityExceededError
+            If the owner is too slow to decide while a response is of use.
+        """
+        while not pending.acknowledged.is_set():
+            silent_at = self._timers.now() + self._fleet.silence_left_s(
+                pending.owner, pending.asked_at
+            )
+            try:
+                async with asyncio.timeout_at(min(silent_at, decide_at)):
+                    await pending.acknowledged.wait()
+                return
+            except TimeoutError:
+                # If this loop was delayed, messages may have arrived but not been read.
+                for _ in range(READ_LOOP_ITERATIONS):
+                    await asyncio.sleep(0)
+            if pending.acknowledged.is_set():
+                return
+            if self._fleet.silence_left_s(pending.owner, pending.asked_at) <= 0.0:
+                raise PlacementSilentError(f"no message from {pending.owner}")
+            if self._timers.now() >= decide_at:
+                raise self._undecided_error(pending)
+
+    def _undecided_error(self, pending: PendingPlacement) -> CapacityExceededError:
+        """Withdraw a request from an owner that is too slow, and return the refusal."""
+        self._withdraw(pending)
+        self._paths.record_undecided(pending.shard)
+        self._metrics.count("placements_undecided")
+        return CapacityExceededError(
+            f"no decision from {pending.owner} in time",
+            retry_after=self._settings.min_retry_after_s,
+        )
 
     def _handle_unresponsive_owner(
         self, pending: PendingPlacement, error: PlacementSilentError
@@ -814,6 +851,8 @@
         )
         self._fleet.send(pending.owner, PlaceWithdraw(pending.work.key[1]))
         self._fleet.record_timeout(pending.owner)
+        waited_s = self._timers.now() - pending.asked_at
+        pending.work = pending.work.after(waited_s)
         pending.future = asyncio.get_running_loop().create_future()
         pending.acknowledged.clear()
         # Replies from the former owner are ignored from here on.
@@ -1022,7 +1061,7 @@
         if not pending.acknowledged.is_set():
             pending.acknowledged.set()
             waited_s = self._timers.now() - pending.asked_at
-            late = waited_s > _ack_timeout_s(pending.work)
+            late = waited_s > _ack_late_s(pending.work)
             self._paths.record_acknowledged(pending.shard, waited_s, late=late)
         key = pending.work.key
         match reply.state:
@@ -1180,11 +1219,11 @@
             self._tick_timer = None
 
 
-def _ack_timeout_s(work: Work) -> float:
-    """Return the time within which an owner has to acknowledge a request."""
+def _ack_late_s(work: Work) -> float:
+    """Return the time after which an acknowledgement counts as late."""
     return min(
-        max(ACK_TIMEOUT_RATIO * work.remaining_target_s, MIN_ACK_TIMEOUT_S),
-        MAX_ACK_TIMEOUT_S,
+        max(ACK_LATE_RATIO * work.remaining_target_s, MIN_ACK_LATE_S),
+        MAX_ACK_LATE_S,
     )
 
 
--- a/borageworks/gateway/tests/test_load_reports.py
+++ b/borageworks/gateway/tests/test_load_reports.py
@@ -10,6 +10,7 @@
 
 from borageworks.gateway.deployment import EngineProfile, ServiceProfile
 from borageworks.gateway.endpoint_notices import EndpointNotices
+from borageworks.gateway.fleet import SILENCE_S
 from borageworks.gateway.placer import Placer
 from borageworks.metrics import Metrics
 from borageworks.placement.engine_load import EngineLoad
@@ -32,6 +33,7 @@
     """Return a placer of instance i over two engines, and what it sends."""
     sent: list[Any] = []
     fleet = mock.Mock(instance="i", domain="a", count=2, reachable_ratio=1.0)
+    fleet.silence_left_s.return_value = SILENCE_S
     fleet.owner.return_value = owner
 
     def send(_to, message):
--- a/borageworks/gateway/tests/test_placement_accounting.py
+++ b/borageworks/gateway/tests/test_placement_accounting.py
@@ -24,6 +24,8 @@
 MAX_DELAY_S = 0.01
 MIN_INTERVAL_S = 1e-6
 SEEDS = range(4)
+# Less than the run, so that owners change in it.
+SILENCE_S = 0.1
 
 
 class SimulatedFleet:
@@ -56,6 +58,12 @@
     def record_timeout(self, instance):
         self.suspected.add(instance)
 
+    def silence_left_s(self, _instance, asked_at):
+        return asked_at + SILENCE_S - asyncio.get_running_loop().time()
+
+    def silent_s(self, _instance):
+        return SILENCE_S
+
 
 class SimulatedNetwork:
     """Links that keep the order of messages until they are reset."""
--- a/borageworks/gateway/tests/test_placer.py
+++ b/borageworks/gateway/tests/test_placer.py
@@ -12,6 +12,7 @@
 from borageworks.gateway.deployment import EngineProfile, ServiceProfile
 from borageworks.gateway.endpoint import Endpoint
 from borageworks.gateway.endpoint_notices import EndpointNotices
+from borageworks.gateway.fleet import SILENCE_S
 from borageworks.gateway.pending_placement import PendingPlacement
 from borageworks.gateway.placement_messages import encode_work
 from borageworks.gateway.placer import Placer
@@ -30,6 +31,7 @@
 def owner_of_all(directory):
     """Return a placer that owns every shard."""
     fleet = mock.Mock(instance="i", domain="a", count=1)
+    fleet.silence_left_s.return_value = SILENCE_S
     fleet.owner.return_value = "i"
     notices = EndpointNotices(fleet, Timers(), Metrics())
     return Placer(fleet, directory, notices, Timers(), Metrics(), PlacementSettings())
@@ -253,6 +255,7 @@
         async def main():
             directory: Any = SimpleNamespace(deployment=None)
             fleet = mock.Mock(instance="i", domain="a", count=1)
+            fleet.silence_left_s.return_value = SILENCE_S
             placer = Placer(
                 fleet,
                 directory,
--- a/borageworks/placement/work.py
+++ b/borageworks/placement/work.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from borageworks.gateway.caller_request import Prompt
 from borageworks.gateway.endpoint import Endpoint
@@ -71,6 +71,14 @@
         # Endpoints of an unknown version may differ from each other.
         return endpoint.software_version == self.software_version != ""
 
+    def after(self, seconds: float) -> Work:
+        """Return the request as it is after a wait of some seconds."""
+        return replace(
+            self,
+            remaining_target_s=self.remaining_target_s - seconds,
+            max_wait_s=max(self.max_wait_s - seconds, 0.0),
+        )
+
     @property
     def traits(self) -> tuple[bytes, ...]:
         """What it may share with other requests that crash endpoints.
