Decide placement requests in turns, by share, and refuse what there is no time for

What callers saw: with more requests than the owner of a shard can decide, answers came late for all of them, and requests were given up before they were decided.

Cause: an owner decided requests in order of arrival, each before it read what endpoints had begun and ended and what callers had withdrawn.

Change: the owner decides eight requests, then reads messages again. The rest is decided in fair order of organisations; what waited for an eighth of its patience is refused, which costs a fraction of a decision and counts as requested. Withdrawn requests are dropped undecided. Requests of the owner's own callers wait with the others.

A refusal at the target latency may take 0.1 s to travel back.

--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -30,6 +30,7 @@
 from borageworks.gateway.load_reports import LoadReports, decode_load, encode_load
 from borageworks.gateway.organisation_tally import OrganisationTally
 from borageworks.gateway.pending_placement import PendingPlacement
+from borageworks.gateway.placement_inbox import PlacementInbox, UndecidedRequest
 from borageworks.gateway.placement_messages import (
     decode_work,
     encode_decision,
@@ -156,6 +157,9 @@
         self._is_overloaded = is_overloaded
         self._lag_s = lag_s
         self._paths = PlacementPaths(metrics)
+        self._inbox = PlacementInbox(
+            timers, self._decide, self._refuse_undecided, self._rank
+        )
         self._streams = StreamVersions() if streams is None else streams
         self._confirm_replica = confirm_replica
         self._evacuations = Evacuations("") if evacuations is None else evacuations
@@ -606,6 +610,7 @@
 
     def report(self) -> None:
         """Log the work refused by organisation since the last report, and why."""
+        queued, undecided = self._inbox.take_counts()
         self._paths.report(self._owners, self._lag_s())
         for shard, tally in self._tallies.items():
             service, number = shard
@@ -632,6 +637,8 @@
                     owned=self.owns(shard),
                     askers=self._count_askers(shard),
                     lag_s=round(self._lag_s(), 3),
+                    queued=queued,
+                    undecided=undecided,
                     reasons={reason.name.lower(): n for reason, n in reasons.items()},
                     **_rounded(state),
                 )
@@ -668,6 +675,8 @@
             case PlaceReply():
                 self._handle_reply(instance, message)
             case PlaceWithdraw(number=number):
+                if self._inbox.withdraw((instance, number)):
+                    return
                 for dispatcher in self._dispatchers.values():
                     self._deliver(dispatcher.withdraw(now, (instance, number)))
             case EndpointLoads(loads=loads):
@@ -737,6 +746,7 @@
         has to know of its requests; the other one does the same for its own, and what
         it does not confirm within a moment has ended.
         """
+        self._inbox.drop_instance(instance)
         for dispatcher in self._dispatchers.values():
             dispatcher.unconfirm_instance(instance)
         self._timers.after(
@@ -760,6 +770,7 @@
     def instance_lost(self, instance: str) -> None:
         """Drop the requests of a lost instance and stop waiting for its decisions."""
         now = self._timers.now()
+        self._inbox.drop_instance(instance)
         for dispatcher in self._dispatchers.values():
             self._deliver(dispatcher.drop_instance(now, instance))
         for pending in list(self._requests.values()):
@@ -829,7 +840,7 @@
         """Withdraw a request from an owner that is too slow, and return the refusal."""
         self._withdraw(pending)
         self._paths.record_undecided(pending.shard)
-        self._metrics.count("placements_undecided")
+        self._metrics.count("placements_undecided", "entry")
         return CapacityExceededError(
             f"no decision from {pending.owner} in time",
             retry_after=self._settings.min_retry_after_s,
@@ -860,20 +871,11 @@
         self.review_owners()
 
     def _submit(self, shard: Shard, work: Work) -> None:
-        dispatcher = self._dispatchers.get(shard)
-        if dispatcher is None:
+        if shard not in self._dispatchers:
             retry_after_s = self._settings.min_retry_after_s
             self._deliver([Refused(work.key, RefusalReason.NO_ENDPOINT, retry_after_s)])
             return
-        now = self._timers.now()
-        owns = self.owns(shard)
-        dispatcher.set_capacity_ratio(1.0 if owns else 1.0 / self._fleet.count)
-        dispatcher.set_limit_ratio(now, self._limit_ratio(shard, owns))
-        self._update_cold_allowed(now, shard, dispatcher)
-        self._tally(shard).record_requested(work.organisation, work.units)
-        decisions = self._submit_bound(now, shard, dispatcher, work)
-        self._deliver(self._count_refusals(shard, decisions))
-        self._ensure_ticking()
+        self._inbox.add(UndecidedRequest(shard, work, self._timers.now()))
 
     def _bind(self, service: str, work: Work, *, confirmed: bool = False) -> Work:
         """Bind a request that resumes a stream to the version of the stream.
@@ -990,7 +992,7 @@
             self._fleet.send(pending.owner, PlaceWithdraw(key[1]))
             return
         dispatcher = self._dispatchers.get(pending.shard)
-        if dispatcher is not None:
+        if not self._inbox.withdraw(key) and dispatcher is not None:
             self._deliver(dispatcher.withdraw(self._timers.now(), key))
 
     def _start(self, shard: Shard, key: WorkKey, delayed: bool) -> None:
@@ -1021,23 +1023,53 @@
         owner = self._owner(shard)
         if owner not in (self._instance, instance):
             self._fleet.send(instance, ShardOwner(*shard, owner))
-        work = decode_work(instance, request)
         now = self._timers.now()
         self._asked_at.setdefault(shard, {})[instance] = now
-        dispatcher.set_capacity_ratio(1.0)
-        owns = owner == self._instance
+        work = decode_work(instance, request)
+        self._inbox.add(UndecidedRequest(shard, work, now, request.sole_s))
+
+    def _decide(self, request: UndecidedRequest) -> None:
+        """Place, queue or refuse a request of this or another instance."""
+        shard, now = request.shard, self._timers.now()
+        work = request.work.after(now - request.arrived_at)
+        dispatcher = self._dispatchers.get(shard)
+        if dispatcher is None:
+            retry_after_s = self._settings.min_retry_after_s
+            self._deliver([Refused(work.key, RefusalReason.NO_ENDPOINT, retry_after_s)])
+            return
+        instance, number = work.key
+        is_own = instance == self._instance
+        owns = self.owns(shard)
+        dispatcher.set_capacity_ratio(
+            1.0 if owns or not is_own else 1.0 / self._fleet.count
+        )
         dispatcher.set_limit_ratio(now, self._limit_ratio(shard, owns))
-        if dispatcher.cold_budget:
+        if dispatcher.cold_budget and not is_own:
             self._parts_of(now, shard).receive(now, instance, request.sole_s)
-            self._update_cold_allowed(now, shard, dispatcher)
+        self._update_cold_allowed(now, shard, dispatcher)
         self._tally(shard).record_requested(work.organisation, work.units)
         decisions = self._submit_bound(now, shard, dispatcher, work)
         self._deliver(self._count_refusals(shard, decisions), dispatcher.prefill_speed)
-        if all(decision.key != work.key for decision in decisions):
-            self._fleet.send(
-                instance, PlaceReply(request.number, PlacementState.WAITING)
-            )
-            self._ensure_ticking()
+        if not is_own and all(decision.key != work.key for decision in decisions):
+            self._fleet.send(instance, PlaceReply(number, PlacementState.WAITING))
+        self._ensure_ticking()
+
+    def _refuse_undecided(self, request: UndecidedRequest) -> None:
+        """Refuse a request that this instance had no time to decide."""
+        dispatcher = self._dispatchers.get(request.shard)
+        if dispatcher is None:
+            return
+        work = request.work
+        self._metrics.count("placements_undecided", "owner")
+        self._tally(request.shard).record_requested(work.organisation, work.units)
+        decisions = dispatcher.refuse_undecided(self._timers.now(), work)
+        self._deliver(self._count_refusals(request.shard, decisions))
+
+    def _rank(self, now: float, shard: Shard, organisation: str) -> tuple[bool, float]:
+        dispatcher = self._dispatchers.get(shard)
+        if dispatcher is None:
+            return False, 0.0
+        return dispatcher.rank(now, organisation)
 
     def _adopt(
         self, instance: str, request: PlaceRequest, endpoint: str, started: bool
--- a/borageworks/gateway/tests/busy_fleet.py
+++ b/borageworks/gateway/tests/busy_fleet.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
+from collections import Counter, deque
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from types import SimpleNamespace
 from typing import Any
@@ -16,29 +17,91 @@
 from borageworks.gateway.tests.test_components import GATEWAY
 from borageworks.gateway.tests.test_fleet import FakeInstances
 from borageworks.metrics import Metrics
+from borageworks.placement.decisions import Decision
+from borageworks.placement.dispatcher import Dispatcher
 from borageworks.placement.outcome import WorkOutcome
 from borageworks.placement.settings import PlacementSettings
 from borageworks.placement.tests.builders import engines, prompt, work
-from borageworks.timers import Timers
-from borageworks.wire.messages import PlaceRequest
+from borageworks.placement.work import Work
+from borageworks.timers import TimerCallback, Timers, TimerSubscription
+from borageworks.wire.messages import Message
 
 SERVICE = "engines"
 SHARD = f"{SERVICE}/0"
 LINK_S = 0.002
-# Processing time of a message that is no request for a placement.
-SMALL_COST_S = 0.0001
+# Time to read a message.
+READ_S = 0.0003
 TOKENS_PER_S = 50_000.0
 SLOTS = 24
 RESPONSE_S = 0.5
 # Callers leave after this time without a first event.
 GIVE_UP_S = 4.0
 OWN_TOKENS = 2_000
+# Time for a refusal at the end of the target latency to reach the caller.
+RETURN_S = 0.1
 SAMPLE_S = 0.01
 
 
+class BusyTimers(Timers):
+    """Timers of an instance whose callbacks wait until it is idle."""
+
+    def __init__(self, process: BusyProcess) -> None:
+        super().__init__()
+        self._process = process
+
+    def after(self, delay: float, callback: TimerCallback) -> TimerSubscription:
+        """Call `callback(now)` once, not before the instance is idle."""
+        return super().after(max(delay, self._process.busy_s), callback)
+
+
+class BusyProcess:
+    """Received messages of an instance, which it reads when it is idle.
+
+    Like an event loop it reads all that has arrived, then lets timers fire. What it
+    sends leaves when the work before it is done.
+    """
+
+    def __init__(self, receive: Callable[[str, Message], None]) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._receive = receive
+        self._messages: deque[tuple[str, Message]] = deque()
+        self._free_at = 0.0
+        self._reading = False
+
+    @property
+    def busy_s(self) -> float:
+        """Seconds until it is idle."""
+        return max(self._free_at - self._loop.time(), 0.0)
+
+    def work(self, seconds: float) -> None:
+        """Be busy for some seconds more."""
+        self._free_at = max(self._free_at, self._loop.time()) + seconds
+
+    def deliver(self, sender: str, message: Message) -> None:
+        """Receive a message."""
+        self._messages.append((sender, message))
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if self._messages and not self._reading:
+            self._reading = True
+            self._loop.call_later(self.busy_s, self._read)
+
+    def _read(self) -> None:
+        self._reading = False
+        if self.busy_s:
+            self._schedule()
+            return
+        messages, self._messages = self._messages, deque()
+        for sender, message in messages:
+            self.work(READ_S)
+            self._receive(sender, message)
+        self._schedule()
+
+
 @dataclass
 class BusyFleet:
-    """Placers of several instances, each with its own queue of received messages.
+    """Placers of several instances whose messages and decisions take time.
 
     Parameters
     ----------
@@ -46,15 +109,15 @@
         Number of instances.
     engine_count
         Number of engines, which prefill prompts in order of arrival.
-    request_costs_s
-        Seconds in which an instance processes a request for a placement.
+    decision_s
+        Seconds in which an instance decides a request.
     delays_s
         Seconds by which an instance reads its messages late.
     """
 
     count: int
     engine_count: int
-    request_costs_s: dict[str, float] = field(default_factory=dict)
+    decision_s: float = 0.0
     delays_s: dict[str, float] = field(default_factory=dict)
     cut: set[str] = field(default_factory=set)
     results: Counter[str] = field(default_factory=Counter)
@@ -69,7 +132,7 @@
         self.placers: dict[str, Placer] = {}
         self.fleets: dict[str, Fleet] = {}
         self._metrics: dict[str, Metrics] = {}
-        self._free_at: dict[str, float] = {}
+        self._processes: dict[str, BusyProcess] = {}
         self._engine_free_at: dict[str, float] = {}
         self._owners: dict[str, str] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -84,7 +147,9 @@
         return sum(item.value("placements_alone") for item in self._metrics.values())
 
     def _start(self, name: str) -> None:
-        timers, metrics = Timers(), Metrics()
+        process = BusyProcess(lambda sender, msg: self._deliver(sender, name, msg))
+        self._processes[name] = process
+        timers, metrics = BusyTimers(process), Metrics()
         instances: Any = FakeInstances({n: 1.0 for n in self.names if n != name})
         store: Any = None
         fleet = Fleet(
@@ -115,23 +180,32 @@
         notices = EndpointNotices(fleet, timers, metrics)
         placer = Placer(fleet, directory, notices, timers, metrics, PlacementSettings())
         placer.update()
+        for dispatcher in placer.dispatchers.values():
+            self._charge_decisions(process, dispatcher)
         self.fleets[name], self.placers[name] = fleet, placer
         self._metrics[name] = metrics
 
-    def _send(self, sender: str, receiver: str, message: Any) -> bool:
-        if sender in self.cut or receiver in self.cut:
-            return True
-        now = self._loop.time()
-        cost_s = SMALL_COST_S
-        if isinstance(message, PlaceRequest):
-            cost_s = self.request_costs_s.get(receiver, SMALL_COST_S)
-        arrived_at = now + LINK_S + self.delays_s.get(receiver, 0.0)
-        done_at = max(arrived_at, self._free_at.get(receiver, 0.0)) + cost_s
-        self._free_at[receiver] = done_at
-        self._loop.call_at(done_at, self._deliver, sender, receiver, message)
+    def _charge_decisions(self, process: BusyProcess, dispatcher: Dispatcher) -> None:
+        submit = dispatcher.submit
+
+        def charged(now: float, request: Work) -> list[Decision]:
+            process.work(self.decision_s)
+            return submit(now, request)
+
+        patch: Any = dispatcher
+        patch.submit = charged
+
+    def _send(self, sender: str, receiver: str, message: Message) -> bool:
+        if sender not in self.cut and receiver not in self.cut:
+            delay_s = self._processes[sender].busy_s + LINK_S
+            delay_s += self.delays_s.get(receiver, 0.0)
+            self._loop.call_later(delay_s, self._arrive, sender, receiver, message)
         return True
 
-    def _deliver(self, sender: str, receiver: str, message: Any) -> None:
+    def _arrive(self, sender: str, receiver: str, message: Message) -> None:
+        self._processes[receiver].deliver(sender, message)
+
+    def _deliver(self, sender: str, receiver: str, message: Message) -> None:
         self.fleets[receiver].record_message(sender)
         self.placers[receiver].receive(sender, message)
 
@@ -172,7 +246,7 @@
         except RefusalError:
             self.results["refused"] += 1
             waited_s = self._loop.time() - called_at
-            self.late_refusals += waited_s > request.remaining_target_s
+            self.late_refusals += waited_s > request.remaining_target_s + RETURN_S
             return
         now = self._loop.time()
         free_at = max(self._engine_free_at.get(placed.endpoint, 0.0), now)
--- a/borageworks/gateway/tests/test_slow_owner.py
+++ b/borageworks/gateway/tests/test_slow_owner.py
@@ -11,6 +11,8 @@
 ENGINES = 6
 # What the engines prefill in a second, and what is sent in calm and in a burst.
 CAPACITY_PER_S = 150.0
+# An instance can decide a little more than the engines can do.
+DECISION_S = 0.004
 CALM = {"small": 15.0, "large": 45.0}
 BURST = {"small": 30.0, "large": 240.0, "flood": 480.0}
 
@@ -41,8 +43,7 @@
 
         async def main():
             fleet = BusyFleet(INSTANCES, ENGINES)
-            # Each instance can place a little more than the engines can do.
-            fleet.request_costs_s = dict.fromkeys(fleet.names, 0.005)
+            fleet.decision_s = DECISION_S
             await fleet.run(2.0, CALM)
             fleet.results.clear()
             await fleet.run(4.0, BURST)
@@ -66,7 +67,7 @@
 
         async def main():
             fleet = BusyFleet(INSTANCES, ENGINES)
-            fleet.request_costs_s = dict.fromkeys(fleet.names, 0.005)
+            fleet.decision_s = DECISION_S
             await fleet.run(2.0, CALM)
             fleet.got.clear()
             await fleet.run(6.0, BURST)
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -521,11 +521,7 @@
         if state is not None:
             running = state.running[work.key]
             return [self._placed_at(now, state, work, running)]
-        if self._refused.take(now, work.fingerprint):
-            # A caller that comes back after a refusal asks for the same again.
-            self._entitlements.record_returned(work.organisation, work.units)
-        else:
-            self._entitlements.record_requested(now, work.organisation, work.units)
+        self._record_submitted(now, work)
         if self._evidence.verdict(now, work.traits) is Verdict.REFUSED:
             reason = RefusalReason.SUSPECTED
             self._entitlements.record_refused(
@@ -557,6 +553,25 @@
         self._enqueue(waiting)
         return []
 
+    def refuse_undecided(self, now: float, work: Work) -> list[Decision]:
+        """Refuse a request that the instance has no time to decide."""
+        if work.key in self._waiting or work.key in self._placed:
+            return []
+        self._record_submitted(now, work)
+        return [self._refuse(now, work, RefusalReason.NO_CAPACITY)]
+
+    def rank(self, now: float, organisation: str) -> tuple[bool, float]:
+        """Return the order in which an organisation is served, least first."""
+        is_owed = self._entitlements.is_owed_all(organisation)
+        return not is_owed, self._waiting.recent_service(now, organisation)
+
+    def _record_submitted(self, now: float, work: Work) -> None:
+        if self._refused.take(now, work.fingerprint):
+            # A caller that comes back after a refusal asks for the same again.
+            self._entitlements.record_returned(work.organisation, work.units)
+        else:
+            self._entitlements.record_requested(now, work.organisation, work.units)
+
     def _wait_for_cold(self, now: float, work: Work) -> list[Decision]:
         """Let a request wait for a cold endpoint if it takes one in time, or refuse it.
 
--- a/borageworks/placement/waiting.py
+++ b/borageworks/placement/waiting.py
@@ -155,6 +155,10 @@
         """Charge an organisation for a request that is placed."""
         self._recent.add(now, organisation, units)
 
+    def recent_service(self, now: float, organisation: str) -> float:
+        """Return what an organisation got lately."""
+        return self._recent.amount(now, organisation)
+
     def leads(self, now: float, count: int) -> dict[str, float]:
         """Return the organisations that got most lately, which are served last."""
         return self._recent.largest(now, count)
