Limit the prompts ahead at engines while instances place independently

What callers saw: half of what reached an engine left its queue after four seconds without a first event.

Each instance found each engine idle, and as many prompts queued there as there were instances.

Change: while instances place independently, each has at most its fraction of two prompts per engine that have not begun, one at least; what has to wait longer than it may is refused at once. An instance that is asked although it is not the owner has the fraction of those that ask it, instead of all. Choices differ between instances also where engines state no load.

--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -946,11 +946,11 @@
         return dispatcher.submit(now, work)
 
     def _limit_ratio(self, shard: Shard, owns: bool) -> float:
-        """Return the fraction of the endpoints' rate limits that is for this instance.
+        """Return the fraction of the endpoints' capacity that is for this instance.
 
         It is that of the instances whose requests it places, so that several which
-        place at the same time do not exceed the limits together. An owner that reaches
-        most instances places for all.
+        place at the same time do not exceed the capacity together. An owner that
+        reaches most instances places for all.
         """
         if owns:
             return self._fleet.reachable_ratio
@@ -1040,10 +1040,9 @@
         instance, number = work.key
         is_own = instance == self._instance
         owns = self.owns(shard)
-        dispatcher.set_capacity_ratio(
-            1.0 if owns or not is_own else 1.0 / self._fleet.count
-        )
-        dispatcher.set_limit_ratio(now, self._limit_ratio(shard, owns))
+        ratio = self._limit_ratio(shard, owns)
+        dispatcher.set_capacity_ratio(1.0 if owns else ratio)
+        dispatcher.set_limit_ratio(now, ratio)
         if dispatcher.cold_budget and not is_own:
             self._parts_of(now, shard).receive(now, instance, request.sole_s)
         self._update_cold_allowed(now, shard, dispatcher)
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -72,6 +72,9 @@
 SPEEDS_INTERVAL_S = 0.1
 # Largest cost by which choices differ between instances that place at the same time.
 SPREAD_S = 0.03
+# Prompts that have not begun at an engine, of all instances that place independently of
+# each other: one that is prefilled and one that follows.
+PROMPTS_PER_ENGINE = 2.0
 # Organisations named in the summary for the log, so that its length is bounded.
 MAX_NAMED_LEADS = 8
 
@@ -326,8 +329,7 @@
         It is below 1 while instances place independently of each other.
         """
         self._capacity_ratio = ratio
-        if self._uses_loads:
-            self._selector.set_spread(SPREAD_S if ratio < 1.0 else 0.0)
+        self._selector.set_spread(SPREAD_S if ratio < 1.0 else 0.0)
 
     def set_limit_ratio(self, now: float, ratio: float) -> None:
         """Set the fraction of the endpoints' rate limits that this instance may use."""
@@ -1072,7 +1074,11 @@
     def _has_room(self, now: float, state: EndpointState, work: Work) -> bool:
         if state.is_paused(now, work.key[0]) or not self._has_slot(now, state):
             return False
-        if work.prompt is None or not state.running:
+        if work.prompt is None:
+            return True
+        if not self._may_prefill(now):
+            return False
+        if not state.running:
             return True
         engine = self._service.engine
         if engine is not None:
@@ -1085,6 +1091,22 @@
                 return False
         return self._backlog_wait_s(now, state) <= 0.0
 
+    def _may_prefill(self, now: float) -> bool:
+        """Return whether this instance may start another prompt at the engines.
+
+        Instances that place independently of each other see engines as idle while the
+        prompts of the others queue there. Slots do not limit that, so the prompts of
+        each that have not begun are limited.
+        """
+        if self._capacity_ratio >= 1.0:
+            return True
+        started = sum(len(state.prefilling) for state in self._endpoints.values())
+        return started < self._max_prompts_ahead(now)
+
+    def _max_prompts_ahead(self, now: float) -> float:
+        usable = sum(state.usable(now) for state in self._endpoints.values())
+        return max(PROMPTS_PER_ENGINE * self._capacity_ratio * usable, 1.0)
+
     def _has_slot(self, now: float, state: EndpointState) -> bool:
         if len(state.running) >= self._slot_limit(state) or not state.has_token(now):
             return False
@@ -1156,7 +1178,13 @@
         tokens = sum(self._uncached_tokens(state, item) for item in ahead)
         backlog = state.backlog_tokens(now, seconds_per_token)
         allowed_s = self._settings.prefill_ahead_s * self._capacity_ratio
-        return max((backlog + tokens) * seconds_per_token - allowed_s, slot_wait_s, 0.0)
+        wait_s = (backlog + tokens) * seconds_per_token - allowed_s
+        if not self._may_prefill(now):
+            rounds = (1.0 + len(self._waiting)) / self._max_prompts_ahead(now)
+            own_tokens = self._uncached_tokens(state, work)
+            begin_s = self._prefill_speed.first_token_s(backlog + own_tokens)
+            wait_s = max(wait_s, rounds * begin_s)
+        return max(wait_s, slot_wait_s, 0.0)
 
     def _slot_wait_s(
         self, now: float, states: Iterable[EndpointState], ahead: int
