Look at waiting requests less often at an owner

In a profile of the flood pattern two thirds of a dispatcher's time are its tick, most of it the choice of engines for requests that wait.

Change: a waiting request chooses its engine again after 60 ms, not at each tick; a message about a request that a shard does not know, as each message of another service is, no longer goes through all that wait.

Both new tests failed before.

--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -51,6 +51,8 @@
 # selection compares all engines; doing it for all requests of a flood would saturate a
 # core.
 SELECTIONS_PER_TICK = 16
+# Time in which the backlogs of engines change enough to select anew.
+MIN_SELECTION_AGE_S = 0.06
 # A flood of refusals needs the expected waits for each request.
 WAITS_MAX_AGE_S = 0.02
 # Interval at which overdue prompts are looked for.
@@ -847,13 +849,13 @@
         """
         self._unconfirmed.discard(key)
         state = self._endpoints.get(self._placed.get(key, ""))
-        previous_at = -math.inf if state is None else state.last_start_at
-        started = state.start(now, key) if state is not None else None
-        if state is not None:
-            self._record_stream(now, state, started)
+        if state is None:
+            return []
+        previous_at = state.last_start_at
+        started = state.start(now, key)
+        self._record_stream(now, state, started)
         if (
-            state is not None
-            and started is not None
+            started is not None
             and started.uncached_tokens
             and not started.adopted
             and not delayed
@@ -924,22 +926,23 @@
         """Record the end of a placed request."""
         self._unconfirmed.discard(key)
         state = self._endpoints.get(self._placed.pop(key, ""))
-        if state is not None:
-            ended = self._remove_running(now, state, key, outcome)
-            if self._uses_loads:
-                state.load.record_end(now)
-            if ended is not None:
-                self._record_end(now, state, ended, outcome)
-            state.record(now, outcome)
-            if state.cold is not None:
-                state.cold.note_outcome(now, state.endpoint, outcome)
-                if outcome in (WorkOutcome.RETURNED, WorkOutcome.MISDIRECTED):
-                    state.cold.withdraw(key)
-                if outcome is WorkOutcome.SERVED and ended and ended.started_at:
-                    state.cold.note_served(ended.placed_at, ended.started_at)
-            if outcome is WorkOutcome.UNREACHABLE:
-                # A crash empties the cache; without one, updates restore its state.
-                state.cache.clear()
+        if state is None:
+            return []
+        ended = self._remove_running(now, state, key, outcome)
+        if self._uses_loads:
+            state.load.record_end(now)
+        if ended is not None:
+            self._record_end(now, state, ended, outcome)
+        state.record(now, outcome)
+        if state.cold is not None:
+            state.cold.note_outcome(now, state.endpoint, outcome)
+            if outcome in (WorkOutcome.RETURNED, WorkOutcome.MISDIRECTED):
+                state.cold.withdraw(key)
+            if outcome is WorkOutcome.SERVED and ended and ended.started_at:
+                state.cold.note_served(ended.placed_at, ended.started_at)
+        if outcome is WorkOutcome.UNREACHABLE:
+            # A crash empties the cache; without one, updates restore its state.
+            state.cache.clear()
         return self._place_waiting(now, state)
 
     def unconfirm_instance(self, instance: str) -> None:
@@ -983,7 +986,12 @@
         self._expire_overdue(now)
         least_recent = heapq.nsmallest(
             SELECTIONS_PER_TICK,
-            (item for item in self._waiting if not item.uses_any_endpoint),
+            (
+                item
+                for item in self._waiting
+                if not item.uses_any_endpoint
+                and now - item.selected_at >= MIN_SELECTION_AGE_S
+            ),
             key=lambda item: item.selected_at,
         )
         for waiting in least_recent:
--- a/borageworks/placement/tests/test_dispatcher.py
+++ b/borageworks/placement/tests/test_dispatcher.py
@@ -1,5 +1,8 @@
 """Tests of single decisions of the dispatcher."""
 
+from typing import Any
+from unittest import mock
+
 from testtools import TestCase
 
 from borageworks.placement.cache_update import CachedPart, CacheUpdate
@@ -33,6 +36,33 @@
             dispatcher.start(step + 0.4, request.key)
         self.assertEqual(1, len(names))
 
+    def test_messages_of_other_shards_look_at_no_waiting_request(self):
+        """Guards against an owner whose work grows with messages times waiting."""
+        dispatcher = plain_dispatcher(count=1, slots=1)
+        for _ in range(4):
+            dispatcher.submit(0.0, work(None))
+        self.assertEqual(3, dispatcher.waiting)
+        waiting: Any = dispatcher._waiting
+        waiting.in_order = mock.Mock(wraps=waiting.in_order)
+        unknown = work(None).key
+        dispatcher.start(0.1, unknown)
+        dispatcher.end(0.2, unknown, WorkOutcome.SERVED)
+        dispatcher.withdraw(0.3, unknown)
+        self.assertEqual(0, waiting.in_order.call_count)
+
+    def test_requests_that_wait_select_their_engine_in_turn(self):
+        """Guards against an owner that spends its time on selecting engines anew."""
+        dispatcher = engine_dispatcher()
+        for step in range(60):
+            dispatcher.submit(step / 1000, work(prompt(own=4000), str(step % 3)))
+        waiting = dispatcher.waiting
+        self.assertTrue(waiting > 3, waiting)
+        selector: Any = dispatcher._selector
+        selector.select = mock.Mock(wraps=selector.select)
+        for tick in range(5):
+            dispatcher.tick(0.06 + tick * 0.02)
+        self.assertTrue(waiting <= selector.select.call_count <= 2 * waiting)
+
     def test_update_of_an_engine_replaces_the_estimate(self):
         """Guards against placing by cached parts that the engine has evicted."""
         dispatcher = engine_dispatcher()
