Take the even share from what engines do now where that is less

Cause, by event 415: engines are lost at 14 s, and the even share of a second falls from 1.6M tokens to 0.2M. Entitlements averaged it over four seconds, so that for as long organisations of middling size counted as owed all that they request, which was more than the engines could do. The class: a guarantee from an average that outlives the capacity it was measured on.

Change: the even share is the lesser of the levels over the long and the short window.

The other patterns of test_share_rule, test_fair_admission, test_entitlements and test_load_patterns pass.

--- a/borageworks/placement/entitlements.py
+++ b/borageworks/placement/entitlements.py
@@ -195,10 +195,19 @@
             (account.recently_placed for account in self._accounts.values()),
             default=0.0,
         )
-        self._even_share = max_min_level(
-            (account.requested for account in self._accounts.values()),
-            sum(account.placed for account in self._accounts.values()),
+        accounts = self._accounts.values()
+        even_share = max_min_level(
+            (account.requested for account in accounts),
+            sum(account.placed for account in accounts),
         )
+        recent_share = max_min_level(
+            (account.recently_requested for account in accounts),
+            sum(account.recently_placed for account in accounts),
+        )
+        # Both in amounts over the longer time. What engines did before some of them
+        # were lost must not be promised any more.
+        ratio = self._settings.share_window_s / self._settings.fair_window_s
+        self._even_share = min(even_share, recent_share * ratio)
 
     def _account(self, now: float, organisation: str) -> _Account:
         account = self._accounts.get(organisation)
--- a/borageworks/placement/tests/test_share_rule.py
+++ b/borageworks/placement/tests/test_share_rule.py
@@ -42,6 +42,15 @@
     changed_at_s=8.0,
 )
 
+# Small organisations request as much as is left when most engines are lost.
+SCARCE = DemandLoad(
+    requests_per_s={
+        "flood": 600.0,
+        **{f"middling-{number}": 20.0 for number in range(6)},
+        **SMALL,
+    }
+)
+
 
 class ShareRuleTest(TestCase):
     """Load patterns of floods whose callers come back after a refusal."""
@@ -117,3 +126,16 @@
             callers.run(6)
             missed[seed] = callers.rule.violations(7, 16)
         self.assertEqual({seed: {} for seed in SEEDS}, missed)
+
+    def test_organisations_of_all_sizes_while_most_engines_are_lost(self):
+        """Guards against an even share that counts engines which are gone."""
+        missed = {}
+        for seed in SEEDS:
+            callers = ReturningCallers(SCARCE, seed)
+            callers.run(8)
+            callers.crash(SCARCE.engine_count * 7 // 10)
+            callers.run(6)
+            callers.restart_crashed()
+            callers.run(2)
+            missed[seed] = callers.rule.violations(7, 16)
+        self.assertEqual({seed: {} for seed in SEEDS}, missed)
