Bound what instances place that take a suspected owner's place, and try it again briefly

Since an owner counts as silent after 0.5 s, each retry of one that is cut off (after 1, 2 and 4 s) let requests wait for as long; with 30 to 100 ms before it cost less.

Change: an owner that was suspected and has not been heard since is silent after 0.1 s. Who owns a shard only since it suspects the owner uses the fraction of the instances that ask it within a second, as one does that is asked although it is not the owner; once the record of a lost owner is removed, its successor owns the shard itself.

--- a/borageworks/gateway/fleet.py
+++ b/borageworks/gateway/fleet.py
@@ -37,6 +37,8 @@
 # not move for less: a new owner knows less about the load of the endpoints, and has no
 # more room than the former one.
 SILENCE_S = 0.5
+# The same for an instance that is tried again after a suspicion, until it is heard.
+PROBATION_SILENCE_S = 0.1
 # Instances below this fraction of the largest capacity own no keys: placement adds to
 # the load of the callers that connect to them.
 MIN_OWNER_CAPACITY_RATIO = 0.5
@@ -304,6 +306,23 @@
             if capacity >= min_capacity
         }
 
+    def is_standing_in(self, key: str) -> bool:
+        """Return whether this instance owns a key since it suspects the owner.
+
+        Other instances may not suspect it, and ask it or a third one.
+        """
+        if self.owner(key) != self.instance:
+            return False
+        now = self._timers.now()
+        suspected = {
+            name: record.capacity
+            for name, record in self._instances.others.items()
+            if self._suspected_until.get(name, now) > now
+        }
+        if not suspected or self._candidates is None:
+            return False
+        return rendezvous(key, {**self._candidates, **suspected}) != self.instance
+
     def stand_in(self, key: str) -> str | None:
         """Return the instance that owns a key while its owner is suspected."""
         if self._candidates is None:
@@ -391,11 +410,14 @@
             Time at which it was asked. It need not have sent anything before.
         """
         silent_s = min(self.silent_s(instance), self._timers.now() - asked_at)
-        return SILENCE_S - silent_s
+        return self._max_silence_s(instance) - silent_s
+
+    def _max_silence_s(self, instance: str) -> float:
+        return PROBATION_SILENCE_S if instance in self._suspicion_s else SILENCE_S
 
     def record_timeout(self, instance: str) -> None:
         """Record a missing reply; suspect an instance that sends no messages."""
-        if self.silent_s(instance) >= SILENCE_S:
+        if self.silent_s(instance) >= self._max_silence_s(instance):
             self.suspect(instance)
 
     def leave(self) -> None:
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -950,7 +950,8 @@
 
         It is that of the instances whose requests it places, so that several which
         place at the same time do not exceed the capacity together. An owner that
-        reaches most instances places for all.
+        reaches most instances places for all; one that stands in for another one, which
+        others may still ask, does not.
         """
         if owns:
             return self._fleet.reachable_ratio
@@ -1039,7 +1040,7 @@
             return
         instance, number = work.key
         is_own = instance == self._instance
-        owns = self.owns(shard)
+        owns = self.owns(shard) and not self._fleet.is_standing_in(_owner_key(shard))
         ratio = self._limit_ratio(shard, owns)
         dispatcher.set_capacity_ratio(1.0 if owns else ratio)
         dispatcher.set_limit_ratio(now, ratio)
@@ -1129,7 +1130,7 @@
                 return
 
     def _owner(self, shard: Shard) -> str:
-        owner = self._fleet.owner(f"{shard[0]}/{shard[1]}")
+        owner = self._fleet.owner(_owner_key(shard))
         previous = self._owners.get(shard)
         if previous != owner:
             self._owners[shard] = owner
@@ -1159,7 +1160,7 @@
 
         Others may still avoid this instance because of an earlier failure.
         """
-        stand_in = self._fleet.stand_in(f"{shard[0]}/{shard[1]}")
+        stand_in = self._fleet.stand_in(_owner_key(shard))
         if stand_in is not None:
             self._fleet.send(stand_in, ShardOwner(*shard, self._instance))
 
@@ -1250,6 +1251,11 @@
             self._tick_timer = None
 
 
+def _owner_key(shard: Shard) -> str:
+    """Return the key whose owner places the requests of a shard."""
+    return f"{shard[0]}/{shard[1]}"
+
+
 def _ack_late_s(work: Work) -> float:
     """Return the time after which an acknowledgement counts as late."""
     return min(
--- a/borageworks/gateway/tests/test_fleet.py
+++ b/borageworks/gateway/tests/test_fleet.py
@@ -8,6 +8,7 @@
 from borageworks.gateway.fleet import (
     INITIAL_SUSPICION_S,
     MAX_SUSPICION_S,
+    PROBATION_SILENCE_S,
     SILENCE_S,
     Fleet,
 )
@@ -125,6 +126,36 @@
             self.assertIn("a", self.owners(fleet))
             suspicion_s *= 2
 
+    def test_instance_that_owns_a_key_as_it_suspects_the_owner(self):
+        """Guards against several instances that each place for the whole fleet."""
+        fleet = self.fleet(a=1.0)
+        keys = [f"shard/{number}" for number in range(60)]
+        own = [key for key in keys if fleet.owner(key) == "i"]
+        self.assertEqual([], [key for key in keys if fleet.is_standing_in(key)])
+        fleet.record_timeout("a")
+        self.assertEqual({"i"}, self.owners(fleet))
+        standing_in = [key for key in keys if fleet.is_standing_in(key)]
+        self.assertEqual(set(keys) - set(own), set(standing_in))
+        fleet.record_message("a")
+        self.assertEqual([], [key for key in keys if fleet.is_standing_in(key)])
+
+    def test_silent_instance_that_is_retried_has_to_answer_soon(self):
+        """Guards against requests that wait at each retry of an unreachable peer."""
+        fleet = self.fleet(a=1.0)
+        fleet.record_message("a")
+        asked_at = self.timers.time
+        self.assertEqual(SILENCE_S, fleet.silence_left_s("a", asked_at))
+        self.timers.time += SILENCE_S
+        self.assertEqual(0.0, fleet.silence_left_s("a", asked_at))
+        fleet.record_timeout("a")
+        self.timers.time += INITIAL_SUSPICION_S
+        self.assertIn("a", self.owners(fleet))
+        asked_at = self.timers.time
+        left_s = fleet.silence_left_s("a", asked_at)
+        self.assertEqual(PROBATION_SILENCE_S, left_s)
+        fleet.record_message("a")
+        self.assertEqual(SILENCE_S, fleet.silence_left_s("a", asked_at))
+
     def test_reply_that_is_late_because_its_link_was_lost(self):
         """Guards against ownership that moves when links are reset."""
         fleet = self.fleet(a=1.0)
--- a/borageworks/gateway/tests/test_load_reports.py
+++ b/borageworks/gateway/tests/test_load_reports.py
@@ -34,6 +34,7 @@
     sent: list[Any] = []
     fleet = mock.Mock(instance="i", domain="a", count=2, reachable_ratio=1.0)
     fleet.silence_left_s.return_value = SILENCE_S
+    fleet.is_standing_in.return_value = False
     fleet.owner.return_value = owner
 
     def send(_to, message):
--- a/borageworks/gateway/tests/test_placement_accounting.py
+++ b/borageworks/gateway/tests/test_placement_accounting.py
@@ -52,6 +52,9 @@
         candidates = [name for name in INSTANCES if name not in self.suspected]
         return candidates[1] if len(candidates) > 1 else None
 
+    def is_standing_in(self, _key):
+        return False
+
     def vouch(self, instance):
         self.suspected.discard(instance)
 
--- a/borageworks/gateway/tests/test_placer.py
+++ b/borageworks/gateway/tests/test_placer.py
@@ -32,6 +32,7 @@
     """Return a placer that owns every shard."""
     fleet = mock.Mock(instance="i", domain="a", count=1)
     fleet.silence_left_s.return_value = SILENCE_S
+    fleet.is_standing_in.return_value = False
     fleet.owner.return_value = "i"
     notices = EndpointNotices(fleet, Timers(), Metrics())
     return Placer(fleet, directory, notices, Timers(), Metrics(), PlacementSettings())
@@ -256,6 +257,7 @@
             directory: Any = SimpleNamespace(deployment=None)
             fleet = mock.Mock(instance="i", domain="a", count=1)
             fleet.silence_left_s.return_value = SILENCE_S
+            fleet.is_standing_in.return_value = False
             placer = Placer(
                 fleet,
                 directory,
--- a/borageworks/gateway/tests/test_slow_owner.py
+++ b/borageworks/gateway/tests/test_slow_owner.py
@@ -5,6 +5,8 @@
 from testtools import TestCase
 
 from borageworks.catalog.tests.fleet import SimulatedLoop
+from borageworks.gateway.fleet import SILENCE_S
+from borageworks.gateway.placer import MAX_OWNERS_ASKED
 from borageworks.gateway.tests.busy_fleet import BusyFleet
 
 INSTANCES = 16
@@ -86,9 +88,10 @@
         async def main():
             fleet = BusyFleet(INSTANCES, ENGINES)
             await fleet.run(2.0, CALM)
-            fleet.engine_waits_s.clear()
             # No instance reaches another one.
             fleet.cut.update(fleet.names)
+            await fleet.run(MAX_OWNERS_ASKED * SILENCE_S, BURST)
+            fleet.engine_waits_s.clear()
             await fleet.run(4.0, BURST)
             waits_s, fleet.engine_waits_s = fleet.engine_waits_s, []
             await fleet.drain()
