Wait in a test until two instances agree on the owner

It checked at once after both instances had their links open; one that tries to connect before the other listens suspects it for a second and takes itself for the owner. It now waits until there is one owner, and fails as before if there are two for longer than the harness waits, or if a report does not reach the owner.

--- a/borageworks_emulator/platform/tests/test_load_reports.py
+++ b/borageworks_emulator/platform/tests/test_load_reports.py
@@ -29,6 +29,10 @@
         async def main():
             async with linked_fleet(endpoints, 2) as fleet:
                 placers = [harness.gateway._placer for harness in fleet]
+                # One that could not connect at the start suspects the other at first.
+                await fleet[0].wait_until(
+                    lambda: sum(placer.owns(shard) for placer in placers) == 1
+                )
                 (owner,) = [placer for placer in placers if placer.owns(shard)]
                 entry = fleet[1 - placers.index(owner)]
                 statuses = [
