Remember whether an instance stands in for a suspected owner

Each decision of a stand-in hashed the key with all instances again, which on a site of 195 instances takes as long as the decision. The answer holds until an instance or a suspicion comes or goes, like the owner, and is forgotten with it. Suspected instances that are too small to own keys no longer count as the owner. No other behaviour changes; test_fleet, test_ownership and test_slow_owner pass.

--- a/borageworks/gateway/fleet.py
+++ b/borageworks/gateway/fleet.py
@@ -118,6 +118,8 @@
         self._candidates: dict[str, float] | None = None
         self._candidates_until = 0.0
         self._owners: dict[str, str] = {}
+        # Whether this instance owns a key only since it suspects the owner.
+        self._standing_in: dict[str, bool] = {}
         self._rng = random.Random()
 
     @property
@@ -276,6 +278,7 @@
         if self._candidates is None:
             self._candidates = self._find_candidates()
             self._owners.clear()
+            self._standing_in.clear()
         owner = self._owners.get(key)
         if owner is None:
             owner = rendezvous(key, self._candidates) or self.instance
@@ -293,13 +296,17 @@
             for name, record in self._instances.others.items()
             if self._suspected_until.get(name, now) <= now
         }
-        if not self._leaving or not capacities:
-            capacities[self.instance] = self._settings.capacity
-        min_capacity = MIN_OWNER_CAPACITY_RATIO * max(capacities.values())
         self._candidates_until = min(
             (until for until in self._suspected_until.values() if until > now),
             default=math.inf,
         )
+        return self._eligible(capacities)
+
+    def _eligible(self, capacities: dict[str, float]) -> dict[str, float]:
+        """Return those of other instances, and this one, that may own keys."""
+        if not self._leaving or not capacities:
+            capacities[self.instance] = self._settings.capacity
+        min_capacity = MIN_OWNER_CAPACITY_RATIO * max(capacities.values())
         return {
             name: capacity
             for name, capacity in capacities.items()
@@ -313,15 +320,18 @@
         """
         if self.owner(key) != self.instance:
             return False
-        now = self._timers.now()
-        suspected = {
-            name: record.capacity
-            for name, record in self._instances.others.items()
-            if self._suspected_until.get(name, now) > now
-        }
-        if not suspected or self._candidates is None:
-            return False
-        return rendezvous(key, {**self._candidates, **suspected}) != self.instance
+        standing_in = self._standing_in.get(key)
+        if standing_in is None:
+            standing_in = self._unsuspected_owner(key) != self.instance
+            self._standing_in[key] = standing_in
+        return standing_in
+
+    def _unsuspected_owner(self, key: str) -> str | None:
+        """Return the owner of a key if no instance were suspected."""
+        others = self._instances.others.items()
+        return rendezvous(
+            key, self._eligible({name: record.capacity for name, record in others})
+        )
 
     def stand_in(self, key: str) -> str | None:
         """Return the instance that owns a key while its owner is suspected."""
