Leave the whole rate limits to an instance that stands in for the owner

Since a stand-in used the fraction of the instances that ask it, two of three here, for the limits that engines state as well; a request then had to wait 1.5 s for the next one, longer than it may.

Change: the fraction holds for what is placed ahead at engines; the rate limits follow the instances that the owner reaches, as before.

--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -946,15 +946,17 @@
         return dispatcher.submit(now, work)
 
     def _limit_ratio(self, shard: Shard, owns: bool) -> float:
-        """Return the fraction of the endpoints' capacity that is for this instance.
+        """Return the fraction of the endpoints' rate limits that is for this instance.
 
-        It is that of the instances whose requests it places, so that several which
-        place at the same time do not exceed the capacity together. An owner that
-        reaches most instances places for all; one that stands in for another one, which
-        others may still ask, does not.
+        An owner that reaches most instances places for all.
+        """
+        return self._fleet.reachable_ratio if owns else self._asked_ratio(shard)
+
+    def _asked_ratio(self, shard: Shard) -> float:
+        """Return the fraction of the instances whose requests this one places.
+
+        Several that place at the same time do not exceed the capacity together.
         """
-        if owns:
-            return self._fleet.reachable_ratio
         return min((1 + self._count_askers(shard)) / self._fleet.count, 1.0)
 
     def _count_askers(self, shard: Shard) -> int:
@@ -1040,10 +1042,12 @@
             return
         instance, number = work.key
         is_own = instance == self._instance
-        owns = self.owns(shard) and not self._fleet.is_standing_in(_owner_key(shard))
-        ratio = self._limit_ratio(shard, owns)
-        dispatcher.set_capacity_ratio(1.0 if owns else ratio)
-        dispatcher.set_limit_ratio(now, ratio)
+        owns = self.owns(shard)
+        # Others may still ask the owner that a stand-in suspects.
+        places_for_all = owns and not self._fleet.is_standing_in(_owner_key(shard))
+        ratio = 1.0 if places_for_all else self._asked_ratio(shard)
+        dispatcher.set_capacity_ratio(ratio)
+        dispatcher.set_limit_ratio(now, self._limit_ratio(shard, owns))
         if dispatcher.cold_budget and not is_own:
             self._parts_of(now, shard).receive(now, instance, request.sole_s)
         self._update_cold_allowed(now, shard, dispatcher)
