--- a/borageworks/gateway/placement_inbox.py
+++ b/borageworks/gateway/placement_inbox.py
@@ -13,8 +13,10 @@
 # Requests that are decided before messages are read again. What endpoints have begun
 # and ended, and what callers have withdrawn, is known first then.
 DECISIONS_PER_TURN = 8
-# Part of the time that a request may wait after which it is refused undecided.
-MAX_WAIT_RATIO = 0.125
+# Part of the time that a request may wait after which it is refused undecided, and the
+# least wait: a burst that is decided within it is no overload.
+MAX_WAIT_RATIO = 0.25
+MIN_WAIT_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +36,7 @@
     def expires_at(self) -> float:
         """Time at which it is refused unless it has been decided."""
         patience_s = max(self.work.remaining_target_s, self.work.max_wait_s, 0.0)
-        return self.arrived_at + MAX_WAIT_RATIO * patience_s
+        return self.arrived_at + max(MAX_WAIT_RATIO * patience_s, MIN_WAIT_S)
 
 
 # Shard and organisation of requests that are decided in order of arrival.
--- a/borageworks/gateway/tests/test_placement_inbox.py
+++ b/borageworks/gateway/tests/test_placement_inbox.py
@@ -71,6 +71,18 @@
         self.assertEqual(["flood"] * DECISIONS_PER_TURN + ["small"], decided)
         self.assertEqual(["flood", "flood"], refused)
 
+    def test_burst_of_requests_with_little_patience(self):
+        """Guards against refusals of a burst that is decided within a moment."""
+
+        def main(inbox):
+            for _ in range(4 * DECISIONS_PER_TURN):
+                request = work(None, "small", remaining_target_s=0.2)
+                inbox.add(UndecidedRequest(SHARD, request, 999.95))
+
+        decided, refused = self.run_inbox(main)
+        self.assertEqual(4 * DECISIONS_PER_TURN, len(decided))
+        self.assertEqual([], refused)
+
     def test_withdrawn_requests_and_those_of_a_lost_link(self):
         """Guards against decisions that nobody waits for any more."""
 
