Pass over an owner that sends messages and no replies

Cause, of: any message of an owner counted as a sign that it works on a backlog. It only shows that the path from it is whole.

Change: an owner that owes a reply and sends none for 0.5 s is passed over, whatever else it sends; after that 0.1 s are enough until it replies or a new link to it opens. It is suspected, so that ownership moves, only if nothing comes from it at all, as before.

--- a/borageworks/gateway/fleet.py
+++ b/borageworks/gateway/fleet.py
@@ -32,12 +32,12 @@
 MAX_SUSPICION_S = 8.0
 # Time for an instance to open a new link.
 PEER_TIMEOUT_S = 0.25
-# An instance that owes a reply and sends nothing for this time is taken for lost. One
-# that works on a backlog sends something in each iteration of its loop. Ownership does
-# not move for less: a new owner knows less about the load of the endpoints, and has no
-# more room than the former one.
+# An instance that owes a reply and sends none for this time is passed over, and taken
+# for lost if it sends nothing else either. One that works on a backlog replies to
+# something in each iteration of its loop. Ownership does not move for less: a new owner
+# knows less about the load of the endpoints, and has no more room than the former one.
 SILENCE_S = 0.5
-# The same for an instance that is tried again after a suspicion, until it is heard.
+# The same for one that was silent before, until it is heard, or replies.
 PROBATION_SILENCE_S = 0.1
 # Instances below this fraction of the largest capacity own no keys: placement adds to
 # the load of the callers that connect to them.
@@ -114,6 +114,9 @@
         # Suspected instances that were tried early since another instance reaches them.
         self._vouched: set[str] = set()
         self._last_message_at: dict[str, float] = {}
+        self._replied_at: dict[str, float] = {}
+        # Instances that have not replied since they owed a reply for too long.
+        self._unresponsive: set[str] = set()
         self._leaving = False
         self._candidates: dict[str, float] | None = None
         self._candidates_until = 0.0
@@ -417,10 +420,19 @@
         instance
             Instance that owes a reply.
         asked_at
-            Time at which it was asked. It need not have sent anything before.
+            Time since which it owes one. Messages that are no reply do not show that
+            it receives what this instance sends.
         """
-        silent_s = min(self.silent_s(instance), self._timers.now() - asked_at)
-        return self._max_silence_s(instance) - silent_s
+        replied_at = max(self._replied_at.get(instance, asked_at), asked_at)
+        limit_s = self._max_silence_s(instance)
+        if instance in self._unresponsive:
+            limit_s = PROBATION_SILENCE_S
+        return limit_s + replied_at - self._timers.now()
+
+    def record_reply(self, instance: str) -> None:
+        """Record that an instance has received what this one sent."""
+        self._replied_at[instance] = self._timers.now()
+        self._unresponsive.discard(instance)
 
     def _max_silence_s(self, instance: str) -> float:
         return PROBATION_SILENCE_S if instance in self._suspicion_s else SILENCE_S
@@ -429,6 +441,7 @@
         """Record a missing reply; suspect an instance that sends no messages."""
         if self.silent_s(instance) >= self._max_silence_s(instance):
             self.suspect(instance)
+        self._unresponsive.add(instance)
 
     def leave(self) -> None:
         """Give up ownership of all keys."""
@@ -443,6 +456,7 @@
     def _connected(self, instance: str) -> None:
         """Record the handshake, which proves like a message that an instance runs."""
         self.record_message(instance)
+        self._unresponsive.discard(instance)
         self._on_connected(instance)
 
     def _clear(self, instance: str) -> None:
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -806,14 +806,14 @@
     ) -> None:
         """Wait until the owner has acknowledged a request.
 
-        An owner that is late but sends messages works on a backlog. It stays the owner,
+        An owner that is late but sends replies works on a backlog. It stays the owner,
         and the request waits for it: other instances have no more room, and know
         less of the endpoints.
 
         Raises
         ------
         PlacementSilentError
-            If the owner sends nothing.
+            If the owner sends no reply, as it is lost or the path to it is.
         CapacityExceededError
             If the owner is too slow to decide while a response is of use.
         """
@@ -832,7 +832,7 @@
             if pending.acknowledged.is_set():
                 return
             if self._fleet.silence_left_s(pending.owner, pending.asked_at) <= 0.0:
-                raise PlacementSilentError(f"no message from {pending.owner}")
+                raise PlacementSilentError(f"no reply from {pending.owner}")
             if self._timers.now() >= decide_at:
                 raise self._undecided_error(pending)
 
@@ -1085,6 +1085,7 @@
         dispatcher.adopt(self._timers.now(), work, endpoint, started)
 
     def _handle_reply(self, instance: str, reply: PlaceReply) -> None:
+        self._fleet.record_reply(instance)
         pending = self._requests.get(reply.number)
         if pending is None or pending.owner != instance or pending.future.done():
             if pending is not None and pending.owner != instance:
--- a/borageworks/gateway/tests/busy_fleet.py
+++ b/borageworks/gateway/tests/busy_fleet.py
@@ -113,6 +113,8 @@
         Seconds in which an instance decides a request.
     delays_s
         Seconds by which an instance reads its messages late.
+    cut, deaf
+        Instances that neither send nor receive messages, and that only send.
     """
 
     count: int
@@ -120,6 +122,7 @@
     decision_s: float = 0.0
     delays_s: dict[str, float] = field(default_factory=dict)
     cut: set[str] = field(default_factory=set)
+    deaf: set[str] = field(default_factory=set)
     results: Counter[str] = field(default_factory=Counter)
     late_refusals: int = 0
     got: Counter[str] = field(default_factory=Counter)
@@ -196,7 +199,8 @@
         patch.submit = charged
 
     def _send(self, sender: str, receiver: str, message: Message) -> bool:
-        if sender not in self.cut and receiver not in self.cut:
+        unreachable = self.cut | self.deaf
+        if sender not in self.cut and receiver not in unreachable:
             delay_s = self._processes[sender].busy_s + LINK_S
             delay_s += self.delays_s.get(receiver, 0.0)
             self._loop.call_later(delay_s, self._arrive, sender, receiver, message)
--- a/borageworks/gateway/tests/test_fleet.py
+++ b/borageworks/gateway/tests/test_fleet.py
@@ -152,8 +152,12 @@
         self.assertIn("a", self.owners(fleet))
         asked_at = self.timers.time
         left_s = fleet.silence_left_s("a", asked_at)
-        self.assertEqual(PROBATION_SILENCE_S, left_s)
+        self.assertAlmostEqual(PROBATION_SILENCE_S, left_s)
+        # That it is heard does not show that it receives what is sent to it.
         fleet.record_message("a")
+        left_s = fleet.silence_left_s("a", asked_at)
+        self.assertAlmostEqual(PROBATION_SILENCE_S, left_s)
+        fleet.record_reply("a")
         self.assertEqual(SILENCE_S, fleet.silence_left_s("a", asked_at))
 
     def test_reply_that_is_late_because_its_link_was_lost(self):
--- a/borageworks/gateway/tests/test_placement_accounting.py
+++ b/borageworks/gateway/tests/test_placement_accounting.py
@@ -64,6 +64,9 @@
     def silence_left_s(self, _instance, asked_at):
         return asked_at + SILENCE_S - asyncio.get_running_loop().time()
 
+    def record_reply(self, _instance):
+        pass
+
     def silent_s(self, _instance):
         return SILENCE_S
 
--- a/borageworks/gateway/tests/test_slow_owner.py
+++ b/borageworks/gateway/tests/test_slow_owner.py
@@ -8,6 +8,7 @@
 from borageworks.gateway.fleet import SILENCE_S
 from borageworks.gateway.placer import MAX_OWNERS_ASKED
 from borageworks.gateway.tests.busy_fleet import BusyFleet
+from borageworks.wire.messages import ShardOwner
 
 INSTANCES = 16
 ENGINES = 6
@@ -119,3 +120,32 @@
         self.assertEqual(0, fleet.results["refused"] + fleet.results["left"])
         in_time, late = fleet.results["in_time"], fleet.results["late"]
         self.assertTrue(in_time > 9 * late, fleet.results)
+
+    def test_owner_that_is_heard_but_receives_nothing(self):
+        """Guards against a path that is cut one way, where no request is decided."""
+
+        async def main():
+            fleet = BusyFleet(INSTANCES, ENGINES)
+            await fleet.run(1.0, CALM)
+            fleet.deaf.add(fleet.owner)
+            owner = fleet.placers[fleet.owner]
+            for second in range(5):
+                if second == 1:
+                    fleet.results.clear()
+                # The owner sends messages all the time.
+                timers = [
+                    asyncio.get_running_loop().call_later(
+                        step / 50,
+                        lambda: owner._fleet.broadcast(ShardOwner("none", 0, "none")),
+                    )
+                    for step in range(50)
+                ]
+                await fleet.run(1.0, CALM)
+                for timer in timers:
+                    timer.cancel()
+            await fleet.drain()
+            return fleet
+
+        fleet = run(main)
+        served = fleet.results["in_time"] + fleet.results["late"]
+        self.assertTrue(served > 0.9 * fleet.results.total(), fleet.results)
