Keep garbage of other tests out of the measured cost of refusals

The difference is 0.13 s in one of two intervals of 0.1 and 0.4 s.

The test counts processor time of the gateway's thread, and so a full garbage collection that falls into it. In a whole run of the suite, recorded with gc.callbacks, 254,451 objects of former tests are tracked when this test starts, and full collections take 0.12 to 0.27 s each. With 250,000 objects and one full collection (0.105 s) within the second interval the ratio is 0.44 instead of 0.23. That one fell into the interval of the failed run is concluded from the figures; its collections were not recorded.

What former tests left is frozen before the measurement. The bound is unchanged, and garbage of the gateway itself counts as before.

--- a/borageworks_emulator/platform/tests/test_refusal_cost.py
+++ b/borageworks_emulator/platform/tests/test_refusal_cost.py
@@ -1,6 +1,7 @@
 """Tests of what an overloaded gateway spends on the requests that it refuses."""
 
 import asyncio
+import gc
 import socket
 import time
 from collections import Counter
@@ -40,6 +41,13 @@
 
 
 class RefusalCostTest(TestCase):
+    def setUp(self):
+        """Keep objects of former tests out of collections that are measured."""
+        super().setUp()
+        gc.collect()
+        gc.freeze()
+        self.addCleanup(gc.unfreeze)
+
     def measure(self, lag_limit_s):
         """Return the processor seconds of a request and the statuses received."""
 
