Queue prompts for the measured round trip to a late owner

Cause: an engine gets prompts for prefill_ahead_s, 0.08 s, beyond what the owner believes to be prefilled. If the owner learns of first outputs 0.2 s late, engines idle for the rest. It also takes the lateness for slow engines, and it lets requests wait up to a target latency of which a part has passed on the way. Class: a window that is smaller than the delay of its feedback.

Entry instances now tell with WorkStarted how long the first output took since they received the decision. What passes between decision and report beyond it is the round trip, smoothed as in RFC 6298. The window grows by its mean, waiting ends earlier by its mean and four deviations, outputs are overdue later, and the speed of engines is learned from the time that the entry measured. Older instances tell no time; with them all is as before.

--- a/borageworks/gateway/pending_placement.py
+++ b/borageworks/gateway/pending_placement.py
@@ -28,6 +28,8 @@
         Set when the owner has acknowledged the request.
     asked_at
         Time at which the owner was asked.
+    placed_at
+        Time at which the decision to place it was received.
     endpoint
         Endpoint that runs the request, None until it is placed.
     started
@@ -40,5 +42,6 @@
     future: asyncio.Future[Placed]
     acknowledged: asyncio.Event
     asked_at: float = 0.0
+    placed_at: float = 0.0
     endpoint: str | None = None
     started: bool = False
--- a/borageworks/gateway/placer.py
+++ b/borageworks/gateway/placer.py
@@ -295,7 +295,10 @@
             self._start(pending.shard, key, delayed)
         else:
             loads = self._untold_load(pending)
-            self._fleet.send(pending.owner, WorkStarted(key[1], delayed, loads))
+            first_output_s = self._timers.now() - pending.placed_at
+            self._fleet.send(
+                pending.owner, WorkStarted(key[1], delayed, loads, first_output_s)
+            )
 
     def record_end(self, key: WorkKey, outcome: WorkOutcome) -> None:
         """Record the end of a placed request."""
@@ -681,12 +684,19 @@
                     self._deliver(dispatcher.withdraw(now, (instance, number)))
             case EndpointLoads(loads=loads):
                 self._receive_loads(loads)
-            case WorkStarted(number=number, delayed=delayed, loads=loads):
-                self._receive_loads(loads)
-                delayed = delayed or self._is_overloaded()
+            case WorkStarted():
+                self._receive_loads(message.loads)
+                # A time that the sender measured says the same however late it is read.
+                is_measured = message.first_output_s > 0.0
+                delayed = message.delayed or (not is_measured and self._is_overloaded())
                 for dispatcher in self._dispatchers.values():
                     self._deliver(
-                        dispatcher.start(now, (instance, number), delayed=delayed)
+                        dispatcher.start(
+                            now,
+                            (instance, message.number),
+                            delayed=delayed,
+                            first_output_s=message.first_output_s,
+                        )
                     )
             case WorkEnded(number=number, outcome=code, loads=loads):
                 self._receive_loads(loads)
@@ -1042,6 +1052,8 @@
             return
         instance, number = work.key
         is_own = instance == self._instance
+        if not is_own:
+            work = work.after(dispatcher.round_trip.limit_s(now))
         owns = self.owns(shard)
         # Others may still ask the owner that a stand-in suspects.
         places_for_all = owns and not self._fleet.is_standing_in(_owner_key(shard))
@@ -1233,6 +1245,7 @@
             )
         match decision:
             case Placed():
+                pending.placed_at = self._timers.now()
                 pending.endpoint = decision.endpoint
                 pending.future.set_result(decision)
             case Refused():
@@ -1310,5 +1323,6 @@
     fields["backlog_s"] = round(state.backlog_s, 4)
     fields["seconds_per_token"] = round(state.seconds_per_token, 8)
     fields["start_s"] = round(state.start_s, 4)
+    fields["round_trip_s"] = round(state.round_trip_s, 4)
     fields["leads"] = {name: round(lead) for name, lead in state.leads.items()}
     return fields
--- a/borageworks/gateway/tests/test_load_reports.py
+++ b/borageworks/gateway/tests/test_load_reports.py
@@ -27,6 +27,7 @@
 )
 
 LOAD = EngineLoad(3, 1, 64, 2.5)
+FIRST_OUTPUT_S = 0.02
 
 
 def placer_and_sent(owner):
@@ -76,6 +77,7 @@
             placer, _, sent = placer_and_sent("o")
             request = await place(placer, sent)
             placer.record_load(engines(1)[0], LOAD, malformed=False)
+            await asyncio.sleep(FIRST_OUTPUT_S)
             placer.record_start(request.key)
             placer.record_end(request.key, WorkOutcome.SERVED)
             owner, _, _ = placer_and_sent("i")
@@ -88,6 +90,9 @@
         self.assertEqual(
             [("e0/0", 2.5)], [(i.incarnation, i.pace) for i in started.loads]
         )
+        self.assertTrue(
+            FIRST_OUTPUT_S <= started.first_output_s < 1.0, started.first_output_s
+        )
         self.assertEqual((WorkEnded, ()), (type(ended), ended.loads))
         self.assertTrue(owner.dispatchers["engines", 0].uses_loads)
 
--- a/borageworks/gateway/tests/test_slow_owner.py
+++ b/borageworks/gateway/tests/test_slow_owner.py
@@ -1,6 +1,7 @@
 """Tests of owners that are slow, or that instances cannot reach."""
 
 import asyncio
+from functools import partial
 
 from testtools import TestCase
 
@@ -62,6 +63,26 @@
         self.assertTrue(burst["in_time"] > 0.7 * 4 * CAPACITY_PER_S, burst)
         self.assertEqual({"in_time"}, set(fleet.results))
 
+    def test_engines_stay_busy_while_the_owner_is_late(self):
+        """Guards against engines that idle until the owner knows what has begun."""
+
+        async def main(delay_s, decision_s):
+            fleet = BusyFleet(INSTANCES, ENGINES)
+            fleet.delays_s[fleet.owner] = delay_s
+            fleet.decision_s = decision_s
+            await fleet.run(2.0, CALM)
+            fleet.got.clear()
+            fleet.results.clear()
+            await fleet.run(4.0, BURST)
+            return fleet
+
+        for delay_s, decision_s in (0.1, 0.0), (0.2, 0.0), (0.0, DECISION_S):
+            fleet = run(partial(main, delay_s, decision_s))
+            served = fleet.got.total()
+            self.assertTrue(served > 0.9 * 4 * CAPACITY_PER_S, (delay_s, served))
+            in_time = fleet.results["in_time"]
+            self.assertTrue(in_time > 0.9 * served, (delay_s, fleet.results))
+
     def test_refusals_in_a_burst_come_within_the_target_latency(self):
         """Guards against callers that are told too late to go elsewhere."""
 
--- a/borageworks/placement/dispatcher.py
+++ b/borageworks/placement/dispatcher.py
@@ -28,6 +28,7 @@
 from borageworks.placement.rate_limit import MIN_PER_S, RateLimit
 from borageworks.placement.recompute_budget import RecomputeBudget
 from borageworks.placement.refused_requests import RefusedRequests
+from borageworks.placement.round_trip import RoundTrip
 from borageworks.placement.selection import EndpointSelector
 from borageworks.placement.settings import PlacementSettings
 from borageworks.placement.share_tally import ShareReport
@@ -143,6 +144,7 @@
             settings.share_window_s, settings.recompute_ratio
         )
         self._prefill_speed = PrefillSpeed(DEFAULT_TOKENS_PER_S)
+        self._round_trip = RoundTrip()
         self._capacity_ratio = 1.0
         self._limit_ratio = 1.0
         self._mean_duration_s = 0.0
@@ -303,7 +305,7 @@
             * self._seconds_per_token(now, state)
             for state in usable
         ]
-        allowed_s = self._settings.prefill_ahead_s * self._capacity_ratio
+        allowed_s = self._prefill_ahead_s(now)
         limits = [state.rate_limit for state in usable if state.rate_limit is not None]
         return PlacementSummary(
             endpoints=len(self._endpoints),
@@ -318,9 +320,15 @@
             backlog_s=sum(backlogs_s) / max(len(usable), 1),
             seconds_per_token=speed.seconds_per_token,
             start_s=speed.start_s,
+            round_trip_s=self._round_trip.mean_s(now),
             leads=self._waiting.leads(now, MAX_NAMED_LEADS),
         )
 
+    @property
+    def round_trip(self) -> RoundTrip:
+        """Time that decisions and reports spend between instances."""
+        return self._round_trip
+
     def report_shares(self) -> ShareReport:
         """Return what organisations got and were owed since the last report."""
         return self._entitlements.report()
@@ -473,7 +481,10 @@
                 capacity = engine.memory_tokens if engine is not None else 0
                 cache = PromptCache(capacity, name, self._part_index)
                 state = self._endpoints[name] = EndpointState(
-                    endpoint, cache, uses_loads=self._uses_loads
+                    endpoint,
+                    cache,
+                    uses_loads=self._uses_loads,
+                    round_trip=self._round_trip,
                 )
                 in_traffic = self._listed and self._in_traffic
                 self._list_cold(now, state, in_traffic=in_traffic)
@@ -707,9 +718,17 @@
         """Return the seconds until the backlog of an engine admits a request."""
         seconds_per_token = self._seconds_per_token(now, state)
         backlog = state.backlog_tokens(now, seconds_per_token)
-        allowed_s = self._settings.prefill_ahead_s * self._capacity_ratio
+        allowed_s = self._prefill_ahead_s(now)
         return max(backlog * seconds_per_token - allowed_s, 0.0)
 
+    def _prefill_ahead_s(self, now: float) -> float:
+        """Return the prefill time that may be queued at each engine.
+
+        Like a flow control window it covers the time until progress is known here.
+        """
+        ahead_s = self._settings.prefill_ahead_s + self._round_trip.mean_s(now)
+        return ahead_s * self._capacity_ratio
+
     def _cheapest_with_room(self, now: float, work: Work) -> EndpointState | None:
         """Return the endpoint with the lowest cost that has room, None without any."""
         seconds_per_token = self._prefill_speed.seconds_per_token
@@ -841,11 +860,27 @@
             self._record_stream(now, state, state.start(now, work.key))
 
     def start(
-        self, now: float, key: WorkKey, *, delayed: bool = False
+        self,
+        now: float,
+        key: WorkKey,
+        *,
+        delayed: bool = False,
+        first_output_s: float = 0.0,
     ) -> list[Decision]:
         """Record the first output of a request.
 
-        If it was noticed late, its time is no sample of the endpoint's speed.
+        Parameters
+        ----------
+        now
+            Time in seconds.
+        key
+            Key of the request.
+        delayed
+            Whether the output was noticed late. Its time is no sample of the endpoint's
+            speed then.
+        first_output_s
+            Time from the receipt of the decision to the output as another instance
+            measured it, 0 for requests of this instance.
         """
         self._unconfirmed.discard(key)
         state = self._endpoints.get(self._placed.get(key, ""))
@@ -854,17 +889,20 @@
         previous_at = state.last_start_at
         started = state.start(now, key)
         self._record_stream(now, state, started)
-        if (
-            started is not None
-            and started.uncached_tokens
-            and not started.adopted
-            and not delayed
-        ):
-            first_token_s = now - started.placed_at
-            tokens = started.backlog_tokens
+        if started is None or started.adopted or delayed:
+            return self._place_waiting(now, state)
+        first_token_s = now - started.placed_at
+        tokens = float(started.backlog_tokens)
+        if 0.0 < first_output_s <= first_token_s:
+            self._round_trip.record(now, first_token_s - first_output_s)
+            # The rest of the backlog was prefilled during the round trip.
+            tokens *= first_output_s / first_token_s
+            tokens = max(tokens, float(started.uncached_tokens))
+            first_token_s = first_output_s
+        if started.uncached_tokens:
             expected_s = self._prefill_speed.first_token_s(tokens)
             if self._uses_loads:
-                self._learn_speed(now, state, started, previous_at)
+                self._learn_speed(now, state, started, previous_at, first_token_s)
                 expected_s *= state.expected_ratio(now)
             if (
                 not state.has_unknown(now)
@@ -882,6 +920,7 @@
         state: EndpointState,
         started: RunningWork,
         previous_at: float,
+        first_token_s: float,
     ) -> None:
         """Learn an engine's lasting speed from the prefill of one prompt.
 
@@ -896,7 +935,7 @@
             or len(state.running) > state.endpoint.slots
         ):
             return
-        measured_s = now - max(started.placed_at, previous_at)
+        measured_s = min(first_token_s, now - previous_at)
         expected_s = tokens * self._prefill_speed.seconds_per_token
         if previous_at <= started.placed_at:
             expected_s += self._prefill_speed.start_s
@@ -1024,9 +1063,9 @@
             if oldest is not None:
                 expected_s = self._prefill_speed.start_s
                 expected_s += oldest * self._seconds_per_token(now, state)
-                state.expire_overdue(
-                    now, settings.overdue_ratio * expected_s + settings.overdue_margin_s
-                )
+                limit_s = settings.overdue_ratio * expected_s
+                limit_s += settings.overdue_margin_s + self._round_trip.mean_s(now)
+                state.expire_overdue(now, limit_s)
 
     def _place_waiting(
         self, now: float, freed: EndpointState | None = None
@@ -1208,7 +1247,7 @@
         seconds_per_token = self._seconds_per_token(now, state)
         tokens = sum(self._uncached_tokens(state, item) for item in ahead)
         backlog = state.backlog_tokens(now, seconds_per_token)
-        allowed_s = self._settings.prefill_ahead_s * self._capacity_ratio
+        allowed_s = self._prefill_ahead_s(now)
         wait_s = (backlog + tokens) * seconds_per_token - allowed_s
         if not self._may_prefill(now):
             rounds = (1.0 + len(self._waiting)) / self._max_prompts_ahead(now)
--- a/borageworks/placement/endpoint_state.py
+++ b/borageworks/placement/endpoint_state.py
@@ -12,6 +12,7 @@
 from borageworks.placement.outcome import WorkOutcome
 from borageworks.placement.prompt_cache import PromptCache
 from borageworks.placement.rate_limit import RateLimit
+from borageworks.placement.round_trip import RoundTrip
 from borageworks.placement.work import WorkKey
 
 # Smoothing factor of the moving average of failures.
@@ -141,6 +142,8 @@
         Limit while it is cold, None if its service has none.
     evacuated
         Whether its failure domain is evacuated.
+    round_trip
+        Time by which the reports of its outputs come late.
     """
 
     endpoint: Endpoint
@@ -165,6 +168,7 @@
     uses_loads: bool = False
     cold: ColdLimit | None = None
     evacuated: bool = False
+    round_trip: RoundTrip = field(default_factory=RoundTrip)
     _slowdown: float = 1.0
     _slowdown_at: float = 0.0
 
@@ -259,7 +263,8 @@
         if self.uses_loads and not self.has_unknown(now):
             # A prompt that takes longer than expected shows that the machine is slow
             # now, before any report does.
-            stalled = (now - self.prefill_since - STALL_MARGIN_S) / seconds_per_token
+            margin_s = STALL_MARGIN_S + self.round_trip.mean_s(now)
+            stalled = (now - self.prefill_since - margin_s) / seconds_per_token
             backlog += max(min(stalled - oldest, STALL_MAX_S / seconds_per_token), 0.0)
         return backlog
 
--- a/borageworks/placement/settings.py
+++ b/borageworks/placement/settings.py
@@ -12,8 +12,9 @@
     Parameters
     ----------
     prefill_ahead_s
-        Prefill time that may be queued at an engine, so that it does not idle until its
-        progress is reported and the next request arrives.
+        Prefill time that may be queued at an engine beyond the measured round trip to
+        other instances, so that it does not idle until its progress is reported and
+        the next request arrives.
     recompute_weight
         Cost of prefilling a shared part again, per second of prefill. It exceeds 1
         since the part also evicts another one from memory.
--- a/borageworks/placement/summary.py
+++ b/borageworks/placement/summary.py
@@ -27,6 +27,8 @@
     seconds_per_token, start_s
         Expected prefill time of a token, and time to the first token of a request
         whose prompt is cached, in seconds.
+    round_trip_s
+        Mean time that decisions and reports spend between instances, in seconds.
     leads
         Virtual time by organisation beyond that of the pool, in tokens, largest first.
     """
@@ -43,4 +45,5 @@
     backlog_s: float
     seconds_per_token: float
     start_s: float
+    round_trip_s: float
     leads: dict[str, float]
--- a/borageworks/wire/fleet.capnp
+++ b/borageworks/wire/fleet.capnp
@@ -30,7 +30,7 @@
 struct PlaceWithdraw { number @0 :UInt64; }
 struct EndpointLoad { incarnation @0 :Text; running @1 :UInt32; waiting @2 :UInt32; slots @3 :UInt32; pace @4 :Float32; ageS @5 :Float32; speed @6 :Float32; }
 struct EndpointLoads { loads @0 :List(EndpointLoad); }
-struct WorkStarted { number @0 :UInt64; delayed @1 :Bool; loads @2 :List(EndpointLoad); }
+struct WorkStarted { number @0 :UInt64; delayed @1 :Bool; loads @2 :List(EndpointLoad); firstOutputS @3 :Float64; }
 struct WorkEnded { number @0 :UInt64; outcome @1 :UInt8; loads @2 :List(EndpointLoad); }
 struct WorkRunning { request @0 :PlaceRequest; endpoint @1 :Text; started @2 :Bool; }
 struct ShardOwner { service @0 :Text; shard @1 :UInt16; owner @2 :Text; }
--- a/borageworks/wire/messages.py
+++ b/borageworks/wire/messages.py
@@ -406,11 +406,14 @@
 
     `delayed` tells that the sender is overloaded, so that the response may have begun
     well before this message. `loads` is the endpoint's last report if it is new.
+    `first_output_s` is the time from the receipt of the decision to the first output,
+    0 if unknown.
     """
 
     number: int
     delayed: bool = False
     loads: tuple[EndpointLoad, ...] = ()
+    first_output_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
