Leave a connection open whose request has arrived and has not been read

What callers saw: a request that reaches an instance while its event loop is busy is answered with a reset when the instance closes idle connections at that moment, in a planned stop or as descriptors run short.

Cause: a connection counts as idle until the event loop has read from it. Timers of an iteration run before its reads, so the drain's timer closes connections whose requests wait in the system; closing with unread bytes sends a reset. A drain also ended beside such a request, as it is not running yet.

Change: bytes that wait in the system count as a request that is being received, for idle and stalled connections alike, and a drain waits until they are read.

Evidence: test_request_that_has_arrived_but_not_been_read and test_drain_waits_for_a_request_that_has_not_been_read fail before (reset, no response) and pass.

--- a/borageworks/api/connection.py
+++ b/borageworks/api/connection.py
@@ -138,6 +138,11 @@
         """Bytes received, not processed and not accounted for otherwise."""
         return 0 if self.body_accounted else super().buffered_bytes
 
+    @property
+    def has_arriving(self) -> bool:
+        """Whether bytes of a request have arrived that have not been read yet."""
+        return not self._discarding and self.has_unread
+
     @property
     def request_in_progress(self) -> bool:
         """Whether a request is being handled."""
@@ -270,6 +275,8 @@
         """
         # A request that has been read is handled in the next iteration of the loop.
         busy = self._request_in_progress or self._receiving or bool(self._messages)
+        # What arrives while the loop is busy is read in a later iteration.
+        busy = busy or self.has_arriving
         if not busy and self.transport is not None:
             self.transport.close()
             self._abort_if_unread(self.transport)
@@ -285,7 +292,10 @@
         """
         silent = self._loop.time() - self._received_at >= silent_s
         stalled = silent and not (
-            self._request_in_progress or self._messages or self.has_unprocessed
+            self._request_in_progress
+            or self._messages
+            or self.has_unprocessed
+            or self.has_arriving
         )
         if stalled:
             self.abort()
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -195,13 +195,20 @@
         for runner in self._runners:
             runner.limit_deadline(self._shutdown.response_deadline)
 
-    def close_idle(self) -> None:
-        """Close connections on which no request is running or being received."""
-        if self._server is None:
-            return
-        for connection in self._server.connections:
+    def close_idle(self) -> bool:
+        """Close connections on which no request is running or being received.
+
+        Returns
+        -------
+        bool
+            Whether no request has arrived that has not been read yet.
+        """
+        all_read = True
+        for connection in self._server.connections if self._server else ():
             if isinstance(connection, CallerConnection):
-                connection.close_if_idle()
+                closed = connection.close_if_idle()
+                all_read = all_read and (closed or not connection.has_arriving)
+        return all_read
 
     async def stop(self) -> None:
         """Close all connections."""
--- a/borageworks/gateway/gateway.py
+++ b/borageworks/gateway/gateway.py
@@ -279,10 +279,10 @@
     async def _drain(self, deadline: float) -> None:
         """Wait for running requests until the deadline, closing idle connections."""
         loop = asyncio.get_running_loop()
-        self._frontend.close_idle()
-        while self._frontend.running and loop.time() < deadline:
+        all_read = self._frontend.close_idle()
+        while (self._frontend.running or not all_read) and loop.time() < deadline:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-            self._frontend.close_idle()
+            all_read = self._frontend.close_idle()
 
     async def close(self) -> None:
         """Close all components immediately, including connections of callers."""
--- a/borageworks/receiving/paced_protocol.py
+++ b/borageworks/receiving/paced_protocol.py
@@ -51,6 +51,11 @@
         """Whether bytes have been received that the parser has not seen."""
         return bool(self._unprocessed)
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes have arrived that the event loop has not read yet."""
+        return _unread_bytes(self.descriptor) > 0
+
     @property
     def buffered_bytes(self) -> int:
         """Bytes received that the parser has not seen, with those in the system."""
--- a/borageworks_emulator/platform/tests/test_planned_stop.py
+++ b/borageworks_emulator/platform/tests/test_planned_stop.py
@@ -1,6 +1,8 @@
 """Tests of requests that arrive while a gateway closes its connections."""
 
 import asyncio
+import os
+import re
 from unittest import mock
 
 from testtools import TestCase
@@ -17,6 +19,25 @@
 CALLERS = 60
 
 
+def request_head(harness):
+    """Return the bytes of a request without a body."""
+    headers = harness.request_headers()
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join(["GET /look/ HTTP/1.1", *lines, "", ""]).encode()
+
+
+async def read_status(reader):
+    """Read a response; return its status, None if the connection was closed."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (OSError, asyncio.IncompleteReadError):
+        return None
+    length = re.search(rb"(?i)content-length: (\d+)", head)
+    if length:
+        await reader.readexactly(int(length[1]))
+    return int(head.split()[1])
+
+
 class PlannedStopTest(TestCase):
     def run_scenario(self, scenario):
         desk = EmulatedEndpoint("d", lambda _: Behaviour(plain_body=True))
@@ -63,9 +84,7 @@
 
         async def scenario(harness):
             frontends.append(harness.gateway._frontend)
-            headers = harness.request_headers()
-            lines = [f"{name}: {value}" for name, value in headers.items()]
-            head = "\r\n".join(["GET /look/ HTTP/1.1", *lines, "", ""]).encode()
+            head = request_head(harness)
             calls = [
                 asyncio.ensure_future(send(harness, head, len(head) * n // CALLERS))
                 for n in range(CALLERS)
@@ -78,6 +97,43 @@
         self.assertEqual([], cut)
         self.assertTrue(read)
 
+    def test_request_that_has_arrived_but_not_been_read(self):
+        """Guards against a reset of requests that reach a gateway while it lags."""
+
+        async def scenario(harness):
+            frontend = harness.gateway._frontend
+            head = request_head(harness)
+            address = "127.0.0.1", harness.ports[0]
+            reader, writer = await asyncio.open_connection(*address)
+            answers = []
+            # On a new connection and on one that has been used.
+            for _ in range(2):
+                await asyncio.sleep(0.05)
+                os.write(writer.get_extra_info("socket").fileno(), head)
+                frontend.close_idle()
+                answers.append(await read_status(reader))
+            writer.close()
+            return answers
+
+        self.assertEqual([200, 200], self.run_scenario(scenario))
+
+    def test_drain_waits_for_a_request_that_has_not_been_read(self):
+        """Guards against a stop that ends before the last requests are read."""
+
+        async def scenario(harness):
+            gateway = harness.gateway
+            address = "127.0.0.1", harness.ports[0]
+            reader, writer = await asyncio.open_connection(*address)
+            await asyncio.sleep(0.05)
+            os.write(writer.get_extra_info("socket").fileno(), request_head(harness))
+            await gateway._drain(asyncio.get_running_loop().time() + 2.0)
+            await gateway._frontend.stop()
+            status = await read_status(reader)
+            writer.close()
+            return status
+
+        self.assertEqual(200, self.run_scenario(scenario))
+
     def test_connections_in_the_accept_queue_when_the_gateway_stops(self):
         """Guards against resetting callers that wait to be accepted."""
 
@@ -127,9 +183,7 @@
                 pass
 
         async def scenario(harness):
-            headers = harness.request_headers()
-            lines = [f"{name}: {value}" for name, value in headers.items()]
-            head = "\r\n".join(["GET /look/ HTTP/1.1", *lines, "", ""]).encode()
+            head = request_head(harness)
             callers = [
                 asyncio.ensure_future(keep_sending(harness.ports[0], head))
                 for _ in range(8)
