Give a new connection time for its first request while an instance stops

What callers saw: on a busy machine, requests on new connections that reach an instance 2.8 to 4.5 s after SIGTERM are cut after 0.2 to 0.9 s, without a log line of theirs.

Cause: while the instance drains, it closes idle connections every 50 ms, and one that has been accepted and has sent nothing counted as idle. The same closes connections of callers whose round trip is longer than what is left of those 50 ms.

Change: while an instance drains, a connection without a request is closed once it has been open for a second, as for descriptors that run short, and the drain waits for it. A connection that stays unused holds the stop for that time at most.

Evidence: test_new_connection_whose_request_takes_a_moment fails before (no response) and passes; test_new_connections_without_a_request_do_not_hold_a_stop bounds what that costs.

--- a/borageworks/api/connection.py
+++ b/borageworks/api/connection.py
@@ -44,6 +44,7 @@
         "_admitted",
         "_count_refusal",
         "_discarding",
+        "_has_received",
         "_head_bytes",
         "_max_head_bytes",
         "_on_lost",
@@ -100,6 +101,7 @@
         self._admitted = admitted
         self._peer = ""
         self._received_at = loop.time()
+        self._has_received = False
         # Whether the bytes on their way belong to a body whose length was accepted.
         self.body_accounted = False
         # Whether the rest of a request's body is awaited.
@@ -120,7 +122,7 @@
 
     @property
     def received_at(self) -> float:
-        """Loop time at which bytes were last received."""
+        """Loop time at which bytes were last received, or the connection was opened."""
         return self._received_at
 
     @property
@@ -138,6 +140,11 @@
         """Bytes received, not processed and not accounted for otherwise."""
         return 0 if self.body_accounted else super().buffered_bytes
 
+    @property
+    def awaits_request(self) -> bool:
+        """Whether its first request, or bytes of another, have not been read yet."""
+        return not self._has_received or self.has_arriving
+
     @property
     def has_arriving(self) -> bool:
         """Whether bytes of a request have arrived that have not been read yet."""
@@ -158,7 +165,7 @@
         """Process bytes received from the caller."""
         if self._discarding:
             return
-        self._receiving = True
+        self._receiving = self._has_received = True
         self._received_at = self._loop.time()
         super().data_received(data)
 
@@ -265,9 +272,14 @@
         if unsent:
             self._loop.call_later(ABORT_TIMEOUT_S, check)
 
-    def close_if_idle(self) -> bool:
+    def close_if_idle(self, first_request_s: float = 0.0) -> bool:
         """Close the connection unless a request is handled or being received.
 
+        Parameters
+        ----------
+        first_request_s
+            Seconds for which a new connection may be without a request.
+
         Returns
         -------
         bool
@@ -276,12 +288,17 @@
         # A request that has been read is handled in the next iteration of the loop.
         busy = self._request_in_progress or self._receiving or bool(self._messages)
         # What arrives while the loop is busy is read in a later iteration.
-        busy = busy or self.has_arriving
+        busy = busy or self.has_arriving or self._is_new(first_request_s)
         if not busy and self.transport is not None:
             self.transport.close()
             self._abort_if_unread(self.transport)
         return not busy
 
+    def _is_new(self, first_request_s: float) -> bool:
+        """Return whether the first request of the connection may be on its way."""
+        opened_s = self._loop.time() - self._received_at
+        return not self._has_received and opened_s < first_request_s
+
     def close_if_stalled(self, silent_s: float) -> bool:
         """Close the connection if the head of its request has stopped arriving.
 
--- a/borageworks/gateway/frontend.py
+++ b/borageworks/gateway/frontend.py
@@ -196,18 +196,18 @@
             runner.limit_deadline(self._shutdown.response_deadline)
 
     def close_idle(self) -> bool:
-        """Close connections on which no request is running or being received.
+        """Close connections on which no request is running, received or expected.
 
         Returns
         -------
         bool
-            Whether no request has arrived that has not been read yet.
+            Whether no connection is left on which a request is still to be read.
         """
         all_read = True
         for connection in self._server.connections if self._server else ():
             if isinstance(connection, CallerConnection):
-                closed = connection.close_if_idle()
-                all_read = all_read and (closed or not connection.has_arriving)
+                closed = connection.close_if_idle(MIN_IDLE_S)
+                all_read = all_read and (closed or not connection.awaits_request)
         return all_read
 
     async def stop(self) -> None:
--- a/borageworks_emulator/platform/tests/test_planned_stop.py
+++ b/borageworks_emulator/platform/tests/test_planned_stop.py
@@ -8,6 +8,7 @@
 from testtools import TestCase
 
 from borageworks.api.connection import CallerConnection
+from borageworks.gateway.connection_limit import MIN_IDLE_S
 from borageworks.gateway.frontend import Frontend
 from borageworks_emulator.platform.endpoint import Behaviour, EmulatedEndpoint
 from borageworks_emulator.platform.harness import (
@@ -117,6 +118,40 @@
 
         self.assertEqual([200, 200], self.run_scenario(scenario))
 
+    def test_new_connection_whose_request_takes_a_moment(self):
+        """Guards against closing connections between their opening and a request."""
+
+        async def scenario(harness):
+            address = "127.0.0.1", harness.ports[0]
+            stop = asyncio.ensure_future(harness.gateway.stop())
+            reader, writer = await asyncio.open_connection(*address)
+            await asyncio.sleep(0.5)
+            writer.write(request_head(harness))
+            status = await read_status(reader)
+            writer.close()
+            await stop
+            return status
+
+        with mock.patch("borageworks.platform.settings.BALANCER_LAG_S", 0.1):
+            self.assertEqual(200, self.run_scenario(scenario))
+
+    def test_new_connections_without_a_request_do_not_hold_a_stop(self):
+        """Guards against a stop that waits until its deadline for unused ones."""
+
+        async def scenario(harness):
+            address = "127.0.0.1", harness.ports[0]
+            unused = [await asyncio.open_connection(*address) for _ in range(3)]
+            loop = asyncio.get_running_loop()
+            started_at = loop.time()
+            await harness.gateway.stop()
+            for _, writer in unused:
+                writer.close()
+            return loop.time() - started_at
+
+        with mock.patch("borageworks.platform.settings.BALANCER_LAG_S", 0.1):
+            taken_s = self.run_scenario(scenario)
+        self.assertTrue(taken_s < 2 * MIN_IDLE_S, taken_s)
+
     def test_drain_waits_for_a_request_that_has_not_been_read(self):
         """Guards against a stop that ends before the last requests are read."""
 
