Use both services of a split route equally in a test of resumed streams

Traced: the route chooses a service at random for each of ten streams, and each stream breaks at both engines of its service. It does not need load.

The test now begins five streams at each service in turn, and checks that it did. Before, it could pass with all streams at one service.

--- a/borageworks_emulator/platform/tests/test_stream_versions.py
+++ b/borageworks_emulator/platform/tests/test_stream_versions.py
@@ -1,6 +1,7 @@
 """Tests that no stream is joined from engines of two software versions."""
 
 import asyncio
+import itertools
 from contextlib import AsyncExitStack
 from unittest import mock
 
@@ -372,7 +373,12 @@
                     ]
             await first.configure(changed)
             await first.wait_until_current()
-            begun = await begin(first, 10)
+            # Eight streams broken at one service would suspend both of its engines.
+            turns = itertools.cycle((ENGINE_SERVICE, PLAIN_SERVICE))
+            rng = first.gateway._frontend._rng
+            with mock.patch.object(rng, "choices", lambda *_: [next(turns)]):
+                begun = await begin(first, 10)
+            self.assertEqual([5, 5], [len(new_runs(e)) for e in (self.old, self.new)])
             return begun, [await take_up(first, *stream) for stream in begun]
 
         begun, answers = self.run_scenario(scenario)
