Send large request bodies without copies of them

Seen: 111.2 to 112.6 MB of 100 beside load, with 48 bodies of 4 MiB for an endpoint that does not read them; 78 to 80 MB without load, when their callers leave before the bodies have been sent.

Cause, from a trace of the account in a scratch copy: four bodies (16 MiB) are counted, the process grows by as much while they arrive (62 to 78 MB), and by another 34 MB in the moment in which they are sent. The HTTP library cuts a body to its length, which copies a bytearray, and joins it with the head, which copies it again, and the connection keeps the result until the endpoint reads. Nothing counted these copies.

Change: above 64 KiB the head is sent by itself and the body as a view of what the request holds, by both interfaces. Sending it in pieces instead was tried and given up: the rest of a body was lost where an endpoint responds early (test_early_responses).

Tests of endpoints, gateway, api, hostile callers and early responses pass.

--- a/borageworks/endpoints/transport.py
+++ b/borageworks/endpoints/transport.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from borageworks.catalog.objects import Endpoint
+from borageworks.endpoints.body_payload import body_payload
 from borageworks.endpoints.bounded_connector import BoundedConnector
 from borageworks.endpoints.call import Call
 from borageworks.endpoints.http_errors import convert_http_errors
@@ -144,7 +145,7 @@
                 async with session.request(
                     call.method,
                     _url(endpoint, call.path),
-                    data=call.body,
+                    data=body_payload(call.body),
                     headers=headers,
                     timeout=timeout,
                     allow_redirects=False,
--- a/borageworks/gateway/upstream.py
+++ b/borageworks/gateway/upstream.py
@@ -9,6 +9,7 @@
 import aiohttp
 import yarl
 
+from borageworks.endpoints.body_payload import body_payload
 from borageworks.endpoints.bounded_connector import BoundedConnector
 from borageworks.endpoints.http_errors import convert_http_errors
 from borageworks.endpoints.single_attempt import (
@@ -125,7 +126,7 @@
             async with session.request(
                 method,
                 url,
-                data=body,
+                data=body_payload(body),
                 headers=list(headers),
                 allow_redirects=False,
                 middlewares=(SingleAttempt(is_wanted),),
